--- /dev/null
+++ b/cluster/cloudlist.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+const failedState = wire.MachineFailed
+
+// SetList takes the cloud's machine list in. It lags and may be older than the
+// one before, so that it proves nothing about tasks; it tells of machines that
+// no worker has reported from yet.
+func (m *Model) SetList(list []wire.ListedMachine, now time.Time) {
+	for i := range list {
+		l := &list[i]
+		_, known := m.machineIdx[l.Name]
+		mc := m.machine(l.Name, now)
+		if mc.Gone {
+			continue
+		}
+		if !known {
+			m.log.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "spot", l.Spot, "state", l.State)
+			mc.Created = now.Add(-config.Seconds(l.AgeS))
+		}
+		if mc.Addr == "" {
+			mc.Addr = l.Addr
+		}
+		if mc.Type < 0 || mc.Zone < 0 {
+			m.describe(mc, l.Type, l.Zone, l.Spot)
+		}
+		mc.Listed, mc.ListedAt = l.State, now
+	}
+}
+
+// Returnable lists machines to be deleted: failed ones, those that never came
+// up, those that have been silent for long, and empty ones that nobody needs.
+// A machine is marked, so that nothing is placed on it any more.
+func (m *Model) Returnable(now time.Time, idle time.Duration) []string {
+	var out []string
+	for _, mc := range m.Machines {
+		if len(out) >= 50 {
+			break
+		}
+		if mc.Gone {
+			continue
+		}
+		if mc.Returning {
+			out = append(out, mc.Name)
+			continue
+		}
+		why := ""
+		listed := !mc.ListedAt.IsZero() && now.Sub(mc.ListedAt) < time.Minute
+		switch {
+		case len(mc.Tasks) > 0 || mc.orphans != (placement.Res{}):
+		case mc.Listed == failedState && listed && !mc.Up:
+			why = "failed"
+		case !mc.Up && mc.Session == 0 && mc.Type >= 0 && now.Sub(mc.Created) > m.bootLimit(mc) && (listed || mc.Ours) && now.Sub(m.Takeover) > 20*time.Second:
+			why = "never came up"
+		case !mc.Up && mc.Session > 0 && listed && now.Sub(m.leaseOver(mc)) > 40*time.Second:
+			why = "silent"
+		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second:
+			why = "idle"
+		}
+		if why != "" {
+			mc.Returning = true
+			m.log.Info("returning", "machine", mc.Name, "why", why)
+			out = append(out, mc.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cluster/cycle.go
@@ -0,0 +1,221 @@
+package cluster
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/rebalance"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Cycle is what the rebalancer remembers of a group.
+type Cycle struct {
+	Record ledger.CycleRecord
+}
+
+// LoadCycle takes an earlier leader's cycle record in. Moves whose task is
+// still where it was are stopped again, since the stop may have been sent;
+// those whose stop was confirmed are simply waiting and start on their target.
+func (m *Model) LoadCycle(group string, rec ledger.CycleRecord, now time.Time) {
+	m.Cycles[group] = &Cycle{Record: rec}
+	for _, mv := range rec.Moves {
+		ref, p := m.moved(mv)
+		if p == nil || p.Attempt != mv.Attempt {
+			continue
+		}
+		if i, ok := m.machineIdx[mv.From]; ok && p.Machine == i {
+			m.StopTask(ref, "move taken over", now)
+		}
+	}
+}
+
+func (m *Model) moved(mv ledger.Move) (Ref, *Place) {
+	id, n, ok := wire.SplitTask(mv.Task)
+	if !ok {
+		return Ref{}, nil
+	}
+	j := m.Job(id)
+	if j == nil || n >= len(j.Tasks) {
+		return Ref{}, nil
+	}
+	return Ref{Job: j.Idx, Task: int32(n)}, j.Tasks[n].Place
+}
+
+// Groups never cross zones or machine types.
+func groupName(typ, zone string) string { return zone + "/" + typ }
+
+// preferred says where moved tasks of a job should start.
+func (m *Model) preferred(j *Job, tasks []int32, fwd map[int]int) map[int32]int {
+	if j.Gang() {
+		return nil
+	}
+	var out map[int32]int
+	for _, c := range m.Cycles {
+		for _, mv := range c.Record.Moves {
+			ref, p := m.moved(mv)
+			if p != nil || ref.Job != j.Idx || m.Jobs[ref.Job] != j || !ownTask(j, mv.Task) {
+				continue
+			}
+			to, ok := m.machineIdx[mv.To]
+			if !ok {
+				continue
+			}
+			if v, ok := fwd[int(to)]; ok {
+				if out == nil {
+					out = map[int32]int{}
+				}
+				out[ref.Task] = v
+			}
+		}
+	}
+	return out
+}
+
+func ownTask(j *Job, name string) bool {
+	id, _, ok := wire.SplitTask(name)
+	return ok && id == j.ID
+}
+
+// moveEnded takes in how a moved task's attempt ended. A start on the target
+// that fails for reasons of the task quarantines it.
+func (m *Model) moveEnded(ref Ref, failed string, now time.Time) {
+	if failed == "" {
+		return
+	}
+	j := m.Jobs[ref.Job]
+	if j == nil {
+		return
+	}
+	name := wire.TaskName(j.ID, int(ref.Task))
+	for _, c := range m.Cycles {
+		for i, mv := range c.Record.Moves {
+			if mv.Task == name {
+				if c.Record.Quarantine == nil {
+					c.Record.Quarantine = map[string]int64{}
+				}
+				c.Record.Quarantine[name] = now.Add(config.Seconds(m.Tuning.QuarantineS)).UnixMilli()
+				c.Record.Moves = append(c.Record.Moves[:i:i], c.Record.Moves[i+1:]...)
+				m.log.Info("move failed, task quarantined", "task", name, "why", failed)
+				break
+			}
+		}
+	}
+}
+
+// PlanMoves looks at every group and returns the cycle records to commit
+// before their moves begin, by group.
+func (m *Model) PlanMoves(wanted []placement.Request, now time.Time) map[string]ledger.CycleRecord {
+	if !m.Tuning.Enabled || len(wanted) == 0 || now.Sub(m.Takeover) < config.Seconds(m.cfg.Cluster.Workers.ReportS*3) {
+		return nil
+	}
+	groups := map[string][]*Machine{}
+	var names []string
+	for _, mc := range m.Machines {
+		if m.ready(mc, now) {
+			g := groupName(m.Types[mc.Type].Name, m.Zones[mc.Zone])
+			if groups[g] == nil {
+				names = append(names, g)
+			}
+			groups[g] = append(groups[g], mc)
+		}
+	}
+	sort.Strings(names)
+	out := map[string]ledger.CycleRecord{}
+	ms := now.UnixMilli()
+	for _, g := range names {
+		var old ledger.CycleRecord
+		if c := m.Cycles[g]; c != nil {
+			old = c.Record
+		}
+		if ms < old.CoolUntil {
+			continue
+		}
+		mcs := groups[g]
+		var want []placement.Res
+		for i := range wanted {
+			r := &wanted[i]
+			if r.Types[mcs[0].Type] && (r.Zone < 0 || r.Zone == mcs[0].Zone) {
+				want = append(want, r.Need)
+			}
+		}
+		if len(want) == 0 {
+			continue
+		}
+		rec := ledger.CycleRecord{Rest: prune(old.Rest, ms), Quarantine: prune(old.Quarantine, ms)}
+		in := rebalance.Group{Budget: m.Tuning.Budget, Wanted: want}
+		for _, p := range m.Tuning.Policies {
+			in.Policies = append(in.Policies, rebalance.Policy(p))
+		}
+		for _, mc := range mcs {
+			in.Hosts = append(in.Hosts, m.host(mc, rec, now))
+		}
+		moves := rebalance.Plan(in)
+		if len(moves) == 0 {
+			continue
+		}
+		for _, mv := range moves {
+			j := m.Jobs[mv.Task.Job]
+			name := wire.TaskName(j.ID, int(mv.Task.Task))
+			rec.Moves = append(rec.Moves, ledger.Move{
+				Task: name, Attempt: j.Tasks[mv.Task.Task].Place.Attempt,
+				From: mcs[mv.From].Name, To: mcs[mv.To].Name,
+			})
+			rec.Rest[name] = now.Add(config.Seconds(m.Tuning.RestS)).UnixMilli()
+		}
+		rec.CoolUntil = now.Add(config.Seconds(m.Tuning.CooldownS)).UnixMilli()
+		out[g] = rec
+	}
+	return out
+}
+
+func (m *Model) host(mc *Machine, rec ledger.CycleRecord, now time.Time) rebalance.Host {
+	h := rebalance.Host{Cap: m.Types[mc.Type].Cap, Used: mc.Used.Add(mc.orphans, 1)}
+	for _, ref := range sortedRefs(mc.Tasks) {
+		j := m.Jobs[ref.Job]
+		p := j.Tasks[ref.Task].Place
+		name := j.ID + "/" + strconv.Itoa(int(ref.Task))
+		movable := !j.Gang() && p.Stop == nil && p.Seen == seenRunning && j.Spec.CheckpointS > 0 &&
+			now.Sub(p.Since).Seconds() < m.Tuning.LongS &&
+			rec.Rest[name] == 0 && rec.Quarantine[name] == 0 && !j.Spec.Spread
+		h.Tasks = append(h.Tasks, rebalance.Task{Ref: ref, Need: j.Need, Movable: movable, Spot: j.Spec.Spot})
+	}
+	h.Spot = mc.Spot
+	return h
+}
+
+func prune(old map[string]int64, ms int64) map[string]int64 {
+	out := map[string]int64{}
+	for k, v := range old {
+		if v > ms && len(out) < 200 {
+			out[k] = v
+		}
+	}
+	return out
+}
+
+// BeginMoves starts a cycle whose record is committed.
+func (m *Model) BeginMoves(group string, rec ledger.CycleRecord, now time.Time) {
+	m.Cycles[group] = &Cycle{Record: rec}
+	for _, mv := range rec.Moves {
+		if ref, p := m.moved(mv); p != nil && p.Attempt == mv.Attempt && p.Stop == nil {
+			m.StopTask(ref, "move", now)
+		}
+	}
+}
+
+// measureSpeed compares how long a task ran with what its owner expected and
+// keeps the ratio's average for the machine.
+func (m *Model) measureSpeed(j *Job, mc *Machine, p *Place, now time.Time) {
+	if j.Spec.EstimateS <= 0 || p.Since.IsZero() || p.Inherited {
+		return
+	}
+	ratio := now.Sub(p.Since).Seconds() / j.Spec.EstimateS
+	if mc.speed == 0 {
+		mc.speed = 1
+	}
+	mc.speed = 0.6*mc.speed + 0.4*min(ratio, 5)
+}
--- /dev/null
+++ b/cluster/report.go
@@ -0,0 +1,473 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// maxCommands bounds one answer; what is left goes with the next one.
+const maxCommands = 300
+
+// Observe takes a worker's message in. It returns nil for one that is older
+// than what is known, or of a machine that is gone.
+func (m *Model) Observe(r *wire.Report, now time.Time) *Machine {
+	mc := m.machine(r.Machine, now)
+	if mc.Gone {
+		return nil
+	}
+	// A message that was held back says what was, not what is.
+	if r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.Seq {
+		return nil
+	}
+	if !mc.Up {
+		m.log.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+		mc.IdleSince = now
+	}
+	if mc.Session != r.Session {
+		mc.images = nil
+	}
+	mc.Up, mc.Session, mc.Seq, mc.Addr, mc.LastSeen = true, r.Session, r.Seq, r.Addr, now
+	mc.Shown = r.Token == m.Token
+	m.describe(mc, r.Type, r.Zone, r.Spot)
+	if r.NoticeS != nil && mc.Notice.IsZero() {
+		mc.Notice = now.Add(config.Seconds(*r.NoticeS))
+		m.log.Info("notice", "machine", mc.Name, "seconds", *r.NoticeS)
+	}
+	m.reconcile(mc, r, now)
+	return mc
+}
+
+// reconcile compares a newer report with what the model has on the machine.
+func (m *Model) reconcile(mc *Machine, r *wire.Report, now time.Time) {
+	listed := make(map[Ref]bool, len(r.Tasks))
+	named := make(map[exitKey]bool, len(r.Tasks))
+	mc.orphans = placement.Res{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		named[exitKey{t.Task, t.Attempt}] = true
+		id, n, ok := wire.SplitTask(t.Task)
+		if !ok {
+			continue
+		}
+		j := m.Job(id)
+		if j == nil || n >= len(j.Tasks) {
+			continue
+		}
+		ref := Ref{Job: j.Idx, Task: int32(n)}
+		p := j.Tasks[n].Place
+		if p == nil || p.Machine != mc.Idx || p.Attempt != t.Attempt {
+			if t.State == wire.TaskExited {
+				m.strayExit(j, int32(n), mc, t, now)
+			} else {
+				mc.orphans = mc.orphans.Add(j.Need, 1)
+			}
+			continue
+		}
+		listed[ref] = true
+		m.seen(j, int32(n), mc, p, t, now)
+	}
+	for k := range mc.exits {
+		if !named[k] {
+			delete(mc.exits, k)
+		}
+	}
+	if !mc.Shown {
+		// An answer of an earlier leader may still be on its way to a worker
+		// that has not shown this leader's token: absence proves nothing.
+		return
+	}
+	for ref := range mc.Tasks {
+		if listed[ref] {
+			continue
+		}
+		j := m.Jobs[ref.Job]
+		p := j.Tasks[ref.Task].Place
+		switch {
+		case p.Inherited:
+		case !p.Sent:
+			continue // not launched yet
+		case p.Session == r.Session && p.Seq >= r.Seq:
+			continue
+		case p.Session == r.Session && p.Seen == seenNot && p.Stop == nil:
+			// The answer with the launch was lost, and cannot be executed any
+			// more, since the worker has sent another report.
+			p.Sent = false
+			continue
+		}
+		m.lost(j, ref.Task, "not on its machine", now)
+	}
+}
+
+// seen takes in what a report says of a task that is placed there.
+func (m *Model) seen(j *Job, task int32, mc *Machine, p *Place, t *wire.TaskReport, now time.Time) {
+	p.Sent = true
+	switch t.State {
+	case wire.TaskFetching:
+		p.Seen = seenFetching
+	case wire.TaskWaiting:
+		p.Seen = seenWaiting
+		m.hasImage(mc, j)
+	case wire.TaskRunning:
+		if p.Seen != seenRunning {
+			p.Seen, p.Since = seenRunning, now
+		}
+		if j.FirstRun.IsZero() {
+			j.FirstRun = now
+			m.log.Info("job runs", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
+		}
+		j.Started = true
+		m.hasImage(mc, j)
+	case wire.TaskSaving:
+		p.Seen = seenSaving
+	case wire.TaskExited:
+		m.exited(j, task, mc, p, t, now)
+	}
+}
+
+func (m *Model) hasImage(mc *Machine, j *Job) {
+	for i, im := range mc.images {
+		if im == j.Image {
+			mc.images = append(mc.images[:i], mc.images[i+1:]...)
+			break
+		}
+	}
+	mc.images = append(mc.images, j.Image)
+	if mc.Type < 0 {
+		return
+	}
+	total := 0.0
+	for _, im := range mc.images {
+		total += m.imageSize[im]
+	}
+	for len(mc.images) > 1 && total > m.Types[mc.Type].Cache {
+		total -= m.imageSize[mc.images[0]]
+		mc.images = mc.images[1:]
+	}
+}
+
+func (m *Model) rememberExit(j *Job, task int32, mc *Machine, t *wire.TaskReport) {
+	n := int(task) / ledger.ChunkSize
+	mc.exits[exitKey{t.Task, t.Attempt}] = &exit{job: j.Idx, chunk: n, gen: j.Chunks[n].Gen}
+}
+
+// exited takes in the end of a task's attempt.
+func (m *Model) exited(j *Job, task int32, mc *Machine, p *Place, t *wire.TaskReport, now time.Time) {
+	m.log.Debug("exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "saved", t.Saved, "machine", mc.Name)
+	ref := Ref{Job: j.Idx, Task: task}
+	if t.Why == wire.WhyDone {
+		m.hasImage(mc, j)
+		m.measureSpeed(j, mc, p, now)
+		if j.Gang() {
+			// They complete together: if one task is done, all are.
+			for i := range j.Tasks {
+				m.markDone(j, int32(i), now)
+			}
+		} else {
+			m.markDone(j, task, now)
+		}
+		m.moveEnded(ref, "", now)
+		m.rememberExit(j, task, mc, t)
+		return
+	}
+	wait := time.Duration(0)
+	failed := ""
+	switch t.Why {
+	case wire.WhyError:
+		j.errors++
+		if j.errorHosts == nil {
+			j.errorHosts = map[int32]bool{}
+		}
+		j.errorHosts[mc.Idx] = true
+		tk := &j.Tasks[task]
+		tk.Fails = min(tk.Fails+1, 10)
+		wait = min(500*time.Millisecond<<tk.Fails, 60*time.Second)
+		m.avoid(j, mc, now.Add(10*time.Minute))
+		m.suspect(j, mc, now)
+		failed = "error"
+	case wire.WhyNoRoom, wire.WhyBusy:
+		wait = time.Second
+		m.avoid(j, mc, now.Add(5*time.Second))
+		failed = t.Why
+	case wire.WhyUnknown:
+		wait = 3 * time.Second
+		failed = t.Why
+	case wire.WhyAlone:
+		j.Ending = true
+		wait = time.Second
+	case wire.WhyPeers, wire.WhyStopped:
+		j.Ending = true
+	}
+	m.unplace(j, task, now)
+	j.Tasks[task].NotBefore = now.Add(wait).UnixMilli()
+	m.rememberExit(j, task, mc, t)
+	m.moveEnded(ref, failed, now)
+	m.gangLost(j, task, now)
+}
+
+// strayExit takes in an exit that the model has no place for: the outcome is
+// known already, or it is that of an attempt the model had given up.
+func (m *Model) strayExit(j *Job, task int32, mc *Machine, t *wire.TaskReport, now time.Time) {
+	if mc.exits[exitKey{t.Task, t.Attempt}] != nil {
+		return
+	}
+	if t.Why == wire.WhyDone && !j.Cancelled && j.Tasks[task].Phase == Idle {
+		m.markDone(j, task, now)
+	}
+	m.rememberExit(j, task, mc, t)
+}
+
+// lost takes in that a task is gone without having said how.
+func (m *Model) lost(j *Job, task int32, why string, now time.Time) {
+	m.log.Info("task lost", "job", j.ID, "task", task, "why", why)
+	m.unplace(j, task, now)
+	m.moveEnded(Ref{Job: j.Idx, Task: task}, "", now)
+	m.gangLost(j, task, now)
+}
+
+// gangLost goes on after a gang lost a task. A gang that has not started keeps
+// waiting, and a replacement with the same attempt completes it; what is left
+// of one that ran is stopped, unless it is saving.
+func (m *Model) gangLost(j *Job, task int32, now time.Time) {
+	if !j.Gang() {
+		return
+	}
+	if j.Placed == 0 {
+		j.Started, j.Ending = false, false
+		return
+	}
+	stopping := false
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil && p.Stop != nil {
+			stopping = true
+		}
+	}
+	if stopping || !j.Started && !j.Ending {
+		return
+	}
+	m.stopAll(j, 0, "its gang lost a task", now)
+}
+
+func (m *Model) avoid(j *Job, mc *Machine, until time.Time) {
+	if j.avoid == nil {
+		j.avoid = map[int32]time.Time{}
+	}
+	j.avoid[mc.Idx] = until
+}
+
+// suspect remembers an error on a machine; errors of several jobs that do not
+// fail everywhere speak against the machine.
+func (m *Model) suspect(j *Job, mc *Machine, now time.Time) {
+	mc.errors = append(mc.errors, errorAt{j.Idx, now})
+	if len(mc.errors) > 20 {
+		mc.errors = mc.errors[1:]
+	}
+	jobs := map[int32]bool{}
+	for _, e := range mc.errors {
+		if o := m.Jobs[e.job]; now.Sub(e.at) < 5*time.Minute && (o == nil || len(o.errorHosts) < 3) {
+			jobs[e.job] = true
+		}
+	}
+	if len(jobs) >= 2 {
+		mc.Suspect = now.Add(10 * time.Minute)
+		m.log.Info("machine suspected", "machine", mc.Name, "failingJobs", len(jobs))
+	}
+}
+
+// launchable says whether every record that a launch of this task rests on is
+// committed; a gang launches as a whole.
+func launchable(j *Job, task int32) bool {
+	if j.Cancelled || j.Finished {
+		return false
+	}
+	if !j.Gang() {
+		c := &j.Chunks[int(task)/ledger.ChunkSize]
+		return c.Committed >= c.PlaceGen
+	}
+	for i := range j.Chunks {
+		if c := &j.Chunks[i]; c.Committed < c.PlaceGen {
+			return false
+		}
+	}
+	return true
+}
+
+// Answer makes the commands that answer a report just observed. Launches are
+// noted as sent with it.
+func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
+	mc.LastAnswer = now
+	var out []wire.Command
+	stop := func(name string, attempt uint64, grace float64) {
+		g := grace
+		out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: attempt, GraceS: &g})
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if len(out) >= maxCommands {
+			return out
+		}
+		id, n, ok := wire.SplitTask(t.Task)
+		var j *Job
+		if ok {
+			j = m.Job(id)
+		}
+		if t.State == wire.TaskExited {
+			e := mc.exits[exitKey{t.Task, t.Attempt}]
+			if e != nil {
+				o := m.Jobs[e.job]
+				if o != nil && !o.Finished && !o.Cancelled && o.Chunks[e.chunk].Committed < e.gen {
+					continue // the outcome is not committed yet
+				}
+			}
+			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+			continue
+		}
+		if j == nil || n >= len(j.Tasks) {
+			stop(t.Task, t.Attempt, 0)
+			continue
+		}
+		p := j.Tasks[n].Place
+		if p == nil || p.Machine != mc.Idx || p.Attempt != t.Attempt {
+			stop(t.Task, t.Attempt, 0)
+			continue
+		}
+		if p.Stop != nil && (p.Seen != seenSaving || p.Stop.Grace == 0) {
+			stop(t.Task, t.Attempt, p.Stop.Grace)
+		}
+	}
+	for ref := range mc.Tasks {
+		if len(out) >= maxCommands {
+			return out
+		}
+		j := m.Jobs[ref.Job]
+		p := j.Tasks[ref.Task].Place
+		name := wire.TaskName(j.ID, int(ref.Task))
+		switch {
+		case p.Stop != nil:
+			if p.Seen == seenNot {
+				stop(name, p.Attempt, p.Stop.Grace)
+			}
+		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero():
+			p.Sent, p.Session, p.Seq = true, r.Session, r.Seq
+			out = append(out, wire.Command{Op: wire.OpStart, Task: name, Attempt: p.Attempt})
+			m.log.Debug("launch", "task", name, "attempt", p.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
+		}
+	}
+	return out
+}
+
+// Direct is a stop to be sent to a worker's own address.
+type Direct struct {
+	Machine string
+	Addr    string
+	Batch   wire.DirectCommands
+}
+
+// DirectStops returns the stops that have not been sent directly yet. They
+// are repeated in answers to reports until the tasks are gone.
+func (m *Model) DirectStops(now time.Time) []Direct {
+	byMachine := map[int32]*Direct{}
+	var order []int32
+	for _, ref := range m.stops {
+		j := m.Jobs[ref.Job]
+		if j == nil {
+			continue
+		}
+		p := j.Tasks[ref.Task].Place
+		if p == nil || p.Stop == nil || !p.Stop.Direct.IsZero() {
+			continue
+		}
+		mc := m.Machines[p.Machine]
+		if mc.Addr == "" || !mc.Up {
+			continue
+		}
+		p.Stop.Direct = now
+		d := byMachine[mc.Idx]
+		if d == nil {
+			d = &Direct{Machine: mc.Name, Addr: mc.Addr, Batch: wire.DirectCommands{Token: m.Token, Session: mc.Session}}
+			byMachine[mc.Idx] = d
+			order = append(order, mc.Idx)
+		}
+		g := p.Stop.Grace
+		d.Batch.Commands = append(d.Batch.Commands,
+			wire.Command{Op: wire.OpStop, Task: wire.TaskName(j.ID, int(ref.Task)), Attempt: p.Attempt, GraceS: &g})
+	}
+	m.stops = m.stops[:0]
+	out := make([]Direct, 0, len(order))
+	for _, i := range order {
+		out = append(out, *byMachine[i])
+	}
+	return out
+}
+
+// leaseOver says since when a machine that does not report can have no tasks.
+func (m *Model) leaseOver(mc *Machine) time.Time {
+	last := mc.LastAnswer
+	if last.Before(m.Takeover) {
+		last = m.Takeover
+	}
+	lease := m.cfg.Cluster.Workers.LeaseS
+	return last.Add(config.Seconds(lease*(1+4*m.drift)) + 300*time.Millisecond)
+}
+
+// Tick takes the passing of time in: leases that are over, notices.
+func (m *Model) Tick(now time.Time) {
+	for _, mc := range m.Machines {
+		if mc.Gone {
+			continue
+		}
+		if (mc.Up || len(mc.Tasks) > 0) && now.After(m.leaseOver(mc)) {
+			if mc.Up {
+				m.log.Info("machine silent past its lease", "machine", mc.Name, "tasks", len(mc.Tasks))
+			}
+			mc.Up, mc.Shown = false, false
+			mc.Session++ // whatever the ended session still sends is old
+			mc.Seq = 0
+			m.dropTasks(mc, "its machine's lease is over", now)
+		}
+		if !mc.Notice.IsZero() && mc.Up {
+			m.evacuate(mc, now)
+		}
+	}
+}
+
+func (m *Model) dropTasks(mc *Machine, why string, now time.Time) {
+	for _, ref := range sortedRefs(mc.Tasks) {
+		if j := m.Jobs[ref.Job]; j.Tasks[ref.Task].Place != nil {
+			m.lost(j, ref.Task, why, now)
+		}
+	}
+}
+
+// evacuate stops what can save on a machine that is about to be taken.
+func (m *Model) evacuate(mc *Machine, now time.Time) {
+	for _, ref := range sortedRefs(mc.Tasks) {
+		j := m.Jobs[ref.Job]
+		p := j.Tasks[ref.Task].Place
+		if p == nil || p.Stop != nil {
+			continue
+		}
+		if p.Seen >= seenRunning && j.Spec.CheckpointS <= 0 {
+			continue // nothing to save: it may just finish in time
+		}
+		m.StopTask(ref, "notice", now)
+	}
+}
+
+// MachineGone takes in that a machine is certainly gone.
+func (m *Model) MachineGone(name string, now time.Time) {
+	i, ok := m.machineIdx[name]
+	if !ok {
+		return
+	}
+	mc := m.Machines[i]
+	if mc.Gone {
+		return
+	}
+	mc.Gone, mc.Up = true, false
+	m.log.Info("machine gone", "machine", name)
+	m.dropTasks(mc, "its machine is gone", now)
+}
--- /dev/null
+++ b/cluster/view.go
@@ -0,0 +1,543 @@
+package cluster
+
+import (
+	"sort"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+const (
+	maxRequestTasks = 64  // of one job in one pass
+	maxRequests     = 400 // in one pass
+)
+
+// class is what has been seen of a class of jobs.
+type class struct {
+	spec    *Job
+	biggest int
+	open    int // unfinished tasks
+	seen    time.Time
+}
+
+func (m *Model) arrival(j *Job, now time.Time) {
+	c := m.classes[j.Spec.Class]
+	if c == nil {
+		if len(m.classes) >= 64 {
+			return
+		}
+		c = &class{}
+		m.classes[j.Spec.Class] = c
+	}
+	c.spec, c.seen = j, now
+	c.biggest = max(c.biggest, min(len(j.Tasks), 16))
+}
+
+// latestStart is when a job must start at the latest to meet the next of its
+// class's aims that it can still meet; missed says that none is left.
+func (m *Model) latestStart(j *Job, now time.Time) (at time.Time, missed, urgent bool) {
+	est := config.Seconds(j.Spec.EstimateS)
+	aims := 0
+	best := time.Time{}
+	take := func(t time.Time) bool {
+		aims++
+		if t.Before(now) {
+			return false
+		}
+		if best.IsZero() || t.Before(best) {
+			best = t
+			return true
+		}
+		return false
+	}
+	for _, o := range m.cfg.Cluster.Objectives {
+		if o.Class != j.Spec.Class && o.Class != "" {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			if j.FirstRun.IsZero() && take(j.At.Add(config.Seconds(o.WithinS))) {
+				urgent = true
+			}
+		case "finished":
+			take(j.At.Add(config.Seconds(o.WithinS) - est))
+		case "deadline":
+			if j.Spec.DeadlineS != nil {
+				times := o.Times
+				if times <= 0 {
+					times = 1
+				}
+				take(j.At.Add(config.Seconds(*j.Spec.DeadlineS*times) - est))
+			}
+		}
+	}
+	if !best.IsZero() {
+		return best, false, urgent
+	}
+	return j.At.Add(time.Hour), aims > 0, false
+}
+
+type ranked struct {
+	j      *Job
+	within bool
+	due    time.Time
+	missed bool
+	urgent bool
+	req    placement.Request
+}
+
+// within finds the jobs that fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (m *Model) within(jobs []*Job) map[int32]bool {
+	out := map[int32]bool{}
+	use := make([]placement.Res, len(m.teams))
+	for _, j := range jobs { // in order of arrival
+		if j.Team < 0 {
+			continue
+		}
+		use[j.Team] = use[j.Team].Add(j.Need, float64(len(j.Tasks)-j.Done))
+		g := m.guarantee[j.Team]
+		if g.CPU+g.GPU > 0 && (use[j.Team].CPU <= g.CPU+1e-6 || j.Need.CPU == 0) &&
+			(j.Need.GPU == 0 || use[j.Team].GPU <= g.GPU+1e-6) {
+			out[j.Idx] = true
+		}
+	}
+	return out
+}
+
+func (m *Model) openJobs() []*Job {
+	var jobs []*Job
+	for _, j := range m.Jobs {
+		if j != nil && !j.Cancelled && !j.Finished && j.Done < len(j.Tasks) {
+			jobs = append(jobs, j)
+		}
+	}
+	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].At.Before(jobs[b].At) })
+	return jobs
+}
+
+// requests lists what waits for room, in the order it is to be served.
+func (m *Model) requests(now time.Time) []ranked {
+	jobs := m.openJobs()
+	in := m.within(jobs)
+	for _, c := range m.classes {
+		c.open = 0
+	}
+	var out []ranked
+	for _, j := range jobs {
+		if c := m.classes[j.Spec.Class]; c != nil {
+			c.open += len(j.Tasks) - j.Done
+		}
+		r, ok := m.request(j, now)
+		if !ok {
+			continue
+		}
+		k := ranked{j: j, within: in[j.Idx], req: r}
+		k.due, k.missed, k.urgent = m.latestStart(j, now)
+		k.req.Within, k.req.Urgent = k.within, k.urgent
+		out = append(out, k)
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		x, y := &out[a], &out[b]
+		switch {
+		case x.within != y.within:
+			return x.within
+		case x.j.Priority != y.j.Priority:
+			return x.j.Priority < y.j.Priority
+		case x.missed != y.missed:
+			return y.missed
+		}
+		return x.due.Before(y.due)
+	})
+	if len(out) > maxRequests {
+		out = out[:maxRequests]
+	}
+	return out
+}
+
+func (m *Model) request(j *Job, now time.Time) (placement.Request, bool) {
+	r := placement.Request{
+		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
+		Image: j.Image, ImageGB: j.Spec.ImageGB, Zone: j.Zone, OneZone: j.Spec.OneZone,
+		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot,
+		WaitedS: now.Sub(j.At).Seconds(),
+	}
+	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
+		return r, false
+	}
+	ms := now.UnixMilli()
+	for j.cursor < len(j.Tasks) && j.Tasks[j.cursor].Phase != Idle {
+		j.cursor++
+	}
+	limit := maxRequestTasks
+	if j.Gang() {
+		limit = len(j.Tasks)
+	}
+	for i := j.cursor; i < len(j.Tasks) && len(r.Tasks) < limit; i++ {
+		t := &j.Tasks[i]
+		if t.Phase != Idle {
+			continue
+		}
+		if t.NotBefore > ms {
+			if j.Gang() {
+				return r, false
+			}
+			continue
+		}
+		r.Tasks = append(r.Tasks, int32(i))
+	}
+	if len(r.Tasks) == 0 {
+		return r, false
+	}
+	if j.Spec.OneZone && r.Zone < 0 && j.Placed > 0 {
+		// Whatever may still be on a machine pins the others to its zone. A
+		// task recorded on a machine whose zone is not known yet pins them all.
+		known := 0
+		for z, n := range j.ZoneUsed {
+			known += n
+			if n > 0 {
+				r.Zone = z
+			}
+		}
+		if known < j.Placed {
+			return r, false
+		}
+	}
+	if j.Spec.Spread {
+		r.SpreadMax = (len(j.Tasks) + 1) / 2
+		known := 0
+		for _, n := range j.ZoneUsed {
+			known += n
+		}
+		if known < j.Placed {
+			return r, false
+		}
+	}
+	for idx, until := range j.avoid {
+		if now.After(until) {
+			delete(j.avoid, idx)
+			continue
+		}
+		if r.Avoid == nil {
+			r.Avoid = map[int]bool{}
+		}
+		r.Avoid[int(idx)] = true
+	}
+	return r, true
+}
+
+// ready says whether a machine can be given tasks now.
+func (m *Model) ready(mc *Machine, now time.Time) bool {
+	w := m.cfg.Cluster.Workers
+	quiet := config.Seconds(min(w.ReportS*2.5+2, w.LeaseS/2))
+	return mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() && mc.Type >= 0 && mc.Zone >= 0 &&
+		now.Sub(mc.LastSeen) < quiet
+}
+
+// booting says how long until a machine that is not up yet should be.
+func (m *Model) booting(mc *Machine, now time.Time) (float64, bool) {
+	if mc.Up || mc.Gone || mc.Returning || mc.Session > 0 || mc.Type < 0 || mc.Zone < 0 {
+		return 0, false
+	}
+	age := now.Sub(mc.Created)
+	lag := config.Seconds(2*m.cfg.Cluster.Cloud.ListLagS + 10)
+	if mc.Listed == "" && age > lag || mc.Listed == failedState || age > m.bootLimit(mc) {
+		return 0, false
+	}
+	return max(3, (m.Types[mc.Type].Boot - age).Seconds()), true
+}
+
+// bootLimit is after how long a machine that has not come up is given up.
+func (m *Model) bootLimit(mc *Machine) time.Duration {
+	return m.Types[mc.Type].Boot*5/2 + 15*time.Second
+}
+
+// over marks the tasks that run beyond their teams' guarantees, the last
+// started first.
+func (m *Model) over() map[Ref]bool {
+	out := map[Ref]bool{}
+	type cand struct {
+		ref Ref
+		at  time.Time
+	}
+	byTeam := make([][]cand, len(m.teams))
+	for _, mc := range m.Machines {
+		for ref := range mc.Tasks {
+			j := m.Jobs[ref.Job]
+			if j.Team >= 0 {
+				byTeam[j.Team] = append(byTeam[j.Team], cand{ref, j.Tasks[ref.Task].Place.At})
+			}
+		}
+	}
+	for t, cs := range byTeam {
+		excess := m.teams[t].Used.Add(m.guarantee[t], -1)
+		sort.Slice(cs, func(a, b int) bool {
+			if !cs[a].at.Equal(cs[b].at) {
+				return cs[a].at.After(cs[b].at)
+			}
+			if cs[a].ref.Job != cs[b].ref.Job {
+				return cs[a].ref.Job > cs[b].ref.Job
+			}
+			return cs[a].ref.Task > cs[b].ref.Task
+		})
+		for _, c := range cs {
+			need := m.Jobs[c.ref.Job].Need
+			if need.GPU > 0 && excess.GPU > 1e-6 || need.CPU > 0 && excess.CPU > 1e-6 {
+				out[c.ref] = true
+				excess = excess.Add(need, -1)
+			}
+		}
+	}
+	return out
+}
+
+// loss estimates the seconds of work that stopping a task throws away.
+func (m *Model) loss(j *Job, p *Place, now time.Time) float64 {
+	switch {
+	case p.Seen < seenRunning:
+		return 2
+	case j.Spec.CheckpointS > 0:
+		return j.Spec.SaveS
+	}
+	return now.Sub(p.Since).Seconds()
+}
+
+func (m *Model) machineView(mc *Machine, over map[Ref]bool, now time.Time) (placement.Machine, bool) {
+	v := placement.Machine{Name: mc.Name, Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot}
+	if m.ready(mc, now) {
+		v.Ready = true
+	} else if eta, ok := m.booting(mc, now); ok {
+		v.ETA = eta
+	} else {
+		return v, false
+	}
+	t := &m.Types[mc.Type]
+	v.Cap, v.Price, v.FetchRate = t.Cap, t.Price, t.Fetch
+	if mc.Spot {
+		v.Price = t.Spot
+	}
+	v.Free = t.Cap.Add(mc.Used, -1).Add(mc.orphans, -1)
+	v.Images = make(map[int32]float64, len(mc.images)+2)
+	if now.Before(mc.Suspect) {
+		v.Slow = 300
+	}
+	if mc.speed > 1.5 {
+		v.Slow += 20 * mc.speed
+	}
+	for _, ref := range sortedRefs(mc.Tasks) {
+		j := m.Jobs[ref.Job]
+		p := j.Tasks[ref.Task].Place
+		if p.Seen < seenWaiting && t.Fetch > 0 && !mc.has(j.Image) {
+			left := max(0.5, j.Spec.ImageGB/t.Fetch-now.Sub(p.At).Seconds())
+			if _, ok := v.Images[j.Image]; !ok {
+				v.Images[j.Image] = left
+				v.Backlog += left
+			}
+		}
+		if p.Stop != nil {
+			v.Coming = v.Coming.Add(j.Need, 1)
+		}
+		v.Tasks = append(v.Tasks, placement.Occupant{
+			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref],
+			Loss: m.loss(j, p, now), Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
+		})
+	}
+	for _, im := range mc.images {
+		v.Images[im] = 0
+	}
+	return v, true
+}
+
+func (mc *Machine) has(image int32) bool {
+	for _, im := range mc.images {
+		if im == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Offer says what could be rented.
+type Offer struct {
+	Type string
+	Zone string
+	Spot bool
+	key  offerKey
+}
+
+// Decisions is what a pass decided; starts and stops are in the model already.
+type Decisions struct {
+	Started int
+	Rent    map[Offer]int
+	Wanted  []placement.Request // requests that fit nowhere for want of room
+}
+
+// Schedule places what waits, stops what must make room and says what to rent.
+func (m *Model) Schedule(now time.Time, renting int) Decisions {
+	reqs := m.requests(now)
+	over := m.over()
+	in := placement.Input{Preempt: true, RentMax: max(0, 12-renting)}
+	back := make([]int32, 0, len(m.Machines))
+	fwd := make(map[int]int, len(m.Machines))
+	for _, mc := range m.Machines {
+		if v, ok := m.machineView(mc, over, now); ok {
+			fwd[int(mc.Idx)] = len(in.Machines)
+			in.Machines = append(in.Machines, v)
+			back = append(back, mc.Idx)
+		}
+	}
+	for k := range reqs {
+		r := reqs[k].req
+		if len(r.Avoid) > 0 {
+			avoid := map[int]bool{}
+			for idx := range r.Avoid {
+				if i, ok := fwd[idx]; ok {
+					avoid[i] = true
+				}
+			}
+			r.Avoid = avoid
+		}
+		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
+		in.Requests = append(in.Requests, r)
+	}
+	real := len(in.Requests)
+	in.Requests = append(in.Requests, m.phantoms(now)...)
+	in.Teams = append(in.Teams, m.teams...)
+	var offers []Offer
+	in.Offers, offers = m.offers(now)
+
+	plan := placement.Make(&in)
+
+	d := Decisions{Rent: map[Offer]int{}}
+	attempts := map[int32]uint64{}
+	for _, s := range plan.Starts {
+		if s.Request >= real {
+			continue
+		}
+		j := reqs[s.Request].j
+		mc := m.Machines[back[s.Machine]]
+		a, ok := attempts[j.Idx]
+		if !ok {
+			if !j.Gang() || j.Placed == 0 {
+				j.Attempt++
+			}
+			a = j.Attempt
+			attempts[j.Idx] = a
+		}
+		m.place(j, s.Task, mc, a, now)
+		c, _ := m.touch(j, s.Task)
+		c.PlaceGen = c.Gen
+		d.Started++
+		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
+	}
+	for _, ref := range plan.Stops {
+		m.StopTask(ref, "preempted", now)
+	}
+	for i, n := range plan.Rent {
+		d.Rent[offers[i]] += n
+	}
+	for _, i := range plan.Waiting {
+		if i < real {
+			d.Wanted = append(d.Wanted, in.Requests[i])
+		}
+	}
+	used := map[int]bool{}
+	for _, s := range plan.Starts {
+		if s.Request >= real && s.Machine < len(back) {
+			used[s.Machine] = true
+		}
+	}
+	for v := range used {
+		// Kept as headroom: not idle in the sense of being returned.
+		if mc := m.Machines[back[v]]; len(mc.Tasks) == 0 {
+			mc.IdleSince = now
+		}
+	}
+	return d
+}
+
+// thrifty says whether the deployment has an aim on what it pays.
+func (m *Model) thrifty() bool {
+	for _, o := range m.cfg.Cluster.Objectives {
+		if o.Kind == "price" || o.Kind == "cost" {
+			return true
+		}
+	}
+	return false
+}
+
+// phantoms are requests that no job has made: room kept for jobs that are
+// likely to come, where no aim speaks of the price.
+func (m *Model) phantoms(now time.Time) []placement.Request {
+	if m.Headroom <= 0 || m.thrifty() {
+		return nil
+	}
+	names := make([]string, 0, len(m.classes))
+	for n := range m.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	var out []placement.Request
+	for _, n := range names {
+		c := m.classes[n]
+		if now.Sub(c.seen) > 10*time.Minute {
+			continue
+		}
+		want := min(64, c.biggest+int(m.Headroom*float64(c.open)))
+		j := c.spec
+		r := placement.Request{
+			Job: -1, Need: j.Need, Priority: 9, Team: -1, Image: j.Image, Zone: -1,
+			ZoneUsed: make([]int, len(m.Zones)), Types: j.Types, Spot: j.Spec.Spot,
+			Phantom: true,
+		}
+		for i := 0; i < want; i++ {
+			r.Tasks = append(r.Tasks, int32(i))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+const refusedFor = 15 * time.Second
+
+func (m *Model) offers(now time.Time) ([]placement.Offer, []Offer) {
+	var out []placement.Offer
+	var names []Offer
+	for ti := range m.Types {
+		t := &m.Types[ti]
+		for z := range m.Zones {
+			if !t.Zones[z] {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				key := offerKey{ti, z, spot}
+				if until, ok := m.refused[key]; ok && now.Before(until) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.Spot
+				}
+				out = append(out, placement.Offer{Type: ti, Zone: z, Spot: spot, Machine: placement.Machine{
+					Type: ti, Zone: z, Spot: spot, ETA: t.Boot.Seconds(), Cap: t.Cap, Price: price, FetchRate: t.Fetch,
+				}})
+				names = append(names, Offer{Type: t.Name, Zone: m.Zones[z], Spot: spot, key: key})
+			}
+		}
+	}
+	return out, names
+}
+
+// Refused takes in that the cloud had nothing to rent.
+func (m *Model) Refused(o Offer, now time.Time) { m.refused[o.key] = now.Add(refusedFor) }
+
+// Rented takes in machines that a rental named.
+func (m *Model) Rented(o Offer, names []string, now time.Time) {
+	for _, n := range names {
+		mc := m.machine(n, now)
+		mc.Ours = true
+		m.describe(mc, o.Type, o.Zone, o.Spot)
+		m.log.Info("rented", "machine", n, "type", o.Type, "zone", o.Zone, "spot", o.Spot)
+	}
+}
--- /dev/null
+++ b/cmd/umberdeal/main.go
@@ -0,0 +1,163 @@
+// Command umberdeal is the cluster scheduler's daemon and its small client.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/controller"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// version is set when a release is built.
+var version = "0.1.0-dev"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller node."`
+	Check   checkCmd   `cmd:"" help:"Check settings without starting."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Job     jobCmd     `cmd:"" help:"Submit, show or cancel a job on a running node."`
+}
+
+type settingsFlags struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	Tuning string `placeholder:"FILE" help:"The operators' own settings (TOML)."`
+}
+
+func (f *settingsFlags) load() (*config.Settings, config.Tuning, error) {
+	s, serr := config.Load(f.Config)
+	t, terr := config.LoadTuning(f.Tuning)
+	return s, t, errors.Join(serr, terr)
+}
+
+type serveCmd struct{ settingsFlags }
+
+func (c *serveCmd) Run() error {
+	s, t, err := c.load()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(s.MemoryLimit())
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()}))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return controller.New(s, t, log, controller.RealNetwork()).Run(ctx)
+}
+
+func logLevel() slog.Level {
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
+
+type checkCmd struct{ settingsFlags }
+
+func (c *checkCmd) Run() error {
+	s, _, err := c.load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("settings of node %s are valid\n", s.Node)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("umberdeal", version)
+	return nil
+}
+
+type jobCmd struct {
+	Submit submitCmd `cmd:"" help:"Submit a job, read as JSON with the wire's field names."`
+	Show   showCmd   `cmd:"" help:"Show a job."`
+	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
+}
+
+type nodeFlag struct {
+	Node string `required:"" placeholder:"HOST:PORT" help:"A controller node's address."`
+}
+
+// do sends a request, and prints the answer as JSON.
+func (f *nodeFlag) do(method, path string, in any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	status, body, err := call.Do(ctx, call.NewClient(call.Dialer(), 1), method, "http://"+f.Node+path, in, wire.MaxBody)
+	if err != nil {
+		return err
+	}
+	var answer map[string]any
+	if err := msgpack.Unmarshal(body, &answer); err != nil {
+		return fmt.Errorf("status %d, unreadable answer: %w", status, err)
+	}
+	if err := printJSON(os.Stdout, answer); err != nil {
+		return err
+	}
+	if status/100 != 2 {
+		return fmt.Errorf("status %d %s", status, http.StatusText(status))
+	}
+	return nil
+}
+
+type submitCmd struct {
+	nodeFlag
+	File string `arg:"" placeholder:"FILE" help:"The job; - for standard input."`
+}
+
+func (c *submitCmd) Run() error {
+	in := io.Reader(os.Stdin)
+	if c.File != "-" {
+		f, err := os.Open(c.File)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		in = f
+	}
+	job, err := readJSON(in)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	return c.do(http.MethodPost, wire.PathJobs, job)
+}
+
+type showCmd struct {
+	nodeFlag
+	ID string `arg:"" help:"The job's id."`
+}
+
+func (c *showCmd) Run() error { return c.do(http.MethodGet, wire.PathJobs+"/"+c.ID, nil) }
+
+type cancelCmd struct {
+	nodeFlag
+	ID string `arg:"" help:"The job's id."`
+}
+
+func (c *cancelCmd) Run() error {
+	return c.do(http.MethodPost, wire.PathJobs+"/"+c.ID+"/cancel", nil)
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("umberdeal"), kong.Description("An open-source cluster scheduler."), kong.UsageOnError())
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "n-0"
+location = "a"
+bind = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+novelty = true
+[services]
+cloud = "c:1"
+state = "s:1"
+[cluster]
+size = 1
+zones = ["a"]
+skew_ms = 5.0
+[cluster.workers]
+report_s = 1.5
+lease_s = 12.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 32.0
+[cluster.state]
+rps = 70.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 12
+[cluster.cloud]
+rps = 4.0
+list_lag_s = 8.0
+[cluster.limits]
+cpu = 0.1
+mem_mb = 98.0
+sockets = 800
+`
+
+func TestSettingsNameTheFieldThatIsWrong(t *testing.T) {
+	if _, err := Parse(good); err != nil {
+		t.Fatalf("good settings with an unknown field: %v", err)
+	}
+	for _, c := range []struct{ from, to, field string }{
+		{`bind = "127.0.0.1:1"`, ``, "bind is missing"},
+		{`lease_s = 12.0`, `lease_s = -1.0`, "cluster.workers.lease_s"},
+		{`cancel_s = 32.0`, `cancel_s = 12.0`, "cluster.workers.cancel_s"},
+		{`size = 1`, `size = "three"`, "size"},
+		{`txn_ops = 12`, `txn_ops = 0`, "cluster.state.txn_ops"},
+		{`state = "s:1"`, `state = ""`, "services.state"},
+	} {
+		_, err := Parse(strings.Replace(good, c.from, c.to, 1))
+		if err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: error %v does not name %s", c.to, err, c.field)
+		}
+	}
+}
+
+func TestTuningIsRefusedRatherThanGuessed(t *testing.T) {
+	if _, err := ParseTuning("[rebalance]\nbudget = 2\n"); err != nil {
+		t.Fatal(err)
+	}
+	for text, field := range map[string]string{
+		"[rebalance]\nbudgett = 2\n":                                                                                      "budgett",
+		"[[rebalance.policies]]\nresource='cpus'\nweight=0.7\nthreshold=0.2\ncapacity_threshold=0.9\n":                    "sum to 0.7",
+		"[[rebalance.policies]]\nresource='cpus'\nweight=1.0\nthreshold=1.2\ncapacity_threshold=0.9\n":                    "threshold",
+		"[[rebalance.policies]]\nresource='cpus'\nweight=1.0\nthreshold=0.2\ncapacity_threshold=0.0\n[renting]\nidle_s=1": "capacity_threshold",
+		"[renting]\nidle_s = 0.0\n": "idle_s",
+	} {
+		if _, err := ParseTuning(text); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%q: error %v does not name %s", text, err, field)
+		}
+	}
+}
--- /dev/null
+++ b/config/tuning.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Tuning is the operators' own file; every field has a default.
+type Tuning struct {
+	Rebalance Rebalance `toml:"rebalance"`
+	Renting   Renting   `toml:"renting"`
+}
+
+// Rebalance tunes the rebalancer.
+type Rebalance struct {
+	Enabled     bool     `toml:"enabled"`
+	EveryS      float64  `toml:"every_s"`
+	Budget      int      `toml:"budget"`
+	CooldownS   float64  `toml:"cooldown_s"`
+	RestS       float64  `toml:"rest_s"`
+	QuarantineS float64  `toml:"quarantine_s"`
+	LongS       float64  `toml:"long_running_s"`
+	Policies    []Policy `toml:"policies"`
+}
+
+// Policy is one resource's part in the combined imbalance.
+type Policy struct {
+	Resource          string  `toml:"resource"`
+	Weight            float64 `toml:"weight"`
+	Threshold         float64 `toml:"threshold"`
+	CapacityThreshold float64 `toml:"capacity_threshold"`
+}
+
+// Renting tunes how machines are rented and returned.
+type Renting struct {
+	IdleS    float64 `toml:"idle_s"`
+	Headroom float64 `toml:"headroom"`
+}
+
+// DefaultTuning is what holds without an operators' file.
+func DefaultTuning() Tuning {
+	return Tuning{
+		Rebalance: Rebalance{
+			Enabled: true, EveryS: 3, Budget: 3, CooldownS: 30, RestS: 120, QuarantineS: 300, LongS: 600,
+			Policies: []Policy{
+				{Resource: "cpus", Weight: 0.4, Threshold: 0.2, CapacityThreshold: 1},
+				{Resource: "gpus", Weight: 0.4, Threshold: 0.2, CapacityThreshold: 1},
+				{Resource: "memory", Weight: 0.2, Threshold: 0.2, CapacityThreshold: 1},
+			},
+		},
+		Renting: Renting{IdleS: 240, Headroom: 0.35},
+	}
+}
+
+// LoadTuning reads the operators' file; an empty path gives the defaults.
+func LoadTuning(path string) (Tuning, error) {
+	if path == "" {
+		return DefaultTuning(), nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Tuning{}, fmt.Errorf("tuning: %w", err)
+	}
+	return ParseTuning(string(text))
+}
+
+// ParseTuning checks the text of an operators' file. A misspelt field is an
+// error here, since nobody but the operators writes this file.
+func ParseTuning(text string) (Tuning, error) {
+	t := DefaultTuning()
+	defaults := t.Rebalance.Policies
+	t.Rebalance.Policies = nil
+	md, err := toml.Decode(text, &t)
+	if err != nil {
+		return Tuning{}, fmt.Errorf("tuning: %w", err)
+	}
+	if !md.IsDefined("rebalance", "policies") {
+		t.Rebalance.Policies = defaults
+	}
+	var errs []error
+	bad := func(format string, args ...any) {
+		errs = append(errs, fmt.Errorf("tuning: "+format, args...))
+	}
+	for _, k := range md.Undecoded() {
+		bad("%s is not a setting", k)
+	}
+	r := t.Rebalance
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{{"every_s", r.EveryS}, {"cooldown_s", r.CooldownS}, {"rest_s", r.RestS},
+		{"quarantine_s", r.QuarantineS}, {"long_running_s", r.LongS}} {
+		if !(f.v > 0) {
+			bad("rebalance.%s must be above 0", f.name)
+		}
+	}
+	if r.Budget < 1 || r.Budget > 100 {
+		bad("rebalance.budget must be from 1 to 100")
+	}
+	sum := 0.0
+	seen := map[string]bool{}
+	for i, p := range r.Policies {
+		field := fmt.Sprintf("rebalance.policies[%d]", i)
+		if p.Resource != "cpus" && p.Resource != "gpus" && p.Resource != "memory" || seen[p.Resource] {
+			bad("%s.resource must be cpus, gpus or memory, each once", field)
+		}
+		seen[p.Resource] = true
+		if !(p.Weight >= 0 && p.Weight <= 1) {
+			bad("%s.weight must be from 0 to 1", field)
+		}
+		if !(p.Threshold >= 0 && p.Threshold <= 1) {
+			bad("%s.threshold must be from 0 to 1", field)
+		}
+		if !(p.CapacityThreshold > 0 && p.CapacityThreshold <= 1) {
+			bad("%s.capacity_threshold must be above 0 and at most 1", field)
+		}
+		sum += p.Weight
+	}
+	if math.Abs(sum-1) > 1e-6 {
+		bad("rebalance.policies: the weights sum to %g, not to 1.0", sum)
+	}
+	if !(t.Renting.IdleS > 0) {
+		bad("renting.idle_s must be above 0")
+	}
+	if !(t.Renting.Headroom >= 0 && t.Renting.Headroom <= 5) {
+		bad("renting.headroom must be from 0 to 5")
+	}
+	if len(errs) > 0 {
+		return Tuning{}, errors.Join(errs...)
+	}
+	return t, nil
+}
--- /dev/null
+++ b/controller/node.go
@@ -0,0 +1,262 @@
+// Package controller wires a node together: its interfaces, its duties, and
+// what it does while it leads.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/umberdeal/umberdeal/cloud"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/election"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+	"github.com/umberdeal/umberdeal/worker"
+)
+
+// Network is how a node reaches others and is reached; tests hand in one in
+// memory.
+type Network struct {
+	Dial   call.DialFunc
+	Listen func(network, addr string) (net.Listener, error)
+}
+
+// RealNetwork is the machine's.
+func RealNetwork() Network { return Network{Dial: call.Dialer(), Listen: net.Listen} }
+
+// drift is how far two steady clocks drift apart, as a share.
+const drift = 0.0005
+
+// Node is one controller node.
+type Node struct {
+	cfg    *config.Settings
+	tuning config.Tuning
+	log    *slog.Logger
+	net    Network
+
+	state   *state.Client
+	cloud   *cloud.Client
+	workers *worker.Client
+	reader  *ledger.Reader
+	elector *election.Elector
+	peers   []*mesh.Peer
+	users   chan struct{} // bounds the users' requests under way
+	reports chan struct{}
+
+	mu       sync.Mutex
+	lead     *leadership // nil unless this node leads
+	types    []wire.MachineType
+	sentAway map[string]sentAway // workers told to go to the leader
+	meshOK   time.Time           // when another node was last reached
+	begun    bool                // the state service or another node has answered once
+}
+
+type sentAway struct {
+	at      time.Time
+	relayed bool
+}
+
+// New makes a node.
+func New(cfg *config.Settings, tuning config.Tuning, log *slog.Logger, nw Network) *Node {
+	sl := cfg.Cluster.State
+	n := &Node{
+		cfg: cfg, tuning: tuning, log: log, net: nw,
+		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.7, sl.WriteRPS*0.7),
+		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
+		workers:  worker.New(nw.Dial),
+		users:    make(chan struct{}, 96),
+		reports:  make(chan struct{}, 128),
+		sentAway: map[string]sentAway{},
+	}
+	n.reader = ledger.NewReader(n.state)
+	for _, s := range cfg.Siblings {
+		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
+	}
+	w := cfg.Cluster.Workers
+	n.elector = &election.Elector{
+		Store: n.state, Self: cfg.Node, TTL: config.Seconds((w.CancelS - w.LeaseS) / 2), Drift: drift, Log: log,
+		Lead: n.runLeader, CatchUp: n.catchUp,
+	}
+	return n
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l, err := n.net.Listen("tcp", n.cfg.Bind)
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	ml, err := n.net.Listen("tcp", n.cfg.MeshListen)
+	if err != nil {
+		l.Close()
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	srv := &http.Server{
+		Handler:           n.handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      15 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	var wg sync.WaitGroup
+	duty := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() { defer wg.Done(); f(ctx) }()
+	}
+	errs := make(chan error, 2)
+	duty(func(context.Context) {
+		if err := srv.Serve(netutil.LimitListener(l, max(16, n.cfg.Cluster.Limits.Sockets*6/10))); !errors.Is(err, http.ErrServerClosed) {
+			errs <- fmt.Errorf("bind: %w", err)
+		}
+	})
+	duty(func(ctx context.Context) {
+		if err := mesh.Serve(ctx, ml, n); err != nil {
+			errs <- err
+		}
+	})
+	duty(n.reader.Run)
+	duty(n.watchHealth)
+	duty(n.keepTypes)
+	duty(n.elector.Run)
+	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "bind", n.cfg.Bind)
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-errs:
+	}
+	cancel()
+	sctx, scancel := context.WithTimeout(context.Background(), time.Second)
+	defer scancel()
+	_ = srv.Shutdown(sctx) // what is still open is closed next
+	_ = srv.Close()
+	wg.Wait()
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// stateOK says whether the state service serves this node.
+func (n *Node) stateOK() bool {
+	ok, bad := n.state.Served()
+	return ok.After(bad) && time.Since(ok) < 5*time.Second
+}
+
+// watchHealth probes the state service, and the other nodes while it fails.
+func (n *Node) watchHealth(ctx context.Context) {
+	for {
+		pctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
+		_, err := n.state.Get(pctx, election.Key)
+		cancel()
+		if err == nil {
+			n.mu.Lock()
+			n.begun = true
+			n.mu.Unlock()
+		} else {
+			n.askPeers(ctx)
+		}
+		if !pause(ctx, time.Second) {
+			return
+		}
+	}
+}
+
+func (n *Node) askPeers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range n.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := p.Status(ctx); err == nil {
+				n.mu.Lock()
+				n.meshOK, n.begun = time.Now(), true
+				n.mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// ready says whether this node can take requests: the state service serves it,
+// or another node can be asked. In an outage of the state service every node
+// stays ready, since going away would only make its end later for the users.
+func (n *Node) ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.begun && (n.stateOK() || time.Since(n.meshOK) < 4*time.Second)
+}
+
+// keepTypes keeps the catalogue, from the cloud or else from the copy that the
+// leader leaves in the state service.
+func (n *Node) keepTypes(ctx context.Context) {
+	for {
+		wait := 60 * time.Second
+		types, err := n.cloud.Types(ctx)
+		if err != nil || len(types) == 0 {
+			wait = 3 * time.Second
+			if n.knownTypes() == nil {
+				e, gerr := n.state.Get(ctx, ledger.TypesKey)
+				var t wire.Types
+				if gerr == nil && e.Version != 0 && wire.Unmarshal(e.Value, &t) == nil {
+					types = t.Types
+				}
+			}
+			if err != nil {
+				n.log.Info("machine types not read, retrying", "err", err)
+			}
+		}
+		if len(types) > 0 {
+			n.mu.Lock()
+			n.types = types
+			l := n.lead
+			n.mu.Unlock()
+			if l != nil {
+				l.setTypes(types)
+			}
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (n *Node) knownTypes() []wire.MachineType {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.types
+}
+
+func (n *Node) leadership() *leadership {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lead
+}
+
+// Status implements mesh.Handler.
+func (n *Node) Status() mesh.Status {
+	return mesh.Status{Node: n.cfg.Node, Leader: n.elector.Leader(), StateOK: n.stateOK()}
+}
--- /dev/null
+++ b/controller/users.go
@@ -0,0 +1,311 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Operations of users.
+const (
+	opSubmit = "submit"
+	opShow   = "show"
+	opCancel = "cancel"
+)
+
+func (n *Node) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			writeError(w, http.StatusServiceUnavailable, "not ready", 0)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("POST "+wire.PathJobs, func(w http.ResponseWriter, r *http.Request) { n.serveUser(w, r, opSubmit) })
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}", func(w http.ResponseWriter, r *http.Request) { n.serveUser(w, r, opShow) })
+	mux.HandleFunc("POST "+wire.PathJobs+"/{id}/cancel", func(w http.ResponseWriter, r *http.Request) { n.serveUser(w, r, opCancel) })
+	mux.HandleFunc("POST "+wire.PathReport, n.serveReport)
+	return mux
+}
+
+func write(w http.ResponseWriter, a mesh.Answer) {
+	h := w.Header()
+	h.Set("Content-Type", wire.ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // a client that went away needs no answer
+}
+
+func answer(status int, v any, retryAfter int) mesh.Answer {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return mesh.Answer{Status: http.StatusInternalServerError}
+	}
+	return mesh.Answer{Status: status, Body: b, RetryAfter: retryAfter}
+}
+
+func writeError(w http.ResponseWriter, status int, text string, retryAfter int) {
+	write(w, answer(status, wire.Error{Error: text}, retryAfter))
+}
+
+func (n *Node) serveUser(w http.ResponseWriter, r *http.Request, op string) {
+	select {
+	case n.users <- struct{}{}:
+		defer func() { <-n.users }()
+	default:
+		writeError(w, http.StatusTooManyRequests, "too many requests under way", 1)
+		return
+	}
+	req := mesh.Request{Op: op, ID: r.PathValue("id")}
+	if op == opSubmit {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			writeError(w, http.StatusBadRequest, "body over 64 KiB", 0)
+			return
+		}
+		if err != nil {
+			return // the client is gone
+		}
+		req.Body = body
+	}
+	// Users give up after 5 s, and wait 2 s for a poll: an answer later than
+	// that is none.
+	limit := 3500 * time.Millisecond
+	if op == opShow {
+		limit = 1700 * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	write(w, n.user(ctx, req))
+}
+
+// user serves a user's request here, or asks another node where the state
+// service does not serve this one.
+func (n *Node) user(ctx context.Context, r mesh.Request) mesh.Answer {
+	local := n.stateOK()
+	if local {
+		a, err := n.localUser(ctx, r)
+		if err == nil {
+			return a
+		}
+		n.log.Debug("user request", "op", r.Op, "id", r.ID, "err", err)
+	}
+	for _, p := range n.peers {
+		if ctx.Err() != nil {
+			break
+		}
+		if a, err := p.User(ctx, r); err == nil && a.Status != http.StatusServiceUnavailable {
+			return a
+		}
+	}
+	if !local {
+		if a, err := n.localUser(ctx, r); err == nil {
+			return a
+		}
+	}
+	return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is not reached"}, 1)
+}
+
+// User implements mesh.Handler: it serves a request another node received.
+func (n *Node) User(ctx context.Context, r mesh.Request) mesh.Answer {
+	if n.stateOK() {
+		if a, err := n.localUser(ctx, r); err == nil {
+			return a
+		}
+	}
+	return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is not reached"}, 1)
+}
+
+func (n *Node) localUser(ctx context.Context, r mesh.Request) (mesh.Answer, error) {
+	switch r.Op {
+	case opSubmit:
+		return n.submit(ctx, r.Body)
+	case opShow:
+		return n.show(ctx, r.ID)
+	case opCancel:
+		return n.cancel(ctx, r.ID)
+	}
+	return answer(http.StatusNotFound, wire.Error{Error: "no such operation"}, 0), nil
+}
+
+// retryRefused repeats what the state service refused, while there is time.
+func retryRefused(ctx context.Context, f func() error) error {
+	for try := 0; ; try++ {
+		err := f()
+		if !errors.Is(err, state.ErrRefused) || try >= 3 || !pause(ctx, time.Duration(80+60*try)*time.Millisecond) {
+			return err
+		}
+	}
+}
+
+func (n *Node) status(v ledger.View) wire.JobStatus {
+	s := wire.JobStatus{ID: v.Record.Job.ID, State: v.Record.State, Done: v.Done, Running: v.Placed}
+	if v.Version == 0 {
+		s.Running = 0
+		if s.State == wire.JobDone {
+			s.Done = v.Record.Job.Tasks
+		}
+		return s
+	}
+	s.State = wire.JobPending
+	if v.Placed > 0 {
+		s.State = wire.JobRunning
+	}
+	return s
+}
+
+func (n *Node) lookup(ctx context.Context, id string) (v ledger.View, found bool, err error) {
+	err = retryRefused(ctx, func() error {
+		v, found, err = n.reader.Lookup(ctx, id)
+		return err
+	})
+	return v, found, err
+}
+
+func (n *Node) show(ctx context.Context, id string) (mesh.Answer, error) {
+	if !wire.ValidID(id) {
+		return answer(http.StatusNotFound, wire.Error{Error: "no such job"}, 0), nil
+	}
+	v, found, err := n.lookup(ctx, id)
+	if err != nil {
+		return mesh.Answer{}, err
+	}
+	if !found {
+		return answer(http.StatusNotFound, wire.Error{Error: "no such job"}, 0), nil
+	}
+	return answer(http.StatusOK, n.status(v), 0), nil
+}
+
+func (n *Node) cancel(ctx context.Context, id string) (mesh.Answer, error) {
+	if !wire.ValidID(id) {
+		return answer(http.StatusNotFound, wire.Error{Error: "no such job"}, 0), nil
+	}
+	var final string
+	var found bool
+	err := retryRefused(ctx, func() (err error) {
+		final, found, err = n.reader.Cancel(ctx, id)
+		return err
+	})
+	if err != nil {
+		return mesh.Answer{}, err
+	}
+	if !found {
+		return answer(http.StatusNotFound, wire.Error{Error: "no such job"}, 0), nil
+	}
+	n.log.Info("cancel answered", "id", id, "state", final)
+	return answer(http.StatusOK, wire.JobStatus{ID: id, State: final}, 0), nil
+}
+
+func (n *Node) submit(ctx context.Context, body []byte) (mesh.Answer, error) {
+	job, jerr := wire.DecodeJob(body)
+	status := http.StatusBadRequest
+	if jerr == nil {
+		status, jerr = n.judge(&job)
+	}
+	if jerr != nil {
+		// A known id is never refused, whatever a repeated submission says.
+		if job.ID != "" {
+			v, found, err := n.lookup(ctx, job.ID)
+			if err != nil {
+				return mesh.Answer{}, err
+			}
+			if found {
+				return answer(http.StatusOK, n.status(v), 0), nil
+			}
+		}
+		n.log.Info("submission refused", "status", status, "id", job.ID, "why", jerr)
+		retry := 0
+		if status == http.StatusServiceUnavailable {
+			retry = 2
+		}
+		return answer(status, wire.Error{Error: jerr.Error()}, retry), nil
+	}
+	var known bool
+	at := time.Now()
+	err := retryRefused(ctx, func() (err error) {
+		known, err = n.reader.Accept(ctx, job, at)
+		if errors.Is(err, state.ErrUnknown) && ctx.Err() == nil {
+			// It may have been committed: the guards tell.
+			known, err = n.reader.Accept(ctx, job, at)
+		}
+		return err
+	})
+	if err != nil {
+		return mesh.Answer{}, err
+	}
+	if known {
+		v, found, err := n.lookup(ctx, job.ID)
+		if err != nil {
+			return mesh.Answer{}, err
+		}
+		if found {
+			return answer(http.StatusOK, n.status(v), 0), nil
+		}
+		return mesh.Answer{}, fmt.Errorf("job %s: known, but not found", job.ID)
+	}
+	return answer(http.StatusCreated, wire.JobStatus{ID: job.ID, State: wire.JobPending}, 0), nil
+}
+
+// judge says whether a job can ever run: 422 if not, 503 if that is not known
+// yet.
+func (n *Node) judge(j *wire.Job) (int, error) {
+	teamKnown := false
+	for _, t := range n.cfg.Cluster.Teams {
+		if t.Name != j.Team {
+			continue
+		}
+		teamKnown = true
+		times := 1.0
+		if j.Kind != wire.KindArray {
+			times = float64(j.Tasks)
+		}
+		if t.CPUsMax > 0 && j.CPUs*times > t.CPUsMax+1e-6 || t.GPUsMax > 0 && j.GPUs*times > t.GPUsMax+1e-6 {
+			return http.StatusUnprocessableEntity, fmt.Errorf("needs more than the limit of team %s", j.Team)
+		}
+	}
+	if !teamKnown {
+		return http.StatusUnprocessableEntity, fmt.Errorf("unknown team %s", j.Team)
+	}
+	types := n.knownTypes()
+	if types == nil {
+		return http.StatusServiceUnavailable, errors.New("the machine types are not known yet")
+	}
+	zones := map[string]bool{}
+	for i := range types {
+		t := &types[i]
+		allowed := len(j.Types) == 0
+		for _, a := range j.Types {
+			allowed = allowed || a == t.Name
+		}
+		if !allowed || j.CPUs > t.CPUs+1e-9 || j.GPUs > t.GPUs+1e-9 || j.MemoryGB > t.MemoryGB+1e-9 {
+			continue
+		}
+		for _, z := range t.ZonesNamed {
+			if j.Zone == "" || j.Zone == z {
+				zones[z] = true
+			}
+		}
+	}
+	if len(zones) == 0 {
+		return http.StatusUnprocessableEntity, errors.New("a task fits no allowed machine type")
+	}
+	if j.Spread && j.Kind != wire.KindArray && len(zones)*int(math.Ceil(float64(j.Tasks)/2)) < j.Tasks {
+		return http.StatusUnprocessableEntity, errors.New("cannot be spread over the zones it may use")
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,74 @@
+// Package call does one MessagePack request over HTTP, with everything that
+// could grow without bound limited.
+package call
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// DialFunc opens connections; tests hand in an in-memory network.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dialer is the real network's.
+func Dialer() DialFunc {
+	d := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}
+	return d.DialContext
+}
+
+// NewClient makes an HTTP client that keeps at most perHost connections to a
+// host. There is no client-wide timeout: callers bound each request.
+func NewClient(dial DialFunc, perHost int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxConnsPerHost:     perHost,
+			MaxIdleConnsPerHost: perHost,
+			MaxIdleConns:        256,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Do sends in (nil: no body) and returns the status and the body, at most max
+// bytes of it.
+func Do(ctx context.Context, c *http.Client, method, url string, in any, max int64) (int, []byte, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	req.Header.Set("Accept", wire.ContentType)
+	if in != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(io.LimitReader(resp.Body, max+1))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	if int64(len(out)) > max {
+		return 0, nil, fmt.Errorf("%s %s: answer over %d bytes", method, url, max)
+	}
+	return resp.StatusCode, out, nil
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,110 @@
+// Package ledger holds the schema of the keys that the controllers keep, and
+// the transactions of users' requests. The leader's own transactions are built
+// by package cluster from these records.
+package ledger
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Keys. Everything about unfinished jobs lies under Active, so that one watch
+// and one listing give all that a leader needs.
+const (
+	Active   = "w/"
+	jobs     = "w/j/"
+	chunks   = "w/t/"
+	final    = "f/"
+	Rentals  = "r/"
+	Cycles   = "x/"
+	TypesKey = "c/types"
+)
+
+// ChunkSize is how many tasks share one placement record.
+const ChunkSize = 100
+
+// JobKey is the key of an unfinished job.
+func JobKey(id string) string { return jobs + id }
+
+// FinalKey is the key of a finished or cancelled job, kept for good.
+func FinalKey(id string) string { return final + id }
+
+// ChunkKey is the key of a chunk of placements.
+func ChunkKey(id string, chunk int) string { return chunks + id + "/" + strconv.Itoa(chunk) }
+
+// ParseJobKey takes a JobKey apart.
+func ParseJobKey(key string) (id string, ok bool) { return strings.CutPrefix(key, jobs) }
+
+// ParseChunkKey takes a ChunkKey apart.
+func ParseChunkKey(key string) (id string, chunk int, ok bool) {
+	rest, ok := strings.CutPrefix(key, chunks)
+	if !ok {
+		return "", 0, false
+	}
+	id, num, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, false
+	}
+	chunk, err := strconv.Atoi(num)
+	return id, chunk, err == nil && chunk >= 0
+}
+
+// JobRecord is an accepted job, or its end.
+type JobRecord struct {
+	Job   wire.Job `msgpack:"job"`
+	AtMs  int64    `msgpack:"at"`
+	State string   `msgpack:"st,omitempty"` // JobDone or JobCancelled once it is over
+}
+
+// ChunkRecord says where the tasks of a chunk may be.
+type ChunkRecord struct {
+	Attempt uint64      `msgpack:"a"` // highest attempt ever used here
+	Placed  []Placement `msgpack:"p"`
+	Done    []int       `msgpack:"d"` // ranges: first, last, first, last
+}
+
+// Placement says that a task may be on a machine.
+type Placement struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Task     int
+	Attempt  uint64
+	Machine  string
+}
+
+// DoneCount counts the done tasks of a chunk.
+func (c *ChunkRecord) DoneCount() int {
+	n := 0
+	for i := 0; i+1 < len(c.Done); i += 2 {
+		n += c.Done[i+1] - c.Done[i] + 1
+	}
+	return n
+}
+
+// RentalRecord is written before machines are asked for.
+type RentalRecord struct {
+	Type     string   `msgpack:"type"`
+	Zone     string   `msgpack:"zone"`
+	Spot     bool     `msgpack:"spot"`
+	Count    int      `msgpack:"n"`
+	AtMs     int64    `msgpack:"at"`
+	Machines []string `msgpack:"m,omitempty"`
+}
+
+// CycleRecord is what a rebalancing cycle leaves for the next leader. Times
+// are Unix milliseconds.
+type CycleRecord struct {
+	Moves      []Move           `msgpack:"moves"`
+	CoolUntil  int64            `msgpack:"cool"`
+	Rest       map[string]int64 `msgpack:"rest"`
+	Quarantine map[string]int64 `msgpack:"quar"`
+}
+
+// Move is a task on its way from one machine to another.
+type Move struct {
+	Task    string `msgpack:"task"`
+	Attempt uint64 `msgpack:"attempt"`
+	From    string `msgpack:"from"`
+	To      string `msgpack:"to"`
+}
--- /dev/null
+++ b/ledger/reader.go
@@ -0,0 +1,316 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Store is what this package needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Entry, error)
+	List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error)
+	Commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error)
+	Follow(ctx context.Context, prefix string, after uint64, block time.Duration) (wire.Events, error)
+}
+
+// finalMax bounds the cache of final states; the state service keeps them all.
+const finalMax = 20_000
+
+// View is what a node knows of a job.
+type View struct {
+	Record  JobRecord
+	Version uint64 // of the active record, 0 once the job is over
+	Done    int
+	Placed  int
+}
+
+type activeJob struct {
+	rec     JobRecord
+	version uint64
+	done    map[int]int
+	placed  map[int]int
+}
+
+// Reader answers what state jobs are in, as current as a read of the records
+// themselves: lookups that come together share one barrier. Only final states
+// are cached beyond it.
+type Reader struct {
+	store Store
+	asks  chan chan error
+
+	mu     sync.Mutex
+	loaded bool
+	rev    uint64
+	jobs   map[string]*activeJob
+	chunks map[string]uint64 // version of each chunk key, to apply no older change
+	finals map[string]JobRecord
+	order  []string
+}
+
+// NewReader makes a reader; Run must be running for lookups to be answered.
+func NewReader(store Store) *Reader {
+	return &Reader{store: store, asks: make(chan chan error, 256),
+		finals: map[string]JobRecord{}}
+}
+
+// Run answers barriers until ctx ends.
+func (r *Reader) Run(ctx context.Context) {
+	for {
+		var first chan error
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-r.asks:
+		}
+		waiting := []chan error{first}
+	drain:
+		for len(waiting) < 512 {
+			select {
+			case w := <-r.asks:
+				waiting = append(waiting, w)
+			default:
+				break drain
+			}
+		}
+		err := r.refresh(ctx)
+		for _, w := range waiting {
+			w <- err
+		}
+	}
+}
+
+// sync waits for a barrier that starts after the call.
+func (r *Reader) sync(ctx context.Context) error {
+	done := make(chan error, 1)
+	select {
+	case r.asks <- done:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %v", state.ErrRefused, ctx.Err())
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %v", state.ErrRefused, ctx.Err())
+	}
+}
+
+func (r *Reader) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
+	defer cancel()
+	r.mu.Lock()
+	loaded, rev := r.loaded, r.rev
+	r.mu.Unlock()
+	if loaded {
+		ev, err := r.store.Follow(ctx, Active, rev, 0)
+		if err == nil {
+			r.apply(ev)
+			return nil
+		}
+		if !errors.Is(err, state.ErrTooOld) {
+			return err
+		}
+	}
+	items, rev, err := r.store.List(ctx, Active)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.loaded, r.rev = true, rev
+	r.jobs, r.chunks = map[string]*activeJob{}, map[string]uint64{}
+	for _, it := range items {
+		r.put(it.Key, it.Value, it.Version)
+	}
+	r.mu.Unlock()
+	// The pages are of different moments: the changes since the first one make
+	// them whole.
+	ev, err := r.store.Follow(ctx, Active, rev, 0)
+	if err != nil {
+		r.mu.Lock()
+		r.loaded = false
+		r.mu.Unlock()
+		return err
+	}
+	r.apply(ev)
+	return nil
+}
+
+func (r *Reader) apply(ev wire.Events) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range ev.Log {
+		if e.Delete != "" {
+			r.remove(e.Delete, e.Version)
+		} else {
+			r.put(e.Put, e.Value, e.Version)
+		}
+	}
+	r.rev = max(r.rev, ev.Revision)
+}
+
+func (r *Reader) job(id string) *activeJob {
+	j := r.jobs[id]
+	if j == nil {
+		j = &activeJob{done: map[int]int{}, placed: map[int]int{}}
+		r.jobs[id] = j
+	}
+	return j
+}
+
+func (r *Reader) put(key string, v wire.Raw, version uint64) {
+	if id, ok := ParseJobKey(key); ok {
+		j := r.job(id)
+		var rec JobRecord
+		if version > j.version && wire.Unmarshal(v, &rec) == nil {
+			j.rec, j.version = rec, version
+		}
+		return
+	}
+	id, n, ok := ParseChunkKey(key)
+	if !ok || version <= r.chunks[key] {
+		return
+	}
+	var c ChunkRecord
+	if wire.Unmarshal(v, &c) != nil {
+		return
+	}
+	r.chunks[key] = version
+	j := r.job(id)
+	j.done[n], j.placed[n] = c.DoneCount(), len(c.Placed)
+}
+
+func (r *Reader) remove(key string, version uint64) {
+	if id, ok := ParseJobKey(key); ok {
+		if j := r.jobs[id]; j != nil && j.version <= version {
+			j.version = 0
+			r.drop(id, j)
+		}
+		return
+	}
+	if id, n, ok := ParseChunkKey(key); ok && r.chunks[key] <= version {
+		delete(r.chunks, key)
+		if j := r.jobs[id]; j != nil {
+			delete(j.done, n)
+			delete(j.placed, n)
+			r.drop(id, j)
+		}
+	}
+}
+
+func (r *Reader) drop(id string, j *activeJob) {
+	if j.version == 0 && len(j.done) == 0 && len(j.placed) == 0 {
+		delete(r.jobs, id)
+	}
+}
+
+func (r *Reader) view(id string) (View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec, ok := r.finals[id]; ok {
+		return View{Record: rec}, true
+	}
+	j := r.jobs[id]
+	if j == nil || j.version == 0 {
+		return View{}, false
+	}
+	v := View{Record: j.rec, Version: j.version}
+	for _, n := range j.done {
+		v.Done += n
+	}
+	for _, n := range j.placed {
+		v.Placed += n
+	}
+	return v, true
+}
+
+func (r *Reader) keepFinal(id string, rec JobRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.finals[id]; ok {
+		return
+	}
+	if len(r.order) >= finalMax {
+		delete(r.finals, r.order[0])
+		r.order = r.order[1:]
+	}
+	rec.Job = wire.Job{ID: id, Tasks: rec.Job.Tasks}
+	r.finals[id] = rec
+	r.order = append(r.order, id)
+}
+
+// Lookup says what is known of a job; found is false where it was never
+// accepted.
+func (r *Reader) Lookup(ctx context.Context, id string) (v View, found bool, err error) {
+	r.mu.Lock()
+	rec, ok := r.finals[id]
+	r.mu.Unlock()
+	if ok {
+		return View{Record: rec}, true, nil
+	}
+	if err := r.sync(ctx); err != nil {
+		return View{}, false, err
+	}
+	if v, ok := r.view(id); ok {
+		return v, true, nil
+	}
+	// A job moves from active to final in one transaction and never back, so
+	// reading final after active misses none.
+	e, err := r.store.Get(ctx, FinalKey(id))
+	if err != nil {
+		return View{}, false, err
+	}
+	if e.Version == 0 {
+		return View{}, false, nil
+	}
+	if err := wire.Unmarshal(e.Value, &rec); err != nil {
+		return View{}, false, err
+	}
+	r.keepFinal(id, rec)
+	return View{Record: rec}, true, nil
+}
+
+// Accept commits a submission. known is true where the id is known already.
+func (r *Reader) Accept(ctx context.Context, j wire.Job, at time.Time) (known bool, err error) {
+	guards := []wire.Guard{{Key: JobKey(j.ID)}, {Key: FinalKey(j.ID)}}
+	ops := []wire.Op{{Put: JobKey(j.ID), Value: JobRecord{Job: j, AtMs: at.UnixMilli()}}}
+	_, err = r.store.Commit(ctx, guards, ops)
+	var c *state.Conflict
+	if errors.As(err, &c) {
+		return true, nil
+	}
+	return false, err
+}
+
+// Cancel ends a job unless it is over, and returns its final state; found is
+// false where it was never accepted.
+func (r *Reader) Cancel(ctx context.Context, id string) (final string, found bool, err error) {
+	for range 4 {
+		v, found, err := r.Lookup(ctx, id)
+		if err != nil || !found {
+			return "", found, err
+		}
+		if v.Version == 0 {
+			return v.Record.State, true, nil
+		}
+		rec := v.Record
+		rec.State = wire.JobCancelled
+		_, err = r.store.Commit(ctx,
+			[]wire.Guard{{Key: JobKey(id), Version: v.Version}, {Key: FinalKey(id)}},
+			[]wire.Op{{Delete: JobKey(id)}, {Put: FinalKey(id), Value: rec}})
+		if err == nil {
+			r.keepFinal(id, rec)
+			return rec.State, true, nil
+		}
+		var c *state.Conflict
+		if !errors.As(err, &c) && !errors.Is(err, state.ErrUnknown) {
+			return "", true, err
+		}
+	}
+	return "", true, fmt.Errorf("%w: too many conflicts", state.ErrRefused)
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,216 @@
+// Package mesh is what the controller nodes say to one another, over net/rpc.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+)
+
+// Request is a report or a user's request, passed on as it came.
+type Request struct {
+	Op   string // of a user's request
+	ID   string
+	Body []byte
+}
+
+// Answer is what came of it.
+type Answer struct {
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
+// Status is what a node says of itself.
+type Status struct {
+	Node    string
+	Leader  string
+	StateOK bool
+}
+
+// Handler serves the other nodes.
+type Handler interface {
+	Report(ctx context.Context, body []byte) Answer
+	User(ctx context.Context, r Request) Answer
+	Status() Status
+}
+
+// Mesh is the service as net/rpc sees it.
+type Mesh struct {
+	h   Handler
+	ctx context.Context
+	sem chan struct{}
+}
+
+var errBusy = errors.New("busy")
+
+func (m *Mesh) enter() (func(), error) {
+	select {
+	case m.sem <- struct{}{}:
+		return func() { <-m.sem }, nil
+	default:
+		return nil, errBusy
+	}
+}
+
+// Report handles a worker's report that another node received.
+func (m *Mesh) Report(r Request, a *Answer) error {
+	leave, err := m.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
+	defer cancel()
+	*a = m.h.Report(ctx, r.Body)
+	return nil
+}
+
+// User handles a user's request that another node could not serve.
+func (m *Mesh) User(r Request, a *Answer) error {
+	leave, err := m.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
+	defer cancel()
+	*a = m.h.User(ctx, r)
+	return nil
+}
+
+// Status says how this node is.
+func (m *Mesh) Status(_ Request, s *Status) error {
+	*s = m.h.Status()
+	return nil
+}
+
+// Serve answers other nodes until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) error {
+	srv := rpc.NewServer()
+	if err := srv.Register(&Mesh{h: h, ctx: ctx, sem: make(chan struct{}, 64)}); err != nil {
+		return fmt.Errorf("mesh: %w", err)
+	}
+	l = netutil.LimitListener(l, 64)
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() {
+				continue
+			}
+			time.Sleep(50 * time.Millisecond)
+			if errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("mesh: %w", err)
+			}
+			continue
+		}
+		go func() {
+			end := context.AfterFunc(ctx, func() { conn.Close() })
+			defer end()
+			srv.ServeConn(conn)
+		}()
+	}
+}
+
+// Peer is another node, dialled when it is needed.
+type Peer struct {
+	Name string
+	addr string
+	dial call.DialFunc
+
+	mu  sync.Mutex
+	c   *rpc.Client
+	bad time.Time // no dialling before this
+}
+
+// NewPeer makes a peer.
+func NewPeer(name, addr string, dial call.DialFunc) *Peer {
+	return &Peer{Name: name, addr: addr, dial: dial}
+}
+
+func (p *Peer) client(ctx context.Context) (*rpc.Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.c != nil {
+		return p.c, nil
+	}
+	if time.Now().Before(p.bad) {
+		return nil, fmt.Errorf("mesh: %s was not reached a moment ago", p.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", p.addr)
+	if err != nil {
+		p.bad = time.Now().Add(700 * time.Millisecond)
+		return nil, fmt.Errorf("mesh: %w", err)
+	}
+	p.c = rpc.NewClient(conn)
+	return p.c, nil
+}
+
+func (p *Peer) call(ctx context.Context, method string, in, out any) error {
+	c, err := p.client(ctx)
+	if err != nil {
+		return err
+	}
+	done := c.Go("Mesh."+method, in, out, make(chan *rpc.Call, 1))
+	select {
+	case <-done.Done:
+		err = done.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	var said rpc.ServerError
+	if err != nil && !errors.As(err, &said) {
+		// The connection may be dead without an error: begin anew.
+		p.mu.Lock()
+		if p.c == c {
+			p.c = nil
+			p.bad = time.Now().Add(300 * time.Millisecond)
+		}
+		p.mu.Unlock()
+		c.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("mesh: %s %s: %w", p.Name, method, err)
+	}
+	return nil
+}
+
+// Report passes a report on.
+func (p *Peer) Report(ctx context.Context, body []byte) (a Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
+	defer cancel()
+	err = p.call(ctx, "Report", Request{Body: body}, &a)
+	return a, err
+}
+
+// User passes a user's request on.
+func (p *Peer) User(ctx context.Context, r Request) (a Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
+	defer cancel()
+	err = p.call(ctx, "User", r, &a)
+	return a, err
+}
+
+// Status asks how the node is.
+func (p *Peer) Status(ctx context.Context) (s Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err = p.call(ctx, "Status", Request{}, &s)
+	return s, err
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,519 @@
+// Package placement decides where waiting tasks start, what is stopped to make
+// room and which machines are worth renting. It is pure: the same input gives
+// the same plan.
+package placement
+
+// Res is an amount of each resource.
+type Res struct{ CPU, GPU, Mem float64 }
+
+const eps = 1e-6
+
+// Fits says whether r fits into free.
+func (r Res) Fits(free Res) bool {
+	return r.CPU <= free.CPU+eps && r.GPU <= free.GPU+eps && r.Mem <= free.Mem+eps
+}
+
+// Add returns r plus n times o.
+func (r Res) Add(o Res, n float64) Res {
+	return Res{r.CPU + n*o.CPU, r.GPU + n*o.GPU, r.Mem + n*o.Mem}
+}
+
+// Task names a task by dense indices.
+type Task struct{ Job, Task int32 }
+
+// Occupant is a task that may be on a machine.
+type Occupant struct {
+	Task
+	Need     Res
+	Priority int // 0 is the highest
+	Team     int
+	Over     bool    // runs beyond its team's guarantee
+	Loss     float64 // seconds of work that stopping it loses
+	Fixed    bool    // may not be stopped to make room
+}
+
+// Machine is a machine, or one that may be rented.
+type Machine struct {
+	Name      string
+	Type      int
+	Zone      int
+	Spot      bool
+	Ready     bool    // can start tasks now
+	ETA       float64 // seconds until it is up, if not ready
+	Free      Res
+	Coming    Res // more room once stopping tasks are gone
+	Cap       Res
+	Price     float64
+	FetchRate float64
+	Backlog   float64           // seconds of image fetches under way
+	Images    map[int32]float64 // seconds until an image is there
+	Slow      float64           // penalty in seconds for a machine that is suspect
+	Tasks     []Occupant
+}
+
+// Request is a job that wants tasks started.
+type Request struct {
+	Job       int32
+	Tasks     []int32
+	All       bool // a gang: all of them or none
+	Need      Res
+	Priority  int
+	Team      int // -1: none
+	Within    bool
+	Image     int32
+	ImageGB   float64
+	Zone      int // -1: any
+	OneZone   bool
+	SpreadMax int // 0: no limit per zone
+	ZoneUsed  []int
+	Types     []bool
+	Spot      bool
+	Avoid     map[int]bool // machines this job stays away from for now
+	Prefer    map[int32]int
+	WaitedS   float64
+	Phantom   bool // no job's: room to be kept free
+	Urgent    bool // the job's class has an aim on waiting that it may yet miss
+}
+
+// Offer is a kind of machine that may be rented.
+type Offer struct {
+	Type, Zone int
+	Spot       bool
+	Machine    Machine // what it would look like
+}
+
+// Team is a team's use and limits; 0 means no limit.
+type Team struct{ Used, Max Res }
+
+// Input is all that a plan depends on.
+type Input struct {
+	Machines []Machine
+	Requests []Request
+	Teams    []Team
+	Offers   []Offer
+	Preempt  bool
+	RentMax  int
+}
+
+// Start puts a task on a machine.
+type Start struct {
+	Request int
+	Task    int32
+	Machine int
+}
+
+// Plan is what to do.
+type Plan struct {
+	Starts  []Start
+	Stops   []Task
+	Rent    map[int]int // offers by index
+	Waiting []int       // requests with tasks that fit nowhere for want of room
+}
+
+type planner struct {
+	in      *Input
+	plan    Plan
+	rented  []int // offer of each machine appended to the input
+	base    int
+	stopped map[Task]bool
+}
+
+// Make plans. Requests are served in their order. The input's machines are
+// changed on the way.
+func Make(in *Input) Plan {
+	p := &planner{in: in, base: len(in.Machines), stopped: map[Task]bool{}}
+	p.plan.Rent = map[int]int{}
+	for i := range in.Requests {
+		p.serve(i)
+	}
+	return p.plan
+}
+
+// allowed is how many more tasks of the request its team's limit lets start.
+func (p *planner) allowed(r *Request) int {
+	n := len(r.Tasks)
+	if r.Team < 0 {
+		return n
+	}
+	t := p.in.Teams[r.Team]
+	limit := func(need, used, max float64) {
+		if max > 0 && need > 0 {
+			n = min(n, int((max-used+eps)/need))
+		}
+	}
+	limit(r.Need.CPU, t.Used.CPU, t.Max.CPU)
+	limit(r.Need.GPU, t.Used.GPU, t.Max.GPU)
+	return max(n, 0)
+}
+
+func (p *planner) serve(i int) {
+	r := &p.in.Requests[i]
+	n := p.allowed(r)
+	if n == 0 || r.All && n < len(r.Tasks) {
+		return
+	}
+	tasks := r.Tasks[:n]
+	placed := p.try(r, tasks, readyNow)
+	for _, s := range placed {
+		s.Request = i
+		p.plan.Starts = append(p.plan.Starts, s)
+	}
+	if r.Team >= 0 {
+		t := &p.in.Teams[r.Team]
+		t.Used = t.Used.Add(r.Need, float64(len(placed)))
+	}
+	rest := tasks[len(placed):]
+	if len(rest) == 0 {
+		return
+	}
+	if r.Phantom {
+		got := p.try(r, rest, booting)
+		p.rent(r, rest[len(got):])
+		return
+	}
+	p.plan.Waiting = append(p.plan.Waiting, i)
+	// Room that is about to be there: keep it for this request, so that later
+	// ones do not take it.
+	if got := p.try(r, rest, soon); len(got) > 0 {
+		rest = rest[len(got):]
+	}
+	if len(rest) > 0 && p.in.Preempt {
+		rest = p.preempt(r, rest)
+	}
+	if len(rest) > 0 {
+		got := p.try(r, rest, booting)
+		rest = rest[len(got):]
+	}
+	if len(rest) > 0 {
+		p.rent(r, rest)
+	}
+}
+
+// Modes of try: which machines count, and which of their room.
+type mode int
+
+const (
+	readyNow mode = iota
+	soon
+	booting
+)
+
+func (p *planner) usable(m *Machine, idx int, r *Request, md mode) bool {
+	if (md == booting) == m.Ready {
+		return false
+	}
+	return r.Types[m.Type] && (r.Zone < 0 || r.Zone == m.Zone) && (!m.Spot || r.Spot) && !r.Avoid[idx]
+}
+
+func room(m *Machine, md mode) Res {
+	if md == readyNow {
+		return m.Free
+	}
+	return m.Free.Add(m.Coming, 1)
+}
+
+// cost ranks the machines that fit, in seconds: what the start is delayed by,
+// and what it takes away from others.
+func cost(m *Machine, idx int, r *Request, task int32, free Res) float64 {
+	c := m.Slow + m.ETA
+	if left, ok := m.Images[r.Image]; ok {
+		c += left
+	} else if m.FetchRate > 0 {
+		c += m.Backlog + r.ImageGB/m.FetchRate
+	}
+	if m.Cap.GPU > 0 && r.Need.GPU == 0 {
+		// A machine with GPUs is taken for other work only where nothing else
+		// is free; then the one whose GPUs are taken least useful.
+		c += 30
+	}
+	if m.Spot {
+		c -= 3
+	}
+	c += 0.5 * m.Price / max(1, m.Cap.CPU)
+	// Fullest first, as the rebalancer would have it.
+	left := free.Add(r.Need, -1)
+	frac := 0.0
+	if m.Cap.CPU > 0 {
+		frac += left.CPU / m.Cap.CPU
+	}
+	if m.Cap.GPU > 0 {
+		frac += left.GPU / m.Cap.GPU
+	}
+	c += 2 * frac
+	if to, ok := r.Prefer[task]; ok && to == idx {
+		c -= 1000
+	}
+	return c
+}
+
+// try books as many of the tasks as fit, all or none for a gang.
+func (p *planner) try(r *Request, tasks []int32, md mode) []Start {
+	if !r.OneZone || r.Zone >= 0 {
+		got, _ := p.fill(r, tasks, md, r.Zone)
+		return got
+	}
+	zones := 0
+	for i := range p.in.Machines {
+		zones = max(zones, p.in.Machines[i].Zone+1)
+	}
+	best, bestN, bestCost := -1, 0, 0.0
+	for z := 0; z < zones; z++ {
+		got, c := p.fill(r, tasks, md, z)
+		p.undo(r, got, md)
+		if n := len(got); n > bestN || n == bestN && n > 0 && c < bestCost {
+			best, bestN, bestCost = z, n, c
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	got, _ := p.fill(r, tasks, md, best)
+	return got
+}
+
+func (p *planner) fill(r *Request, tasks []int32, md mode, zone int) ([]Start, float64) {
+	var got []Start
+	total := 0.0
+	for _, t := range tasks {
+		best, bestCost := -1, 0.0
+		for i := range p.in.Machines {
+			m := &p.in.Machines[i]
+			if !p.usable(m, i, r, md) || zone >= 0 && m.Zone != zone {
+				continue
+			}
+			if r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax {
+				continue
+			}
+			free := room(m, md)
+			if !r.Need.Fits(free) {
+				continue
+			}
+			if c := cost(m, i, r, t, free); best < 0 || c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+		if best < 0 {
+			break
+		}
+		p.book(r, best, 1, md)
+		total += bestCost
+		got = append(got, Start{Task: t, Machine: best})
+	}
+	if r.All && len(got) < len(tasks) {
+		p.undo(r, got, md)
+		return nil, 0
+	}
+	return got, total
+}
+
+func (p *planner) book(r *Request, machine int, sign float64, md mode) {
+	m := &p.in.Machines[machine]
+	m.Free = m.Free.Add(r.Need, -sign)
+	if r.ZoneUsed != nil {
+		r.ZoneUsed[m.Zone] += int(sign)
+	}
+}
+
+func (p *planner) undo(r *Request, got []Start, md mode) {
+	for _, s := range got {
+		p.book(r, s.Machine, -1, md)
+	}
+}
+
+// victim says whether the request may stop the occupant.
+func victim(r *Request, o *Occupant) bool {
+	if o.Fixed {
+		return false
+	}
+	if o.Priority > r.Priority {
+		return true
+	}
+	return r.Within && o.Over && o.Team != r.Team
+}
+
+// stopLoss is what a stop costs beyond the lost work: saving, and starting
+// again, in seconds.
+const stopLoss = 8
+
+// preempt stops the tasks whose loss is least to make room, all of the
+// request's tasks or none for a gang. It returns the tasks left.
+func (p *planner) preempt(r *Request, tasks []int32) []int32 {
+	if !r.OneZone || r.Zone >= 0 {
+		n, stops, _ := p.preemptIn(r, tasks, r.Zone)
+		p.commitStops(stops)
+		return tasks[n:]
+	}
+	zones := 0
+	for i := range p.in.Machines {
+		zones = max(zones, p.in.Machines[i].Zone+1)
+	}
+	best, bestN, bestLoss := -1, 0, 0.0
+	for z := 0; z < zones; z++ {
+		saved := p.snapshot()
+		n, _, loss := p.preemptIn(r, tasks, z)
+		p.restore(r, saved)
+		if n > bestN || n == bestN && n > 0 && loss < bestLoss {
+			best, bestN, bestLoss = z, n, loss
+		}
+	}
+	if best < 0 {
+		return tasks
+	}
+	n, stops, _ := p.preemptIn(r, tasks, best)
+	p.commitStops(stops)
+	return tasks[n:]
+}
+
+type saved struct {
+	free, coming []Res
+	zoneUsed     []int
+	stopped      map[Task]bool
+}
+
+func (p *planner) snapshot() saved {
+	s := saved{stopped: map[Task]bool{}}
+	for i := range p.in.Machines {
+		s.free = append(s.free, p.in.Machines[i].Free)
+		s.coming = append(s.coming, p.in.Machines[i].Coming)
+	}
+	for k := range p.stopped {
+		s.stopped[k] = true
+	}
+	return s
+}
+
+func (p *planner) restore(r *Request, s saved) {
+	for i := range s.free {
+		p.in.Machines[i].Free, p.in.Machines[i].Coming = s.free[i], s.coming[i]
+	}
+	p.stopped = s.stopped
+}
+
+func (p *planner) commitStops(stops []Task) {
+	p.plan.Stops = append(p.plan.Stops, stops...)
+}
+
+func (p *planner) preemptIn(r *Request, tasks []int32, zone int) (int, []Task, float64) {
+	before := p.snapshot()
+	used := append([]int(nil), r.ZoneUsed...)
+	var stops []Task
+	n, total := 0, 0.0
+	for range tasks {
+		best, bestLoss := -1, 0.0
+		var bestStops []int
+		for i := range p.in.Machines {
+			m := &p.in.Machines[i]
+			if !p.usable(m, i, r, soon) || zone >= 0 && m.Zone != zone {
+				continue
+			}
+			if r.SpreadMax > 0 && used[m.Zone] >= r.SpreadMax {
+				continue
+			}
+			chosen, loss, ok := p.cheapest(r, m)
+			if ok && (best < 0 || loss < bestLoss) {
+				best, bestLoss, bestStops = i, loss, chosen
+			}
+		}
+		if best < 0 {
+			break
+		}
+		m := &p.in.Machines[best]
+		for _, k := range bestStops {
+			o := &m.Tasks[k]
+			p.stopped[o.Task] = true
+			stops = append(stops, o.Task)
+			m.Coming = m.Coming.Add(o.Need, 1)
+		}
+		m.Free = m.Free.Add(r.Need, -1)
+		if used != nil {
+			used[m.Zone]++
+		}
+		total += bestLoss
+		n++
+	}
+	if r.All && n < len(tasks) {
+		p.restore(r, before)
+		return 0, nil, 0
+	}
+	copy(r.ZoneUsed, used)
+	return n, stops, total
+}
+
+// cheapest picks the victims on a machine that free enough room at the least
+// loss: least loss first, then without those that turned out not to be needed.
+func (p *planner) cheapest(r *Request, m *Machine) ([]int, float64, bool) {
+	free := room(m, soon)
+	var chosen []int
+	taken := make([]bool, len(m.Tasks))
+	for !r.Need.Fits(free) {
+		best := -1
+		for k := range m.Tasks {
+			o := &m.Tasks[k]
+			if taken[k] || p.stopped[o.Task] || !victim(r, o) {
+				continue
+			}
+			if best < 0 || o.Loss < m.Tasks[best].Loss {
+				best = k
+			}
+		}
+		if best < 0 {
+			return nil, 0, false
+		}
+		taken[best] = true
+		chosen = append(chosen, best)
+		free = free.Add(m.Tasks[best].Need, 1)
+	}
+	loss := m.Slow
+	keep := chosen[:0]
+	for _, k := range chosen {
+		if less := free.Add(m.Tasks[k].Need, -1); r.Need.Fits(less) {
+			free = less
+			continue
+		}
+		keep = append(keep, k)
+		loss += m.Tasks[k].Loss + stopLoss
+	}
+	return keep, loss, true
+}
+
+// rent adds machines for the tasks that fit nowhere, the cheapest way first.
+func (p *planner) rent(r *Request, tasks []int32) {
+	for len(tasks) > 0 && len(p.rented) < p.in.RentMax {
+		best, bestCost := -1, 0.0
+		for i := range p.in.Offers {
+			o := &p.in.Offers[i]
+			if !r.Types[o.Type] || r.Zone >= 0 && r.Zone != o.Zone || o.Spot && !r.Spot || !r.Need.Fits(o.Machine.Cap) {
+				continue
+			}
+			if r.SpreadMax > 0 && r.ZoneUsed[o.Zone] >= r.SpreadMax {
+				continue
+			}
+			c := o.Machine.ETA + 2*o.Machine.Price
+			if o.Machine.Cap.GPU > 0 && r.Need.GPU == 0 {
+				c += 10
+			}
+			if best < 0 || c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+		if best < 0 {
+			return
+		}
+		o := &p.in.Offers[best]
+		m := o.Machine
+		m.Free = m.Cap
+		p.in.Machines = append(p.in.Machines, m)
+		p.rented = append(p.rented, best)
+		p.plan.Rent[best]++
+		idx := len(p.in.Machines) - 1
+		n := 0
+		for n < len(tasks) && r.Need.Fits(p.in.Machines[idx].Free) && !(r.SpreadMax > 0 && r.ZoneUsed[o.Zone] >= r.SpreadMax) {
+			p.book(r, idx, 1, booting)
+			n++
+		}
+		if n == 0 {
+			return
+		}
+		tasks = tasks[n:]
+	}
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,232 @@
+// Package state is the client of the state service. It decides nothing: it
+// keeps to the rate limits and tells apart what was refused, what was executed
+// and what is unknown.
+package state
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+var (
+	// ErrRefused: the request was not executed (503 or 429).
+	ErrRefused = errors.New("state service refused the request")
+	// ErrUnknown: the request may have been executed, or may yet be.
+	ErrUnknown = errors.New("no answer from the state service")
+	// ErrNoLease: the lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrTooOld: the watch's revision is no longer kept.
+	ErrTooOld = errors.New("revision too old")
+	// ErrInvalid: the service called the request malformed.
+	ErrInvalid = errors.New("state service called the request invalid")
+)
+
+// Conflict says which conditions of a transaction failed.
+type Conflict struct {
+	Failed   []string
+	Revision uint64
+}
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+const (
+	answerMax = 1 << 20
+	eventsMax = 16 << 20
+)
+
+// Client talks to the state service.
+type Client struct {
+	base    string
+	hc      *http.Client
+	reqs    *rate.Limiter
+	writes  *rate.Limiter
+	timeout time.Duration
+	lastOK  atomic.Int64 // unix nanoseconds of the last request that was served
+	lastBad atomic.Int64
+}
+
+// New makes a client that asks for at most rps requests and wps changes a
+// second.
+func New(dial call.DialFunc, addr string, rps, wps float64) *Client {
+	return &Client{
+		base:    "http://" + addr,
+		hc:      call.NewClient(dial, 16),
+		reqs:    rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes:  rate.NewLimiter(rate.Limit(wps), max(1, int(wps))),
+		timeout: 2 * time.Second,
+	}
+}
+
+// Served says when a request was last served, and when one last failed.
+func (c *Client) Served() (ok, bad time.Time) {
+	return time.Unix(0, c.lastOK.Load()), time.Unix(0, c.lastBad.Load())
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in any, max int64, timeout time.Duration) (int, []byte, error) {
+	if err := c.reqs.Wait(ctx); err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, body, err := call.Do(ctx, c.hc, method, c.base+path, in, max)
+	if err != nil {
+		c.lastBad.Store(time.Now().UnixNano())
+		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	if status == http.StatusServiceUnavailable {
+		c.lastBad.Store(time.Now().UnixNano())
+		return status, nil, fmt.Errorf("%w: status 503", ErrRefused)
+	}
+	c.lastOK.Store(time.Now().UnixNano())
+	if status == http.StatusTooManyRequests {
+		return status, nil, fmt.Errorf("%w: status 429", ErrRefused)
+	}
+	return status, body, nil
+}
+
+func decode(status int, body []byte, out any) error {
+	if status != http.StatusOK {
+		return fmt.Errorf("%w: status %d", ErrInvalid, status)
+	}
+	return wire.Unmarshal(body, out)
+}
+
+// Get reads one key. Version is 0 where the key does not exist.
+func (c *Client) Get(ctx context.Context, key string) (wire.Entry, error) {
+	var e wire.Entry
+	status, body, err := c.do(ctx, http.MethodGet, "/kv/"+key, nil, answerMax, c.timeout)
+	if err != nil {
+		return e, err
+	}
+	if status == http.StatusNotFound {
+		if err := wire.Unmarshal(body, &e); err != nil {
+			return e, err
+		}
+		return wire.Entry{Revision: e.Revision}, nil
+	}
+	err = decode(status, body, &e)
+	return e, err
+}
+
+// List reads all keys with a prefix. The revision is that of the first page:
+// a watch from there sees every change that the pages may have missed.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var all []wire.Entry
+	var first uint64
+	after := ""
+	for {
+		q := url.Values{"prefix": {prefix}, "page": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		status, body, err := c.do(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, answerMax, c.timeout)
+		if err != nil {
+			return nil, 0, err
+		}
+		var l wire.Listing
+		if err := decode(status, body, &l); err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = l.Revision
+		}
+		all = append(all, l.Items...)
+		if !l.More || len(l.Items) == 0 {
+			return all, first, nil
+		}
+		after = l.Items[len(l.Items)-1].Key
+	}
+}
+
+// Commit runs a transaction. The error is nil, a *Conflict, or one of this
+// package's.
+func (c *Client) Commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
+	if n := len(ops); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+		}
+	}
+	status, body, err := c.do(ctx, http.MethodPost, "/commit", wire.Txn{If: guards, Then: ops}, answerMax, c.timeout)
+	if err != nil {
+		return 0, err
+	}
+	var a wire.TxnAnswer
+	if err := wire.Unmarshal(body, &a); err != nil {
+		return 0, fmt.Errorf("%w: status %d: %v", ErrInvalid, status, err)
+	}
+	switch {
+	case status == http.StatusOK:
+		return a.Revision, nil
+	case status == http.StatusConflict:
+		return 0, &Conflict{Failed: a.Failed, Revision: a.Revision}
+	case a.Error == "no such lease":
+		return 0, ErrNoLease
+	}
+	return 0, fmt.Errorf("%w: status %d: %s", ErrInvalid, status, a.Error)
+}
+
+// Hold takes a lease.
+func (c *Client) Hold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var a wire.LeaseAnswer
+	status, body, err := c.do(ctx, http.MethodPost, "/holds", wire.NewLease{TTLMs: ttl.Milliseconds()}, answerMax, c.timeout)
+	if err != nil {
+		return 0, err
+	}
+	err = decode(status, body, &a)
+	return a.Lease, err
+}
+
+// Touch renews a lease; ErrNoLease says that it has ended.
+func (c *Client) Touch(ctx context.Context, lease uint64) error {
+	status, _, err := c.do(ctx, http.MethodPost, "/holds/"+strconv.FormatUint(lease, 10)+"/touch", nil, answerMax, c.timeout)
+	return leaseResult(status, err)
+}
+
+// Release ends a lease at once.
+func (c *Client) Release(ctx context.Context, lease uint64) error {
+	status, _, err := c.do(ctx, http.MethodDelete, "/holds/"+strconv.FormatUint(lease, 10), nil, answerMax, c.timeout)
+	return leaseResult(status, err)
+}
+
+func leaseResult(status int, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	case status/100 != 2:
+		return fmt.Errorf("%w: status %d", ErrInvalid, status)
+	}
+	return nil
+}
+
+// Follow waits up to block for changes of keys with the prefix after a
+// revision. With block 0 it is a barrier: what it returns is current.
+func (c *Client) Follow(ctx context.Context, prefix string, after uint64, block time.Duration) (wire.Events, error) {
+	q := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"blockMs": {strconv.FormatInt(block.Milliseconds(), 10)},
+	}
+	var ev wire.Events
+	status, body, err := c.do(ctx, http.MethodGet, "/follow?"+q.Encode(), nil, eventsMax, c.timeout+block)
+	if err != nil {
+		return ev, err
+	}
+	if status == http.StatusGone {
+		return ev, ErrTooOld
+	}
+	err = decode(status, body, &ev)
+	return ev, err
+}
