--- a/config/config_test.go
+++ b/config/config_test.go
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	for text, field := range map[string]string{
-		"[rebalance]\nbudgett = 2\n":                                                                                      "budgett",
+		"[rebalance]\nbudgett = 2\n": "budgett",
 		"[[rebalance.policies]]\nresource='cpus'\nweight=0.7\nthreshold=0.2\ncapacity_threshold=0.9\n":                    "sum to 0.7",
 		"[[rebalance.policies]]\nresource='cpus'\nweight=1.0\nthreshold=1.2\ncapacity_threshold=0.9\n":                    "threshold",
 		"[[rebalance.policies]]\nresource='cpus'\nweight=1.0\nthreshold=0.2\ncapacity_threshold=0.0\n[renting]\nidle_s=1": "capacity_threshold",
