--- a/cluster/view.go
+++ b/cluster/view.go
@@ -98,8 +98,10 @@
 		}
 		use[j.Team] = use[j.Team].Add(j.Need, float64(len(j.Tasks)-j.Done))
 		g := m.guarantee[j.Team]
-		if g.CPU+g.GPU > 0 && (use[j.Team].CPU <= g.CPU+1e-6 || j.Need.CPU == 0) &&
-			(j.Need.GPU == 0 || use[j.Team].GPU <= g.GPU+1e-6) {
+		// A resource of which the team is guaranteed nothing does not count: a
+		// team with guaranteed CPUs and no word of GPUs may use both.
+		if g.CPU+g.GPU > 0 && (g.CPU == 0 || use[j.Team].CPU <= g.CPU+1e-6) &&
+			(g.GPU == 0 || use[j.Team].GPU <= g.GPU+1e-6) {
 			out[j.Idx] = true
 		}
 	}
@@ -283,7 +285,8 @@
 		})
 		for _, c := range cs {
 			need := m.Jobs[c.ref.Job].Need
-			if need.GPU > 0 && excess.GPU > 1e-6 || need.CPU > 0 && excess.CPU > 1e-6 {
+			g := m.guarantee[t]
+			if need.GPU > 0 && g.GPU > 0 && excess.GPU > 1e-6 || need.CPU > 0 && excess.CPU > 1e-6 {
 				out[c.ref] = true
 				excess = excess.Add(need, -1)
 			}
