--- a/cluster/report.go
+++ b/cluster/report.go
@@ -428,12 +428,28 @@
 			mc.Seq = 0
 			m.dropTasks(mc, "its machine's lease is over", now)
 		}
+		if len(mc.Tasks) > 0 && !m.ready(mc, now) {
+			m.recall(mc, now)
+		}
 		if !mc.Notice.IsZero() && mc.Up {
 			m.evacuate(mc, now)
 		}
 	}
 }
 
+// recall takes back what was placed on a machine that has fallen silent and
+// was never launched: it is certainly not there, and need not wait for the
+// machine's lease.
+func (m *Model) recall(mc *Machine, now time.Time) {
+	for _, ref := range sortedRefs(mc.Tasks) {
+		j := m.Jobs[ref.Job]
+		if p := j.Tasks[ref.Task].Place; p != nil && !p.Sent && !p.Inherited {
+			m.log.Debug("recalled", "job", j.ID, "task", ref.Task, "machine", mc.Name)
+			m.unplace(j, ref.Task, now)
+		}
+	}
+}
+
 func (m *Model) dropTasks(mc *Machine, why string, now time.Time) {
 	for _, ref := range sortedRefs(mc.Tasks) {
 		if j := m.Jobs[ref.Job]; j.Tasks[ref.Task].Place != nil {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -84,6 +85,7 @@
 	due    time.Time
 	missed bool
 	urgent bool
+	work   float64
 	req    placement.Request
 }
 
@@ -152,12 +154,97 @@
 		}
 		return x.due.Before(y.due)
 	})
+	m.triage(out, now)
 	if len(out) > maxRequests {
 		out = out[:maxRequests]
 	}
 	return out
 }
 
+// triage gives up, for now, on the aims of the jobs that cost the most where
+// there is more work than can be done in time: as many jobs as possible meet
+// theirs if of those due first the largest is put off whenever they do not all
+// fit (Moore and Hodgson's rule, on the cluster as one fluid machine). Those
+// put off come after the others, the smallest first.
+func (m *Model) triage(out []ranked, now time.Time) {
+	for lo := 0; lo < len(out); {
+		hi := lo + 1
+		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
+			hi++
+		}
+		group := out[lo:hi]
+		lo = hi
+		for i := range group {
+			group[i].work = m.work(group[i].j, now)
+		}
+		byEnd := make([]*ranked, 0, len(group))
+		for i := range group {
+			if !group[i].missed {
+				byEnd = append(byEnd, &group[i])
+			}
+		}
+		end := func(r *ranked) time.Time { return r.due.Add(config.Seconds(r.j.Spec.EstimateS)) }
+		sort.SliceStable(byEnd, func(a, b int) bool { return end(byEnd[a]).Before(end(byEnd[b])) })
+		t := 0.0
+		for i, r := range byEnd {
+			t += r.work
+			if t <= end(r).Sub(now).Seconds() {
+				continue
+			}
+			worst := -1
+			for k := 0; k <= i; k++ {
+				if c := byEnd[k]; !c.missed && (worst < 0 || c.work > byEnd[worst].work) {
+					worst = k
+				}
+			}
+			if worst >= 0 {
+				byEnd[worst].missed = true
+				t -= byEnd[worst].work
+			}
+		}
+		sort.SliceStable(group, func(a, b int) bool {
+			x, y := &group[a], &group[b]
+			if x.missed != y.missed {
+				return y.missed
+			}
+			if x.missed {
+				return x.work < y.work
+			}
+			return x.due.Before(y.due)
+		})
+	}
+}
+
+// slots is how many tasks of a job the machines that are up can hold beside
+// those of higher priority.
+func (m *Model) slots(j *Job, now time.Time) float64 {
+	n := 0.0
+	for _, mc := range m.Machines {
+		if !m.ready(mc, now) || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
+			continue
+		}
+		room := m.Types[mc.Type].Cap
+		for ref := range mc.Tasks {
+			if o := m.Jobs[ref.Job]; o.Priority < j.Priority {
+				room = room.Add(o.Need, -1)
+			}
+		}
+		fit := 1000.0
+		for _, x := range [][2]float64{{j.Need.CPU, room.CPU}, {j.Need.GPU, room.GPU}, {j.Need.Mem, room.Mem}} {
+			if x[0] > 0 {
+				fit = min(fit, math.Floor(x[1]/x[0]+1e-6))
+			}
+		}
+		n += max(fit, 0)
+	}
+	return max(n, 1)
+}
+
+// work is how long what is left of a job would take on all slots it may use.
+func (m *Model) work(j *Job, now time.Time) float64 {
+	return float64(len(j.Tasks)-j.Done) * j.Spec.EstimateS / m.slots(j, now)
+}
+
 func (m *Model) request(j *Job, now time.Time) (placement.Request, bool) {
 	r := placement.Request{
 		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
