--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -39,6 +39,10 @@
 // up, those that have been silent for long, and empty ones that nobody needs.
 // A machine is marked, so that nothing is placed on it any more.
 func (m *Model) Returnable(now time.Time, idle time.Duration) []string {
+	if len(m.openJobs()) == 0 {
+		// Nothing to do at all: no reason to keep machines for what may come.
+		idle = min(idle, 20*time.Second)
+	}
 	var out []string
 	for _, mc := range m.Machines {
 		if len(out) >= 50 {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -560,7 +560,7 @@
 // phantoms are requests that no job has made: room kept for jobs that are
 // likely to come, where no aim speaks of the price.
 func (m *Model) phantoms(now time.Time) []placement.Request {
-	if m.Headroom <= 0 || m.thrifty() {
+	if m.Headroom <= 0 || m.thrifty() || len(m.openJobs()) == 0 {
 		return nil
 	}
 	names := make([]string, 0, len(m.classes))
--- /dev/null
+++ b/internal/fake/cloud.go
@@ -0,0 +1,165 @@
+package fake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Cloud rents machines of the world.
+type Cloud struct {
+	w        *World
+	mu       sync.Mutex
+	types    []wire.MachineType
+	capacity int
+	lag      time.Duration
+	answers  map[string][]string
+	machines map[string]*machine
+	next     int
+	outage   bool
+	silent   bool // what is asked is done, and not answered
+	Reused   []string
+}
+
+// SetOutage begins or ends an outage of the cloud's interface.
+func (c *Cloud) SetOutage(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = on
+}
+
+// SetSilent makes the cloud carry requests out without answering.
+func (c *Cloud) SetSilent(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = on
+}
+
+func (c *Cloud) typ(name string) *wire.MachineType {
+	for i := range c.types {
+		if c.types[i].Name == name {
+			return &c.types[i]
+		}
+	}
+	return nil
+}
+
+// rent adds a machine; c.mu must be held.
+func (c *Cloud) rent(typ, zone string, spot bool, boot time.Duration) string {
+	name := fmt.Sprintf("host-%06d", c.next)
+	c.next++
+	m := newMachine(c.w, name, *c.typ(typ), zone, spot, boot)
+	c.machines[name] = m
+	return name
+}
+
+// Machines lists the names of the machines that exist.
+func (c *Cloud) Machines() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for n, m := range c.machines {
+		if !m.isDead() {
+			out = append(out, n)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (c *Cloud) machine(name string) *machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machines[name]
+}
+
+// ServeHTTP implements the interface.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	time.Sleep(50 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outage {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+		return
+	}
+	switch {
+	case r.URL.Path == "/machine_types":
+		reply(w, http.StatusOK, wire.Types{Types: c.types})
+	case r.URL.Path == "/machines/delete":
+		var n wire.Names
+		if wire.Unmarshal(body, &n) != nil || len(n.Machines) > 100 {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
+		for _, name := range n.Machines {
+			if m := c.machines[name]; m != nil {
+				m.kill()
+				delete(c.machines, name)
+			}
+		}
+		reply(w, http.StatusOK, map[string]any{})
+	case r.URL.Path == "/machines" && r.Method == http.MethodPost:
+		c.serveRental(w, body)
+	case r.URL.Path == "/machines":
+		c.list(w, r.URL.Query().Get("after"))
+	default:
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+	}
+}
+
+func (c *Cloud) serveRental(w http.ResponseWriter, body []byte) {
+	var q wire.Rental
+	if wire.Unmarshal(body, &q) != nil || c.typ(q.Type) == nil || q.Count < 1 || q.Count > 50 {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	names, ok := c.answers[q.Request]
+	if !ok {
+		for i := 0; i < q.Count && len(c.machines) < c.capacity; i++ {
+			boot := time.Duration(c.typ(q.Type).BootS * float64(time.Second))
+			names = append(names, c.rent(q.Type, q.Zone, q.Spot, boot))
+		}
+		if len(names) == 0 {
+			reply(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
+			return
+		}
+		c.answers[q.Request] = names
+	} else {
+		c.Reused = append(c.Reused, q.Request)
+	}
+	if c.silent {
+		c.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		c.mu.Lock()
+	}
+	reply(w, http.StatusOK, wire.Names{Machines: names})
+}
+
+func (c *Cloud) list(w http.ResponseWriter, after string) {
+	var l wire.MachineList
+	now := time.Now()
+	for name, m := range c.machines {
+		age := now.Sub(m.born)
+		if name <= after || age < c.lag {
+			continue
+		}
+		e := wire.ListedMachine{Name: name, Addr: m.addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot,
+			State: wire.MachineRunning, AgeS: (age - c.lag).Seconds()}
+		if age-c.lag < m.boot {
+			e.State = wire.MachineBooting
+		}
+		if m.isDead() {
+			e.State = wire.MachineFailed
+		}
+		l.Machines = append(l.Machines, e)
+	}
+	sort.Slice(l.Machines, func(a, b int) bool { return strings.Compare(l.Machines[a].Name, l.Machines[b].Name) < 0 })
+	reply(w, http.StatusOK, l)
+}
--- /dev/null
+++ b/internal/fake/machine.go
@@ -0,0 +1,357 @@
+package fake
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// stepEvery is how finely machines are simulated.
+const stepEvery = 100 * time.Millisecond
+
+type taskKey struct {
+	name    string
+	attempt uint64
+}
+
+// task is a task on a machine. The world's lock guards it.
+type task struct {
+	taskKey
+	m       *machine
+	job     *wire.Job
+	idx     int
+	state   string
+	why     string
+	saved   bool
+	ready   time.Time // when its image is there
+	waiting time.Time
+	stopAt  time.Time // when a stop ends it
+	saving  bool
+	here    bool // has its image and has not exited
+}
+
+// machine is a machine with its worker.
+type machine struct {
+	w    *World
+	name string
+	addr string
+	typ  wire.MachineType
+	zone string
+	spot bool
+	born time.Time
+	boot time.Duration
+	hc   *http.Client
+	ctx  context.Context
+	end  context.CancelFunc
+
+	// guarded by the world's lock
+	dead    bool
+	hung    bool
+	session uint64
+	seq     uint64
+	token   uint64
+	tasks   map[taskKey]*task
+	order   []taskKey
+	images  map[string]bool
+	renewed time.Time
+	node    int
+	dirty   bool
+	notice  *float64
+	tokenAt time.Time
+	old     []byte // an earlier report, for stories of late ones
+}
+
+func newMachine(w *World, name string, typ wire.MachineType, zone string, spot bool, boot time.Duration) *machine {
+	ctx, end := context.WithCancel(w.ctx)
+	m := &machine{w: w, name: name, addr: name + ":9000", typ: typ, zone: zone, spot: spot, born: time.Now(),
+		boot: boot, ctx: ctx, end: end, session: 1, tasks: map[taskKey]*task{}, images: map[string]bool{}}
+	m.hc = call.NewClient(w.Net.Dial(name), 2)
+	w.wg.Add(1)
+	go func() { defer w.wg.Done(); m.run() }()
+	return m
+}
+
+func (m *machine) isDead() bool {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	return m.dead
+}
+
+// kill ends the machine and all that is on it.
+func (m *machine) kill() {
+	m.w.mu.Lock()
+	if !m.dead {
+		m.dead = true
+		m.clear()
+	}
+	m.w.mu.Unlock()
+	m.w.Net.SetDown(m.name, true)
+	m.end()
+}
+
+// clear kills and forgets all tasks; the world's lock is held.
+func (m *machine) clear() {
+	for _, k := range m.order {
+		m.w.leave(m.tasks[k], false)
+	}
+	m.tasks, m.order = map[taskKey]*task{}, nil
+}
+
+func (m *machine) run() {
+	if !sleep(m.ctx, m.boot) {
+		return
+	}
+	l, err := m.w.Net.Listen("tcp", m.addr)
+	if err != nil {
+		return
+	}
+	srv := &http.Server{Handler: m}
+	m.w.wg.Add(1)
+	go func() { defer m.w.wg.Done(); _ = srv.Serve(l) }()
+	defer srv.Close()
+	defer m.hc.CloseIdleConnections()
+	m.w.mu.Lock()
+	m.renewed = time.Now()
+	m.node = m.w.pick(len(m.w.nodes))
+	m.w.mu.Unlock()
+	m.w.wg.Add(1)
+	go func() { defer m.w.wg.Done(); m.steps() }()
+	m.reports()
+}
+
+func (m *machine) steps() {
+	for sleep(m.ctx, stepEvery) {
+		m.w.mu.Lock()
+		if !m.dead && !m.hung {
+			m.step(time.Now())
+		}
+		m.w.mu.Unlock()
+	}
+}
+
+// step lets the time pass for what is on the machine.
+func (m *machine) step(now time.Time) {
+	if now.Sub(m.renewed) > secs(m.w.Settings.Cluster.Workers.LeaseS) {
+		m.clear()
+		m.session++
+		m.renewed = now
+		m.dirty = true
+		return
+	}
+	for _, k := range append([]taskKey(nil), m.order...) {
+		t := m.tasks[k]
+		if t == nil || t.state == wire.TaskExited {
+			continue
+		}
+		if t.state == wire.TaskFetching && !now.Before(t.ready) {
+			m.images[t.job.Image] = true
+			t.state, t.waiting = wire.TaskRunning, now
+			if t.job.Kind == wire.KindGang {
+				t.state = wire.TaskWaiting
+			}
+			m.dirty = true
+			m.w.arrive(t, now)
+		}
+		m.w.advance(t, now)
+	}
+}
+
+func (m *machine) exit(t *task, why string, saved bool) {
+	if t.state == wire.TaskExited {
+		return
+	}
+	t.state, t.why, t.saved = wire.TaskExited, why, saved
+	m.dirty = true
+	m.w.leave(t, why == wire.WhyDone)
+}
+
+// report is the worker's message; the world's lock is held.
+func (m *machine) report() wire.Report {
+	m.seq++
+	r := wire.Report{Machine: m.name, Addr: m.addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot,
+		Session: m.session, Seq: m.seq, Token: m.token, NoticeS: m.notice}
+	for _, k := range m.order {
+		t := m.tasks[k]
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	return r
+}
+
+func (m *machine) reports() {
+	w := m.w.Settings.Cluster.Workers
+	last := time.Time{}
+	for m.ctx.Err() == nil {
+		m.w.mu.Lock()
+		interval := secs(w.ReportS * (0.75 + 0.5*m.w.rnd.Float64()))
+		hung, changed := m.hung, m.dirty
+		m.w.mu.Unlock()
+		since := time.Since(last)
+		if hung || since < interval && !(changed && since >= 500*time.Millisecond) {
+			if !sleep(m.ctx, stepEvery) {
+				return
+			}
+			continue
+		}
+		last = time.Now()
+		if !m.send(last) && !sleep(m.ctx, time.Second) {
+			return
+		}
+	}
+}
+
+// send makes one report; false says that another node is to be tried.
+func (m *machine) send(at time.Time) bool {
+	m.w.mu.Lock()
+	m.dirty = false
+	r := m.report()
+	session := m.session
+	node := m.w.nodes[m.node%len(m.w.nodes)]
+	m.w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(m.ctx, 4*time.Second)
+	defer cancel()
+	status, body, err := call.Do(ctx, m.hc, http.MethodPost, "http://"+node.bind+wire.PathReport, r, 1<<20)
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	if m.dead {
+		return true
+	}
+	if err != nil || status != http.StatusOK {
+		var to wire.Redirect
+		if err == nil && status == http.StatusMisdirectedRequest && wire.Unmarshal(body, &to) == nil {
+			for i, n := range m.w.nodes {
+				if n.name == to.Leader && i != m.node {
+					m.node, m.dirty = i, true
+					return true
+				}
+			}
+		}
+		m.node = (m.node + 1) % len(m.w.nodes)
+		m.dirty = true
+		return false
+	}
+	var a wire.ReportAnswer
+	if wire.Unmarshal(body, &a) != nil || a.Token < m.token || session != m.session || m.hung {
+		return true // dropped
+	}
+	m.sawToken(a.Token, at)
+	m.renewed = at
+	m.execute(a.Commands, time.Now())
+	return true
+}
+
+func (m *machine) sawToken(token uint64, now time.Time) {
+	if token > m.token {
+		m.token = token
+		if now.Sub(m.tokenAt) > secs(m.w.Settings.Cluster.Workers.LeaseS/2) {
+			m.dirty, m.tokenAt = true, now
+		}
+	}
+}
+
+// execute carries commands out in their order.
+func (m *machine) execute(cmds []wire.Command, now time.Time) {
+	for _, c := range cmds {
+		k := taskKey{c.Task, c.Attempt}
+		t := m.tasks[k]
+		switch c.Op {
+		case wire.OpStart:
+			if t == nil {
+				m.launch(k, now)
+			}
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				delete(m.tasks, k)
+				for i := range m.order {
+					if m.order[i] == k {
+						m.order = append(m.order[:i], m.order[i+1:]...)
+						break
+					}
+				}
+			}
+		case wire.OpStop:
+			if t != nil && t.state != wire.TaskExited {
+				grace := 0.0
+				if c.GraceS != nil {
+					grace = *c.GraceS
+				}
+				m.w.halt(t, grace, now)
+			}
+		}
+	}
+}
+
+func (m *machine) launch(k taskKey, now time.Time) {
+	t := &task{taskKey: k, m: m, state: wire.TaskFetching}
+	m.tasks[k] = t
+	m.order = append(m.order, k)
+	id, n, ok := wire.SplitTask(k.name)
+	job := m.w.jobs[id]
+	if !ok || job == nil || n >= job.spec.Tasks {
+		m.exit(t, wire.WhyUnknown, false)
+		return
+	}
+	t.job, t.idx = &job.spec, n
+	var cpus, gpus, mem float64
+	for _, o := range m.tasks {
+		if o != t && o.name == k.name && o.state != wire.TaskExited {
+			m.exit(t, wire.WhyBusy, false)
+			return
+		}
+		if o.job != nil && o.state != wire.TaskExited {
+			cpus, gpus, mem = cpus+o.job.CPUs, gpus+o.job.GPUs, mem+o.job.MemoryGB
+		}
+	}
+	if cpus > m.typ.CPUs+1e-6 || gpus > m.typ.GPUs+1e-6 || mem > m.typ.MemoryGB+1e-6 {
+		m.exit(t, wire.WhyNoRoom, false)
+		return
+	}
+	t.ready = now.Add(100 * time.Millisecond)
+	if !m.images[t.job.Image] {
+		t.ready = now.Add(secs(t.job.ImageGB / math.Max(m.typ.FetchGBPS, 0.1)))
+	}
+	m.dirty = true
+}
+
+// ServeHTTP takes direct commands.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	for m.hung && !m.dead {
+		m.w.mu.Unlock()
+		time.Sleep(stepEvery)
+		m.w.mu.Lock()
+	}
+	status := http.StatusOK
+	if r.URL.Path == wire.PathCommands {
+		var d wire.DirectCommands
+		switch {
+		case wire.Unmarshal(body, &d) != nil || d.Session == 0:
+			status = http.StatusBadRequest
+		case d.Token < m.token || d.Session != m.session:
+			status = http.StatusConflict
+		default:
+			m.sawToken(d.Token, time.Now())
+			m.execute(d.Commands, time.Now())
+		}
+	}
+	reply(w, status, m.report())
+}
+
+func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fake/state.go
@@ -0,0 +1,304 @@
+package fake
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// State is a state service in memory, with the limits of sizes and counts but
+// not of rates.
+type State struct {
+	mu      sync.Mutex
+	rev     uint64
+	keys    map[string]wire.Entry
+	log     []wire.Event
+	leases  map[uint64]*stateLease
+	next    uint64
+	changed chan struct{}
+	outage  bool
+	refuse  map[string]bool // nodes that get 503
+	late    time.Duration   // the next transaction is applied this late
+	ops     int
+}
+
+type stateLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// NewState makes an empty state service.
+func NewState(txnOps int) *State {
+	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, next: 1,
+		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps}
+}
+
+// SetOutage begins or ends an outage; at its end leases have their full time.
+func (s *State) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.outage = on
+	for _, l := range s.leases {
+		l.expires = time.Now().Add(l.ttl)
+	}
+	s.wake()
+}
+
+// Refuse makes one node get 503, or ends that.
+func (s *State) Refuse(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse[node] = on
+}
+
+// LateNext leaves the next transaction unanswered and applies it only later.
+func (s *State) LateNext(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = by
+}
+
+// Keys lists the keys with a prefix.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var out []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) expire() {
+	if s.outage {
+		return
+	}
+	now := time.Now()
+	ids := make([]uint64, 0, len(s.leases))
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, id := range ids {
+		s.endLease(id)
+	}
+}
+
+func (s *State) endLease(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.Lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	for _, k := range gone {
+		s.rev++
+		delete(s.keys, k)
+		s.log = append(s.log, wire.Event{Delete: k, Version: s.rev})
+	}
+	if len(gone) > 0 {
+		s.wake()
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, nil
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+// ServeHTTP implements the interface.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage || s.refuse[nodeOf(r)] {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+		return
+	}
+	s.expire()
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		key := strings.TrimPrefix(r.URL.Path, "/kv/")
+		if e, ok := s.keys[key]; ok {
+			reply(w, http.StatusOK, e)
+			return
+		}
+		reply(w, http.StatusNotFound, map[string]any{"registre": s.rev})
+	case r.URL.Path == "/kv":
+		s.list(w, r)
+	case r.URL.Path == "/commit":
+		s.commit(w, body)
+	case r.URL.Path == "/follow":
+		s.follow(w, r)
+	case r.URL.Path == "/holds":
+		var q wire.NewLease
+		if wire.Unmarshal(body, &q) != nil || q.TTLMs < 100 || q.TTLMs > 600_000 {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
+		id := s.next
+		s.next++
+		ttl := time.Duration(q.TTLMs) * time.Millisecond
+		s.leases[id] = &stateLease{ttl: ttl, expires: time.Now().Add(ttl)}
+		reply(w, http.StatusOK, wire.LeaseAnswer{Lease: id})
+	case strings.HasPrefix(r.URL.Path, "/holds/"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/holds/"), "/touch"), 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			reply(w, http.StatusNotFound, wire.Error{Error: "no such lease"})
+			return
+		}
+		if r.Method == http.MethodDelete {
+			s.endLease(id)
+		} else {
+			l.expires = time.Now().Add(l.ttl)
+		}
+		reply(w, http.StatusOK, map[string]any{})
+	default:
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+	}
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	page, _ := strconv.Atoi(q.Get("page"))
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	l := wire.Listing{Revision: s.rev}
+	if page > 0 && len(keys) > page {
+		keys, l.More = keys[:page], true
+	}
+	for _, k := range keys {
+		l.Items = append(l.Items, s.keys[k])
+	}
+	reply(w, http.StatusOK, l)
+}
+
+type txn struct {
+	If   []wire.Guard `msgpack:"guards"`
+	Then []struct {
+		Put    string   `msgpack:"set"`
+		Value  wire.Raw `msgpack:"v"`
+		Lease  uint64   `msgpack:"bail"`
+		Delete string   `msgpack:"remove"`
+	} `msgpack:"apply"`
+}
+
+func (s *State) commit(w http.ResponseWriter, body []byte) {
+	var t txn
+	if msgpack.Unmarshal(body, &t) != nil || len(t.Then) > s.ops || len(t.If) > 4*s.ops || len(body) > wire.MaxBody {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	if s.late > 0 && len(t.Then) > 0 {
+		by := s.late
+		s.late = 0
+		s.mu.Unlock()
+		time.Sleep(by)
+		s.mu.Lock()
+		s.expire()
+	}
+	for _, op := range t.Then {
+		if op.Lease != 0 && s.leases[op.Lease] == nil {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, g := range t.If {
+		if s.keys[g.Key].Version != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		reply(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
+		return
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+		for _, op := range t.Then {
+			if op.Delete != "" {
+				if _, ok := s.keys[op.Delete]; ok {
+					delete(s.keys, op.Delete)
+					s.log = append(s.log, wire.Event{Delete: op.Delete, Version: s.rev})
+				}
+				continue
+			}
+			s.keys[op.Put] = wire.Entry{Key: op.Put, Value: op.Value, Version: s.rev, Lease: op.Lease}
+			s.log = append(s.log, wire.Event{Put: op.Put, Value: op.Value, Version: s.rev})
+		}
+		s.wake()
+	}
+	reply(w, http.StatusOK, wire.TxnAnswer{Revision: s.rev})
+}
+
+func (s *State) follow(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("blockMs"))
+	end := time.Now().Add(time.Duration(block) * time.Millisecond)
+	for {
+		s.expire()
+		ev := wire.Events{Revision: s.rev}
+		i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
+		for _, e := range s.log[i:] {
+			if strings.HasPrefix(e.Put+e.Delete, q.Get("prefix")) {
+				ev.Log = append(ev.Log, e)
+			}
+		}
+		// During an outage, and for a node that is refused, watches stay open
+		// and silent.
+		silent := s.outage || s.refuse[nodeOf(r)]
+		left := time.Until(end)
+		if !silent && (len(ev.Log) > 0 || left <= 0) {
+			reply(w, http.StatusOK, ev)
+			return
+		}
+		wait := 100 * time.Millisecond
+		if !silent {
+			wait = min(wait, left)
+		}
+		ch := s.changed
+		s.mu.Unlock()
+		select {
+		case <-ch:
+		case <-time.After(max(wait, time.Millisecond)):
+		case <-r.Context().Done():
+			s.mu.Lock()
+			return
+		}
+		s.mu.Lock()
+	}
+}
--- /dev/null
+++ b/internal/fake/users.go
@@ -0,0 +1,166 @@
+package fake
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+func (w *World) post(addr, path string, v any) (int, []byte) {
+	return w.request(http.MethodPost, addr, path, v, 5*time.Second)
+}
+
+func (w *World) request(method, addr, path string, v any, limit time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(w.ctx, limit)
+	defer cancel()
+	status, body, err := call.Do(ctx, w.hc, method, "http://"+addr+path, v, 1<<20)
+	if err != nil {
+		return 0, nil
+	}
+	return status, body
+}
+
+// Any draws a node's address, as a load balancer would.
+func (w *World) Any() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[w.pick(len(w.nodes))].bind
+}
+
+// Bind is a node's address.
+func (w *World) Bind(i int) string { return w.nodes[i].bind }
+
+// Post sends any body as a submission and returns the status.
+func (w *World) Post(node int, v any) int {
+	status, _ := w.post(w.nodes[node].bind, wire.PathJobs, v)
+	return status
+}
+
+// Submit submits a job until it is accepted, for a minute, and says whether it
+// was.
+func (w *World) Submit(j wire.Job) bool {
+	w.mu.Lock()
+	if w.jobs[j.ID] == nil {
+		w.jobs[j.ID] = &job{spec: j, done: map[int]bool{}}
+	}
+	known := w.jobs[j.ID].accepted
+	w.mu.Unlock()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+		status, body := w.post(w.Any(), wire.PathJobs, j)
+		switch status {
+		case http.StatusOK, http.StatusCreated:
+			w.mu.Lock()
+			w.jobs[j.ID].accepted = true
+			w.mu.Unlock()
+			var s wire.JobStatus
+			if wire.Unmarshal(body, &s) == nil {
+				w.told(j.ID, s.State)
+			}
+			return true
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			if known {
+				w.breaks("forgotten: repeated submission of %s answered %d", j.ID, status)
+			}
+			return false
+		}
+		if !sleep(w.ctx, time.Second) {
+			return false
+		}
+	}
+	return false
+}
+
+// told checks what a node says of a job against the rules.
+func (w *World) told(id, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[id]
+	if j == nil {
+		w.breaksLocked("invented: %s", id)
+		return
+	}
+	if j.said != "" && state != j.said {
+		w.breaksLocked("went_back: %s called %s after %s", id, state, j.said)
+	}
+	switch state {
+	case wire.JobDone:
+		if len(j.done) < j.spec.Tasks {
+			w.breaksLocked("not_done: %s with %d of %d", id, len(j.done), j.spec.Tasks)
+		}
+		j.said = state
+	case wire.JobCancelled:
+		if !j.asked {
+			w.breaksLocked("went_back: %s called cancelled unasked", id)
+		}
+		if j.cancelled.IsZero() {
+			j.cancelled = time.Now()
+		}
+		j.said = state
+	}
+}
+
+// Poll asks a node for a job's state; "" where there was no answer.
+func (w *World) Poll(addr, id string) string {
+	status, body := w.request(http.MethodGet, addr, wire.PathJobs+"/"+id, nil, 2*time.Second)
+	w.mu.Lock()
+	j := w.jobs[id]
+	accepted := j != nil && j.accepted
+	w.mu.Unlock()
+	if status == http.StatusNotFound && accepted {
+		w.breaks("forgotten: %s answered 404", id)
+	}
+	var s wire.JobStatus
+	if status != http.StatusOK || wire.Unmarshal(body, &s) != nil {
+		return ""
+	}
+	w.told(id, s.State)
+	return s.State
+}
+
+// Cancel cancels a job, for a minute, and returns the final state.
+func (w *World) Cancel(id string) string {
+	w.mu.Lock()
+	if j := w.jobs[id]; j != nil {
+		j.asked = true
+	}
+	w.mu.Unlock()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+		status, body := w.post(w.Any(), wire.PathJobs+"/"+id+"/cancel", nil)
+		var s wire.JobStatus
+		if status == http.StatusOK && wire.Unmarshal(body, &s) == nil {
+			w.told(id, s.State)
+			return s.State
+		}
+		if !sleep(w.ctx, time.Second) {
+			break
+		}
+	}
+	return ""
+}
+
+// Await polls until a job is in a state, at most for a while.
+func (w *World) Await(id, state string, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); {
+		if w.Poll(w.Any(), id) == state {
+			return true
+		}
+		if !sleep(w.ctx, 500*time.Millisecond) {
+			return false
+		}
+	}
+	return false
+}
+
+// On lists the machines that a task is on.
+func (w *World) On(task string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for m := range w.here[task] {
+		out = append(out, m.name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fake/world.go
@@ -0,0 +1,559 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/controller"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// World is everything around the controllers, and the controllers.
+type World struct {
+	Net      *Net
+	State    *State
+	Cloud    *Cloud
+	Settings *config.Settings // of the first node
+
+	ctx   context.Context
+	end   context.CancelFunc
+	wg    sync.WaitGroup
+	nodes []*node
+	log   *slog.Logger
+	hc    *http.Client
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	jobs     map[string]*job
+	here     map[string]map[*machine]bool // tasks that have their image, by name
+	gangs    map[taskKey]*gang
+	progress map[string]float64 // saved, by task, or by job for gangs
+	started  int
+	broken   []string
+}
+
+// job is what the users and the checker know of a job.
+type job struct {
+	spec      wire.Job
+	accepted  bool
+	cancelled time.Time // when its user was told
+	asked     bool      // its user has asked to cancel it
+	done      map[int]bool
+	said      string // the last final state any node gave
+}
+
+type gang struct {
+	tasks   map[int]*task
+	running bool
+	over    bool
+	since   time.Time
+	before  float64
+	haltAt  time.Time
+	halted  map[int]bool
+	broken  time.Time
+}
+
+type node struct {
+	name string
+	bind string
+	cfg  *config.Settings
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+// Options shape a world.
+type Options struct {
+	Nodes    int
+	Machines int // up at the start, alternating between the zones
+	Capacity int
+	Types    []wire.MachineType
+	Teams    []config.Team
+	Seed     uint64
+	Log      *slog.Logger
+}
+
+// Zones of every world.
+var Zones = []string{"a", "b"}
+
+// DefaultType is the machine type of worlds that name none.
+var DefaultType = wire.MachineType{Name: "m8", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1,
+	Price: 1, SpotPrice: 0.4, BootS: 10, ZonesNamed: Zones}
+
+// New makes a world whose controllers are running.
+func New(o Options) *World {
+	if o.Nodes == 0 {
+		o.Nodes = 3
+	}
+	if len(o.Types) == 0 {
+		o.Types = []wire.MachineType{DefaultType}
+	}
+	if o.Capacity == 0 {
+		o.Capacity = o.Machines + 4
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if len(o.Teams) == 0 {
+		o.Teams = []config.Team{{Name: "core"}}
+	}
+	ctx, end := context.WithCancel(context.Background())
+	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log,
+		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
+		gangs: map[taskKey]*gang{}, progress: map[string]float64{}}
+	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
+		answers: map[string][]string{}, machines: map[string]*machine{}}
+	w.serve("state:1", w.State)
+	w.serve("cloud:1", w.Cloud)
+	w.hc = &http.Client{Transport: &http.Transport{DialContext: w.Net.Dial("user"), DisableKeepAlives: true}}
+	for i := range o.Nodes {
+		name := fmt.Sprintf("n-%d", i)
+		cfg := &config.Settings{Node: name, Zone: Zones[i%2], Bind: name + ":80", MeshListen: name + ":81",
+			Services: config.Services{Cloud: "cloud:1", State: "state:1"},
+			Cluster: config.Cluster{Size: o.Nodes, Zones: Zones, SkewMs: 5, Teams: o.Teams,
+				Workers: config.Workers{ReportS: 1.5, LeaseS: 12, GangWaitS: 30, GangPeerS: 6, CancelS: 32},
+				State:   config.StateLimits{RPS: 200, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+				Cloud:   config.CloudLimits{RPS: 4, ListLagS: 5},
+				Limits:  config.Limits{CPU: 0.2, MemMB: 100, Sockets: 800}}}
+		for k := range o.Nodes {
+			if k != i {
+				s := fmt.Sprintf("n-%d", k)
+				cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: s, Zone: Zones[k%2], Addr: s + ":81"})
+			}
+		}
+		w.nodes = append(w.nodes, &node{name: name, bind: cfg.Bind, cfg: cfg})
+	}
+	w.Settings = w.nodes[0].cfg
+	w.Cloud.mu.Lock()
+	for i := range o.Machines {
+		w.Cloud.rent(o.Types[i%len(o.Types)].Name, Zones[i%2], false, 0)
+	}
+	w.Cloud.mu.Unlock()
+	for i := range w.nodes {
+		w.StartNode(i)
+	}
+	return w
+}
+
+// Close ends the world; nothing of it runs afterwards.
+func (w *World) Close() {
+	for i := range w.nodes {
+		w.KillNode(i)
+	}
+	for _, n := range w.Cloud.Machines() {
+		w.Cloud.machine(n).kill()
+	}
+	w.end()
+	w.hc.CloseIdleConnections()
+	w.wg.Wait()
+}
+
+type fromKey struct{}
+
+func nodeOf(r *http.Request) string {
+	s, _ := r.Context().Value(fromKey{}).(string)
+	return s
+}
+
+func (w *World) serve(at string, h http.Handler) {
+	l, err := w.Net.Listen("tcp", at)
+	if err != nil {
+		panic(err) // a world is made wrong
+	}
+	srv := &http.Server{Handler: h, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, fromKey{}, c.(*conn).from)
+	}}
+	w.wg.Add(2)
+	go func() { defer w.wg.Done(); _ = srv.Serve(l) }()
+	go func() { defer w.wg.Done(); <-w.ctx.Done(); _ = srv.Close() }()
+}
+
+// StartNode starts a controller.
+func (w *World) StartNode(i int) {
+	n := w.nodes[i]
+	if n.end != nil {
+		return
+	}
+	w.Net.SetDown(n.name, false)
+	ctx, end := context.WithCancel(w.ctx)
+	n.end, n.done = end, make(chan struct{})
+	c := controller.New(n.cfg, config.DefaultTuning(), w.log.With("node", n.name),
+		controller.Network{Dial: w.Net.Dial(n.name), Listen: w.Net.Listen})
+	done := n.done
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		defer close(done)
+		if err := c.Run(ctx); err != nil {
+			w.breaks("node %s ended: %v", n.name, err)
+		}
+	}()
+}
+
+// KillNode ends a controller as if its power were cut.
+func (w *World) KillNode(i int) {
+	n := w.nodes[i]
+	if n.end == nil {
+		return
+	}
+	w.Net.SetDown(n.name, true)
+	n.end()
+	<-n.done
+	n.end = nil
+}
+
+// Leader is the index of the node whose key is in the state service, or -1.
+func (w *World) Leader() int {
+	w.State.mu.Lock()
+	e, ok := w.State.keys["ctl/leader"]
+	w.State.mu.Unlock()
+	var rec struct {
+		Node string `msgpack:"node"`
+	}
+	if !ok || wire.Unmarshal(e.Value, &rec) != nil {
+		return -1
+	}
+	for i, n := range w.nodes {
+		if n.name == rec.Node {
+			return i
+		}
+	}
+	return -1
+}
+
+// CutNode cuts a node off from hosts: "state", "cloud", "user", "workers",
+// "nodes".
+func (w *World) CutNode(i int, on bool, what ...string) {
+	name := w.nodes[i].name
+	for _, h := range what {
+		switch h {
+		case "workers":
+			for _, m := range w.Cloud.Machines() {
+				w.Net.setCut(name, m, on)
+			}
+		case "nodes":
+			for k, o := range w.nodes {
+				if k != i {
+					w.Net.setCut(name, o.name, on)
+				}
+			}
+		default:
+			w.Net.setCut(name, h, on)
+		}
+	}
+}
+
+// KillMachine ends a machine without notice; it stays listed for a while.
+func (w *World) KillMachine(name string) { w.Cloud.machine(name).kill() }
+
+// Hang makes a machine do nothing, or lets it go on.
+func (w *World) Hang(name string, on bool) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.hung = on
+}
+
+// Notice tells a worker that its machine will be taken.
+func (w *World) Notice(name string, in time.Duration) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	s := in.Seconds()
+	m.notice, m.dirty = &s, true
+	w.mu.Unlock()
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		if sleep(m.ctx, in) {
+			m.kill()
+			w.Cloud.mu.Lock()
+			delete(w.Cloud.machines, name)
+			w.Cloud.mu.Unlock()
+		}
+	}()
+}
+
+// KeepReport remembers a worker's report of this moment; LateReport sends it
+// to a node as if a cut had held it back.
+func (w *World) KeepReport(name string) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.old, _ = wire.Marshal(m.report())
+}
+
+// LateReport sends what KeepReport kept.
+func (w *World) LateReport(name string, node int) (status int) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	var r wire.Report
+	_ = wire.Unmarshal(m.old, &r)
+	w.mu.Unlock()
+	status, _ = w.post(w.nodes[node].bind, wire.PathReport, r)
+	return status
+}
+
+// pick draws a number below n; the lock is held.
+func (w *World) pick(n int) int { return w.rnd.IntN(n) }
+
+func (w *World) breaks(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.breaksLocked(format, args...)
+}
+
+func (w *World) breaksLocked(format string, args ...any) {
+	if len(w.broken) < 20 {
+		w.broken = append(w.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// Broken lists the rules that were broken.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.broken...)
+}
+
+// Started is how many tasks have got on a machine.
+func (w *World) Started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
+// arrive takes in that a task has its image: from now on it is on its machine,
+// and the rules are checked. The lock is held.
+func (w *World) arrive(t *task, now time.Time) {
+	w.started++
+	on := w.here[t.name]
+	if on == nil {
+		on = map[*machine]bool{}
+		w.here[t.name] = on
+	}
+	if len(on) > 0 {
+		w.breaksLocked("ran_twice: %s starts on %s", t.name, t.m.name)
+	}
+	on[t.m], t.here = true, true
+	j := w.jobs[t.job.ID]
+	if !j.cancelled.IsZero() && now.Sub(j.cancelled) > secs(w.Settings.Cluster.Workers.CancelS) {
+		w.breaksLocked("ran_cancelled: %s starts", t.name)
+	}
+	w.checkPlace(t)
+	w.checkQuota(t)
+	if t.job.Kind == wire.KindGang {
+		g := w.gangOf(t)
+		if g.over {
+			g.tasks, g.running, g.over, g.halted = map[int]*task{}, false, false, map[int]bool{}
+			g.broken, g.haltAt = time.Time{}, time.Time{}
+		}
+		g.tasks[t.idx] = t
+		if len(g.tasks) == t.job.Tasks && !g.running {
+			g.running, g.since, g.before = true, now, w.progress[t.job.ID]
+			for _, o := range g.tasks {
+				o.state, o.m.dirty = wire.TaskRunning, true
+			}
+		}
+		return
+	}
+}
+
+func (w *World) checkPlace(t *task) {
+	j := t.job
+	ok := len(j.Types) == 0
+	for _, n := range j.Types {
+		ok = ok || n == t.m.typ.Name
+	}
+	if !ok || j.Zone != "" && j.Zone != t.m.zone || t.m.spot && !j.Spot {
+		w.breaksLocked("wrong_place: %s on %s", t.name, t.m.name)
+	}
+	same, others := 0, 0
+	for i := range j.Tasks {
+		for m := range w.here[wire.TaskName(j.ID, i)] {
+			if m.zone == t.m.zone {
+				same++
+			} else {
+				others++
+			}
+		}
+	}
+	if j.OneZone && others > 0 || j.Spread && same > (j.Tasks+1)/2 {
+		w.breaksLocked("wrong_place: %s in zone %s, %d here and %d elsewhere", t.name, t.m.zone, same, others)
+	}
+}
+
+func (w *World) checkQuota(t *task) {
+	for _, team := range w.Settings.Cluster.Teams {
+		if team.Name != t.job.Team {
+			continue
+		}
+		cpus, gpus := 0.0, 0.0
+		for name, ms := range w.here {
+			id, _, _ := wire.SplitTask(name)
+			if j := w.jobs[id]; j.spec.Team == team.Name {
+				cpus += j.spec.CPUs * float64(len(ms))
+				gpus += j.spec.GPUs * float64(len(ms))
+			}
+		}
+		if team.CPUsMax > 0 && cpus > team.CPUsMax+1e-6 || team.GPUsMax > 0 && gpus > team.GPUsMax+1e-6 {
+			w.breaksLocked("quota: team %s uses %g CPUs, %g GPUs", team.Name, cpus, gpus)
+		}
+	}
+}
+
+func (w *World) gangOf(t *task) *gang {
+	k := taskKey{t.job.ID, t.attempt}
+	g := w.gangs[k]
+	if g == nil {
+		g = &gang{tasks: map[int]*task{}, halted: map[int]bool{}}
+		w.gangs[k] = g
+	}
+	return g
+}
+
+// leave takes in that a task is on its machine no more. The lock is held.
+func (w *World) leave(t *task, done bool) {
+	if t == nil {
+		return
+	}
+	if t.here {
+		t.here = false
+		delete(w.here[t.name], t.m)
+		if t.job.Kind == wire.KindGang {
+			g := w.gangOf(t)
+			if g.tasks[t.idx] == t {
+				delete(g.tasks, t.idx)
+			}
+			if g.running && !done && g.broken.IsZero() && g.haltAt.IsZero() {
+				g.broken = time.Now()
+				if c := t.job.CheckpointS; c > 0 {
+					n := (g.before + time.Since(g.since).Seconds()) / c
+					w.progress[t.job.ID] = c * float64(int(n))
+				}
+			}
+			if len(g.tasks) == 0 {
+				g.over = true
+			}
+		}
+	}
+	if done && t.job != nil {
+		w.jobs[t.job.ID].done[t.idx] = true
+	}
+}
+
+// advance lets a task that is on its machine go on. The lock is held.
+func (w *World) advance(t *task, now time.Time) {
+	if !t.here {
+		if !t.stopAt.IsZero() {
+			t.m.exit(t, wire.WhyStopped, false)
+		}
+		return
+	}
+	j := w.jobs[t.job.ID]
+	if !j.cancelled.IsZero() && now.Sub(j.cancelled) > secs(w.Settings.Cluster.Workers.CancelS) {
+		w.breaksLocked("ran_cancelled: %s is on %s", t.name, t.m.name)
+		j.cancelled = now
+	}
+	if t.job.Kind == wire.KindGang {
+		w.advanceGang(t, now)
+		return
+	}
+	if !t.stopAt.IsZero() {
+		if !now.Before(t.stopAt) {
+			t.m.exit(t, wire.WhyStopped, t.saving)
+		}
+		return
+	}
+	if j.done[t.idx] || t.job.Kind == wire.KindArray && w.progress[t.name]+now.Sub(t.waiting).Seconds() >= t.job.EstimateS {
+		t.m.exit(t, wire.WhyDone, false)
+	}
+}
+
+func (w *World) advanceGang(t *task, now time.Time) {
+	g := w.gangOf(t)
+	peer := secs(w.Settings.Cluster.Workers.GangPeerS)
+	switch {
+	case j2done(w, t) || g.running && g.broken.IsZero() && g.haltAt.IsZero() &&
+		g.before+now.Sub(g.since).Seconds() >= t.job.EstimateS:
+		for _, o := range sortedTasks(g) {
+			o.m.exit(o, wire.WhyDone, false)
+		}
+	case !g.running:
+		if !t.stopAt.IsZero() {
+			t.m.exit(t, wire.WhyStopped, false)
+		} else if now.Sub(t.waiting) > secs(w.Settings.Cluster.Workers.GangWaitS) {
+			t.m.exit(t, wire.WhyAlone, false)
+		}
+	case !g.broken.IsZero():
+		if !t.stopAt.IsZero() {
+			t.m.exit(t, wire.WhyStopped, false)
+		} else if now.Sub(g.broken) > peer {
+			t.m.exit(t, wire.WhyPeers, false)
+		}
+	case !g.haltAt.IsZero():
+		if len(g.halted) == t.job.Tasks {
+			if !t.stopAt.IsZero() && !now.Before(t.stopAt) {
+				w.progress[t.job.ID] = g.before + g.haltAt.Sub(g.since).Seconds()
+				t.m.exit(t, wire.WhyStopped, true)
+			}
+		} else if now.Sub(g.haltAt) > peer {
+			if g.halted[t.idx] {
+				t.m.exit(t, wire.WhyStopped, false)
+			} else {
+				t.m.exit(t, wire.WhyPeers, false)
+			}
+		}
+	}
+}
+
+func j2done(w *World, t *task) bool { return w.jobs[t.job.ID].done[t.idx] }
+
+func sortedTasks(g *gang) []*task {
+	var out []*task
+	for _, t := range g.tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].idx < out[b].idx })
+	return out
+}
+
+// halt takes a stop in. The lock is held.
+func (w *World) halt(t *task, grace float64, now time.Time) {
+	t.m.dirty = true
+	saves := t.here && t.job.CheckpointS > 0 && grace >= t.job.SaveS
+	if t.job != nil && t.job.Kind == wire.KindGang {
+		g := w.gangOf(t)
+		if saves && g.running && g.broken.IsZero() {
+			if g.haltAt.IsZero() {
+				g.haltAt = now
+			}
+			g.halted[t.idx] = true
+			if t.stopAt.IsZero() {
+				t.stopAt, t.state = now.Add(secs(t.job.SaveS)), wire.TaskSaving
+			}
+			return
+		}
+		t.m.exit(t, wire.WhyStopped, false)
+		return
+	}
+	if saves {
+		if !t.saving {
+			t.saving, t.state = true, wire.TaskSaving
+			t.stopAt = now.Add(secs(t.job.SaveS))
+			w.progress[t.name] += now.Sub(t.waiting).Seconds()
+		}
+		return
+	}
+	if t.here && t.job.CheckpointS > 0 && !t.saving {
+		c := t.job.CheckpointS
+		w.progress[t.name] = c * float64(int((w.progress[t.name]+now.Sub(t.waiting).Seconds())/c))
+	}
+	t.m.exit(t, wire.WhyStopped, false)
+}
