--- a/controller/leader.go
+++ b/controller/leader.go
@@ -30,7 +30,7 @@
 	flushKick chan struct{}
 	direct    chan struct{} // bounds direct commands under way
 
-	syncing sync.Mutex // one barrier at a time
+	syncing chan struct{} // held by the one barrier under way
 
 	mu      sync.Mutex
 	m       *cluster.Model
@@ -53,7 +53,7 @@
 func (n *Node) runLeader(ctx context.Context, t *election.Term, ready func()) error {
 	l := &leadership{
 		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
-		direct: make(chan struct{}, 16),
+		direct: make(chan struct{}, 16), syncing: make(chan struct{}, 1),
 	}
 	for {
 		err := l.load(ctx)
@@ -206,8 +206,12 @@
 
 // barrier brings the model up to date.
 func (l *leadership) barrier(ctx context.Context) error {
-	l.syncing.Lock()
-	defer l.syncing.Unlock()
+	select {
+	case l.syncing <- struct{}{}:
+		defer func() { <-l.syncing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	ev, err := l.n.state.Follow(ctx, ledger.Active, l.revision(), 0)
 	if err != nil {
 		return err
--- /dev/null
+++ b/controller/random_test.go
@@ -0,0 +1,158 @@
+package controller_test
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// TestRulesHoldUnderRandomFailures plays seeded stories of jobs and failures;
+// the fake world checks the protocol's rules on its own. Every accepted job
+// must be over in the end.
+func TestRulesHoldUnderRandomFailures(t *testing.T) {
+	seeds := uint64(8)
+	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomStory(t, seed) })
+		})
+	}
+}
+
+func randomStory(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 99))
+	o := fake.Options{Machines: 6, Capacity: 10, Seed: seed,
+		Teams: []config.Team{{Name: "core", CPUs: 12, CPUsMax: 28}, {Name: "edge", CPUs: 8}}}
+	if os.Getenv("STORY_LOG") != "" {
+		o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	w := fake.New(o)
+	defer w.Close()
+	time.Sleep(3 * time.Second)
+	var ids []string
+	cancelled := map[string]bool{}
+	for step := range 40 {
+		if rnd.IntN(3) > 0 {
+			j := randomJob(rnd, step+1)
+			if w.Submit(j) {
+				ids = append(ids, j.ID)
+			}
+		}
+		if len(ids) > 0 && rnd.IntN(8) == 0 {
+			id := ids[rnd.IntN(len(ids))]
+			if w.Cancel(id) == wire.JobCancelled {
+				cancelled[id] = true
+			}
+		}
+		randomFailure(rnd, w)
+		for range 2 {
+			if len(ids) > 0 {
+				w.Poll(w.Any(), ids[rnd.IntN(len(ids))])
+			}
+		}
+		time.Sleep(time.Duration(rnd.IntN(9000)) * time.Millisecond)
+	}
+	w.State.SetOutage(false)
+	w.Cloud.SetOutage(false)
+	for i := range 3 {
+		w.State.Refuse(fmt.Sprintf("n-%d", i), false)
+		w.CutNode(i, false, everything...)
+		w.StartNode(i)
+	}
+	for _, m := range w.Cloud.Machines() {
+		w.Hang(m, false)
+	}
+	for _, id := range ids {
+		want := wire.JobDone
+		if cancelled[id] {
+			want = wire.JobCancelled
+		}
+		// What is left shares what machines there are; that some job does not
+		// end at all is what this looks for.
+		if !w.Await(id, want, 25*time.Minute) {
+			t.Errorf("%s is not %s in the end", id, want)
+		}
+	}
+	for _, b := range w.Broken() {
+		t.Errorf("rule broken: %s", b)
+	}
+	if w.Started() < 10 {
+		t.Errorf("only %d tasks started", w.Started())
+	}
+}
+
+var everything = []string{"state", "workers", "nodes", "cloud", "user"}
+
+func randomJob(rnd *rand.Rand, n int) wire.Job {
+	pick := func(list ...string) string { return list[rnd.IntN(len(list))] }
+	return job(n, func(j *wire.Job) {
+		j.Kind, j.Team = pick(wire.KindArray, wire.KindArray, wire.KindGang), pick("core", "edge")
+		j.Priority = pick(wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow)
+		j.Tasks, j.CPUs = 1+rnd.IntN(5), float64(1+rnd.IntN(4))
+		j.EstimateS = float64(5 + rnd.IntN(40))
+		j.Image = fmt.Sprintf("img-%d", rnd.IntN(3))
+		j.OneZone = rnd.IntN(3) == 0
+		j.Spread = !j.OneZone && rnd.IntN(4) == 0
+		j.Spot = rnd.IntN(2) == 0
+		if rnd.IntN(2) == 0 {
+			j.CheckpointS, j.SaveS = 5, 1
+		}
+	})
+}
+
+// randomFailure does one thing that goes wrong, or undoes one.
+func randomFailure(rnd *rand.Rand, w *fake.World) {
+	n := rnd.IntN(3)
+	machine := ""
+	if ms := w.Cloud.Machines(); len(ms) > 0 {
+		machine = ms[rnd.IntN(len(ms))]
+	}
+	switch rnd.IntN(16) {
+	case 0:
+		w.KillNode(n)
+	case 1, 2, 3:
+		w.StartNode(n)
+	case 4:
+		w.State.SetOutage(true)
+	case 5, 6:
+		w.State.SetOutage(false)
+	case 7:
+		w.CutNode(n, true, everything[rnd.IntN(len(everything))])
+	case 8:
+		w.CutNode(n, false, everything...)
+	case 9:
+		w.State.LateNext(time.Duration(1+rnd.IntN(40)) * time.Second)
+	case 10:
+		w.State.Refuse(fmt.Sprintf("n-%d", n), rnd.IntN(2) == 0)
+	case 11:
+		if machine != "" && rnd.IntN(2) == 0 {
+			w.KillMachine(machine)
+		}
+	case 12:
+		if machine != "" {
+			w.Hang(machine, rnd.IntN(2) == 0)
+		}
+	case 13:
+		if machine != "" && rnd.IntN(2) == 0 {
+			w.Notice(machine, time.Duration(2+rnd.IntN(10))*time.Second)
+		}
+	case 14:
+		if machine != "" {
+			w.KeepReport(machine)
+			w.LateReport(machine, n)
+		}
+	case 15:
+		w.Cloud.SetOutage(rnd.IntN(2) == 0)
+	}
+}
--- /dev/null
+++ b/controller/story_test.go
@@ -0,0 +1,371 @@
+package controller_test
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// story runs a world in simulated time and checks the rules at its end.
+func story(t *testing.T, o fake.Options, tell func(t *testing.T, w *fake.World)) {
+	t.Helper()
+	if os.Getenv("STORY_LOG") != "" {
+		o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(o)
+		defer w.Close()
+		time.Sleep(5 * time.Second)
+		tell(t, w)
+		for _, b := range w.Broken() {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+}
+
+func job(n int, change func(j *wire.Job)) wire.Job {
+	j := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "c", Team: "core", Kind: wire.KindArray,
+		Priority: wire.PriorityNormal, Tasks: 2, CPUs: 2, MemoryGB: 4, Image: "img-1", ImageGB: 1, EstimateS: 20}
+	if change != nil {
+		change(&j)
+	}
+	return j
+}
+
+func gang(j *wire.Job) {
+	j.Kind, j.CheckpointS, j.SaveS = wire.KindGang, 10, 2
+}
+
+func mustSubmit(t *testing.T, w *fake.World, jobs ...wire.Job) {
+	t.Helper()
+	for _, j := range jobs {
+		if !w.Submit(j) {
+			t.Fatalf("%s was not accepted", j.ID)
+		}
+	}
+}
+
+func mustReach(t *testing.T, w *fake.World, id, state string, within time.Duration) {
+	t.Helper()
+	if !w.Await(id, state, within) {
+		t.Fatalf("%s was not %s within %v", id, state, within)
+	}
+}
+
+func TestArrayGangAndServiceLive(t *testing.T) {
+	story(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, nil), job(2, func(j *wire.Job) { gang(j); j.Tasks = 3; j.OneZone = true }),
+			job(3, func(j *wire.Job) { j.Kind = wire.KindService; j.Spread = true; j.EstimateS = 0; j.Tasks = 3 }))
+		mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
+		mustReach(t, w, "wk-000003", wire.JobRunning, time.Minute)
+		if s := w.Cancel("wk-000003"); s != wire.JobCancelled {
+			t.Fatalf("cancel answered %q", s)
+		}
+		time.Sleep(10 * time.Second)
+		if on := w.On("wk-000003/0"); len(on) > 0 {
+			t.Errorf("still on %v", on)
+		}
+	})
+}
+
+func TestEveryControllerCrashesJustAfterACancel(t *testing.T) {
+	story(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Kind = wire.KindService; j.EstimateS = 0 }), job(2, nil))
+		time.Sleep(8 * time.Second)
+		w.Cancel("wk-000001")
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		time.Sleep(8 * time.Second)
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		mustReach(t, w, "wk-000002", wire.JobDone, 2*time.Minute)
+		mustReach(t, w, "wk-000001", wire.JobCancelled, 5*time.Second)
+		time.Sleep(40 * time.Second) // the checker watches for tasks past cancel_s
+		if keys := w.State.Keys("w/"); len(keys) > 0 {
+			t.Errorf("records left of jobs that are over: %v", keys)
+		}
+	})
+}
+
+func TestLateTransactionOfADeadLeaderChangesNothing(t *testing.T) {
+	story(t, fake.Options{Machines: 3}, func(t *testing.T, w *fake.World) {
+		// The placement's commit hangs and is applied long after its leader
+		// has died: the guard on the leader key must refuse it.
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
+		time.Sleep(3 * time.Second)
+		w.State.LateNext(40 * time.Second)
+		mustSubmit(t, w, job(2, func(j *wire.Job) { j.EstimateS = 60 }))
+		w.KillNode(w.Leader())
+		mustReach(t, w, "wk-000001", wire.JobDone, 3*time.Minute)
+		mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
+	})
+}
+
+func TestLateReportIsNotBelieved(t *testing.T) {
+	story(t, fake.Options{Machines: 1, Capacity: 1, Nodes: 1}, func(t *testing.T, w *fake.World) {
+		name := w.Cloud.Machines()[0]
+		w.KeepReport(name) // lists no task
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
+		time.Sleep(8 * time.Second)
+		if len(w.On("wk-000001/0")) != 1 {
+			t.Fatal("task 0 does not run")
+		}
+		if status := w.LateReport(name, 0); status == 200 {
+			t.Error("a report older than the last one was answered 200")
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, 2*time.Minute)
+		if n := w.Started(); n != 2 {
+			t.Errorf("%d starts for two tasks", n)
+		}
+	})
+}
+
+func TestHungMachineExecutesLateStopsHarmlessly(t *testing.T) {
+	story(t, fake.Options{Machines: 2, Capacity: 2}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Kind = wire.KindService; j.EstimateS = 0; j.Tasks = 4; j.CPUs = 4 }))
+		mustReach(t, w, "wk-000001", wire.JobRunning, 30*time.Second)
+		time.Sleep(3 * time.Second)
+		name := w.On("wk-000001/0")[0]
+		w.Hang(name, true)
+		w.Cancel("wk-000001")
+		time.Sleep(9 * time.Second)
+		mustSubmit(t, w, job(2, func(j *wire.Job) { j.Tasks = 4; j.CPUs = 4 }))
+		w.Hang(name, false) // the stops it was sent are executed now
+		mustReach(t, w, "wk-000002", wire.JobDone, 2*time.Minute)
+	})
+}
+
+func TestUnansweredRentalIsNotRentedTwice(t *testing.T) {
+	story(t, fake.Options{Machines: 0, Capacity: 3}, func(t *testing.T, w *fake.World) {
+		w.Cloud.SetSilent(true)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks = 4; j.CPUs = 6 }))
+		time.Sleep(12 * time.Second)
+		w.Cloud.SetSilent(false)
+		mustReach(t, w, "wk-000001", wire.JobDone, 4*time.Minute)
+		if len(w.Cloud.Reused) == 0 {
+			t.Error("the unanswered request was not repeated under its name")
+		}
+		time.Sleep(2 * time.Minute)
+		if left := w.Cloud.Machines(); len(left) > 0 {
+			t.Errorf("not returned: %v", left)
+		}
+	})
+}
+
+func TestLeaderCutFromTheState(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(w *fake.World, leader int, on bool)
+	}{
+		{"cut from the state service", func(w *fake.World, l int, on bool) { w.CutNode(l, on, "state") }},
+		{"refused by it alone", func(w *fake.World, l int, on bool) { w.State.Refuse(fmt.Sprintf("n-%d", l), on) }},
+		{"cut from the workers", func(w *fake.World, l int, on bool) { w.CutNode(l, on, "workers") }},
+		{"cut from everything", func(w *fake.World, l int, on bool) { w.CutNode(l, on, "state", "workers", "nodes", "cloud", "user") }},
+		{"outage for all", func(w *fake.World, _ int, on bool) { w.State.SetOutage(on) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World) {
+				mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 70 }),
+					job(2, func(j *wire.Job) { gang(j); j.Tasks = 3; j.EstimateS = 50 }))
+				time.Sleep(8 * time.Second)
+				leader := w.Leader()
+				c.do(w, leader, true)
+				time.Sleep(18 * time.Second)
+				c.do(w, leader, false)
+				mustSubmit(t, w, job(3, nil))
+				for _, id := range []string{"wk-000001", "wk-000002", "wk-000003"} {
+					mustReach(t, w, id, wire.JobDone, 3*time.Minute)
+				}
+			})
+		})
+	}
+}
+
+func TestNodeRefusedByTheStateServiceStillServesUsers(t *testing.T) {
+	story(t, fake.Options{Machines: 2}, func(t *testing.T, w *fake.World) {
+		f := (w.Leader() + 1) % 3
+		w.State.Refuse(fmt.Sprintf("n-%d", f), true)
+		time.Sleep(2 * time.Second)
+		if status := w.Post(f, job(1, nil)); status != 201 {
+			t.Errorf("submission through the refused node answered %d", status)
+		}
+	})
+}
+
+func TestMachineDiesWithoutNotice(t *testing.T) {
+	story(t, fake.Options{Machines: 3}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks = 3; j.EstimateS = 40 }),
+			job(2, func(j *wire.Job) { gang(j); j.Tasks = 3; j.CPUs = 4; j.EstimateS = 40 }))
+		time.Sleep(10 * time.Second)
+		w.KillMachine(w.On("wk-000002/1")[0])
+		mustReach(t, w, "wk-000001", wire.JobDone, 3*time.Minute)
+		mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
+	})
+}
+
+func TestNoticeLetsAGangSaveTogether(t *testing.T) {
+	story(t, fake.Options{Machines: 3}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) {
+			gang(j)
+			j.Tasks, j.CPUs, j.EstimateS, j.CheckpointS = 2, 6, 60, 50
+		}))
+		time.Sleep(25 * time.Second)
+		w.Notice(w.On("wk-000001/0")[0], 8*time.Second)
+		time.Sleep(8 * time.Second)
+		// The first checkpoint would be at 50 s: without an orderly stop there
+		// would be nothing.
+		if got := w.Saved("wk-000001"); got < 10 {
+			t.Errorf("saved progress %g s", got)
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, 2*time.Minute)
+	})
+}
+
+func TestFaultyMachineIsAvoidedAndBrokenJobBacksOff(t *testing.T) {
+	story(t, fake.Options{Machines: 3, Capacity: 3}, func(t *testing.T, w *fake.World) {
+		w.Fault(w.Cloud.Machines()[0])
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Class, j.Tasks = fake.BrokenClass, 1 }),
+			job(2, func(j *wire.Job) { j.Tasks = 6 }), job(3, func(j *wire.Job) { j.Tasks = 6 }))
+		mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
+		mustReach(t, w, "wk-000003", wire.JobDone, 3*time.Minute)
+		before := w.Started()
+		time.Sleep(2 * time.Minute)
+		if n := w.Started() - before; n > 8 {
+			t.Errorf("a job that fails everywhere was started %d times in two minutes", n)
+		}
+		if s := w.Cancel("wk-000001"); s != wire.JobCancelled {
+			t.Errorf("cancel answered %q", s)
+		}
+	})
+}
+
+func TestPriorityPreemptsAndEqualsDoNot(t *testing.T) {
+	story(t, fake.Options{Machines: 1, Capacity: 1}, func(t *testing.T, w *fake.World) {
+		low := func(j *wire.Job) {
+			j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.CheckpointS, j.SaveS = wire.PriorityLow, 2, 4, 100, 10, 2
+		}
+		mustSubmit(t, w, job(1, low))
+		time.Sleep(15 * time.Second)
+		mustSubmit(t, w, job(2, func(j *wire.Job) { low(j); j.EstimateS = 10 }))
+		time.Sleep(10 * time.Second)
+		if len(w.On("wk-000002/0"))+len(w.On("wk-000002/1")) > 0 {
+			t.Error("a job stopped another of its own priority")
+		}
+		mustSubmit(t, w, job(3, func(j *wire.Job) { j.Tasks, j.CPUs = 1, 4 }))
+		mustReach(t, w, "wk-000003", wire.JobDone, 40*time.Second)
+		if w.Saved("wk-000001/0")+w.Saved("wk-000001/1") < 10 {
+			t.Error("the stopped task was not let to save")
+		}
+	})
+}
+
+func TestTeamsKeepToTheirLimitsAndGetTheirGuarantees(t *testing.T) {
+	teams := []config.Team{{Name: "core", CPUs: 8, CPUsMax: 12}, {Name: "edge", CPUs: 8}}
+	story(t, fake.Options{Machines: 2, Capacity: 2, Teams: teams}, func(t *testing.T, w *fake.World) {
+		long := func(j *wire.Job) { j.CPUs, j.EstimateS, j.CheckpointS, j.SaveS = 4, 200, 5, 1 }
+		mustSubmit(t, w, job(1, func(j *wire.Job) { long(j); j.Tasks = 4 }))
+		time.Sleep(15 * time.Second)
+		mustSubmit(t, w, job(2, func(j *wire.Job) { long(j); j.Team, j.EstimateS = "edge", 10 }))
+		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
+		if w.Post(0, job(3, func(j *wire.Job) { j.Kind, j.Tasks, j.CPUs = wire.KindService, 4, 4 })) != 422 {
+			t.Error("a service beyond its team's limit was not answered 422")
+		}
+	})
+}
+
+func TestRollingRestart(t *testing.T) {
+	story(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.EstimateS = 8, 60 }))
+		for i := range 3 {
+			time.Sleep(12 * time.Second)
+			w.KillNode(i)
+			mustSubmit(t, w, job(10+i, nil))
+			time.Sleep(5 * time.Second)
+			w.StartNode(i)
+		}
+		for _, id := range []string{"wk-000001", "wk-000010", "wk-000011", "wk-000012"} {
+			mustReach(t, w, id, wire.JobDone, 2*time.Minute)
+		}
+		if n := w.Started(); n != 14 {
+			t.Errorf("%d starts for 14 tasks", n)
+		}
+	})
+}
+
+func TestHugeArrayIsAcceptedRunAndCancelled(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = wire.MaxTasks, 1, 5 }))
+		time.Sleep(time.Minute)
+		if n := w.Finished("wk-000001"); n < 100 {
+			t.Errorf("%d tasks done after a minute", n)
+		}
+		w.KillNode(w.Leader())
+		time.Sleep(30 * time.Second)
+		if s := w.Cancel("wk-000001"); s != wire.JobCancelled {
+			t.Fatalf("cancel answered %q", s)
+		}
+		time.Sleep(35 * time.Second)
+	})
+}
+
+func TestWhatCannotBeTakenIsAnsweredAtOnce(t *testing.T) {
+	story(t, fake.Options{Machines: 1}, func(t *testing.T, w *fake.World) {
+		field := func(name string, v any) map[string]any {
+			m := map[string]any{"nameId": "wk-000009", "filiere": "c", "atelier": "core", "facon": "sweep", "rang": "normal",
+				"pieces": 2, "cpus": 1.0, "gpus": 0.0, "memoryGb": 1.0, "gabarit": "i", "pullGb": 1.0, "gammes": nil,
+				"halle": nil, "oneZone": false, "apart": false, "pretes": false, "dureeS": 10.0, "jalonS": 0.0,
+				"sauvegardeS": 0.0, "echeanceS": nil, "novelty": true}
+			if v == "missing" {
+				delete(m, name)
+			} else {
+				m[name] = v
+			}
+			return m
+		}
+		for _, c := range []struct {
+			body any
+			want int
+		}{
+			{[]string{"not", "a", "map"}, 400}, {"text", 400}, {field("pieces", -1), 400}, {field("pieces", 100_001), 400},
+			{field("pieces", 1.5), 400}, {field("cpus", "two"), 400}, {field("cpus", -2.0), 400}, {field("rang", "low"), 400},
+			{field("nameId", "job-1"), 400}, {field("gammes", []any{1}), 400}, {field("oneZone", "missing"), 400},
+			{field("pad", string(make([]byte, 70<<10))), 400},
+			{field("atelier", "nobody"), 422}, {field("cpus", 9.0), 422}, {field("halle", "z"), 422}, {field("gammes", []any{"x"}), 422},
+			{field("novelty", 1), 201}, {field("novelty", 1), 200}, {field("cpus", 9.0), 200}, {field("pieces", "?"), 200},
+		} {
+			if got := w.Post(0, c.body); got != c.want {
+				t.Errorf("%.60v answered %d, want %d", c.body, got, c.want)
+			}
+		}
+		if got := w.Poll(w.Bind(1), "wk-777777"); got != "" {
+			t.Errorf("unknown job is %q", got)
+		}
+	})
+}
+
+func TestTheCheckerSeesWhatItShould(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(fake.Options{Machines: 2, Capacity: 2})
+		defer w.Close()
+		time.Sleep(5 * time.Second)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.EstimateS, j.OneZone = 2, 60, true }))
+		time.Sleep(10 * time.Second)
+		for _, m := range w.Cloud.Machines() {
+			w.Rogue(m, "wk-000001/0")
+		}
+		time.Sleep(3 * time.Second)
+		if len(w.Broken()) == 0 {
+			t.Error("a task started twice and the checker said nothing")
+		}
+	})
+}
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -11,6 +11,9 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
+// BrokenClass is the class of jobs that fail on every machine.
+const BrokenClass = "broken"
+
 // stepEvery is how finely machines are simulated.
 const stepEvery = 100 * time.Millisecond
 
@@ -52,6 +55,7 @@
 	// guarded by the world's lock
 	dead    bool
 	hung    bool
+	faulty  bool // its tasks fail
 	session uint64
 	seq     uint64
 	token   uint64
@@ -127,22 +131,29 @@
 func (m *machine) steps() {
 	for sleep(m.ctx, stepEvery) {
 		m.w.mu.Lock()
-		if !m.dead && !m.hung {
-			m.step(time.Now())
+		// A machine that hangs resumes within its lease or not at all with
+		// what it had.
+		if now := time.Now(); !m.dead && !m.expire(now) && !m.hung {
+			m.step(now)
 		}
 		m.w.mu.Unlock()
 	}
 }
 
+// expire kills and forgets all tasks once the lease is over.
+func (m *machine) expire(now time.Time) bool {
+	if now.Sub(m.renewed) <= secs(m.w.Settings.Cluster.Workers.LeaseS) {
+		return false
+	}
+	m.clear()
+	m.session++
+	m.renewed = now
+	m.dirty = true
+	return true
+}
+
 // step lets the time pass for what is on the machine.
 func (m *machine) step(now time.Time) {
-	if now.Sub(m.renewed) > secs(m.w.Settings.Cluster.Workers.LeaseS) {
-		m.clear()
-		m.session++
-		m.renewed = now
-		m.dirty = true
-		return
-	}
 	for _, k := range append([]taskKey(nil), m.order...) {
 		t := m.tasks[k]
 		if t == nil || t.state == wire.TaskExited {
@@ -156,6 +167,10 @@
 			}
 			m.dirty = true
 			m.w.arrive(t, now)
+			if m.faulty || t.job.Class == BrokenClass {
+				m.exit(t, wire.WhyError, false)
+				continue
+			}
 		}
 		m.w.advance(t, now)
 	}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -153,6 +153,8 @@
 	w.end()
 	w.hc.CloseIdleConnections()
 	w.wg.Wait()
+	// Requests that hang are given up in their own time, which is simulated.
+	time.Sleep(time.Minute)
 }
 
 type fromKey struct{}
@@ -261,6 +263,43 @@
 	m.hung = on
 }
 
+// Fault makes tasks fail on a machine.
+func (w *World) Fault(name string) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.faulty = true
+}
+
+// Rogue makes a worker launch a task behind the controllers' backs, for
+// stories that show that the checker sees it.
+func (w *World) Rogue(name, task string) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if id, _, ok := wire.SplitTask(task); ok && w.jobs[id] != nil {
+		m.images[w.jobs[id].spec.Image] = true
+	}
+	m.launch(taskKey{task, 1 << 40}, time.Now())
+}
+
+// Finished is how many tasks of a job have really completed.
+func (w *World) Finished(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if j := w.jobs[id]; j != nil {
+		return len(j.done)
+	}
+	return 0
+}
+
+// Saved is the progress of a task, or of a gang's job, that outlives a stop.
+func (w *World) Saved(name string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.progress[name]
+}
+
 // Notice tells a worker that its machine will be taken.
 func (w *World) Notice(name string, in time.Duration) {
 	m := w.Cloud.machine(name)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -132,6 +132,8 @@
 	addr string
 	dial call.DialFunc
 
+	dialing chan struct{} // held by the one caller that dials
+
 	mu  sync.Mutex
 	c   *rpc.Client
 	bad time.Time // no dialling before this
@@ -139,21 +141,40 @@
 
 // NewPeer makes a peer.
 func NewPeer(name, addr string, dial call.DialFunc) *Peer {
-	return &Peer{Name: name, addr: addr, dial: dial}
+	return &Peer{Name: name, addr: addr, dial: dial, dialing: make(chan struct{}, 1)}
 }
 
-func (p *Peer) client(ctx context.Context) (*rpc.Client, error) {
+// open returns the connection there is, if any, and whether one may be dialled.
+func (p *Peer) open() (*rpc.Client, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.c != nil {
-		return p.c, nil
+	return p.c, !time.Now().Before(p.bad)
+}
+
+// client connects if need be. Nobody waits for another's dialling longer than
+// for an answer.
+func (p *Peer) client(ctx context.Context) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
+	defer cancel()
+	if c, _ := p.open(); c != nil {
+		return c, nil
 	}
-	if time.Now().Before(p.bad) {
+	select {
+	case p.dialing <- struct{}{}:
+		defer func() { <-p.dialing }()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("mesh: %s: %w", p.Name, ctx.Err())
+	}
+	c, may := p.open()
+	if c != nil {
+		return c, nil
+	}
+	if !may {
 		return nil, fmt.Errorf("mesh: %s was not reached a moment ago", p.Name)
 	}
-	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
-	defer cancel()
 	conn, err := p.dial(ctx, "tcp", p.addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
 		p.bad = time.Now().Add(700 * time.Millisecond)
 		return nil, fmt.Errorf("mesh: %w", err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -85,7 +85,7 @@
 	Image       string   `msgpack:"gabarit"`
 	ImageGB     float64  `msgpack:"pullGb"`
 	Types       []string `msgpack:"gammes"`
-	Zone        string   `msgpack:"halle"`
+	Zone        string   `msgpack:"halle,omitempty"`
 	OneZone     bool     `msgpack:"oneZone"`
 	Spread      bool     `msgpack:"apart"`
 	Spot        bool     `msgpack:"pretes"`
