Hold an answer up to 0.4 s so that freed room is given out with it

Cause: a slot whose task had ended stood idle until the answer to the next report, about a report's interval per task.

--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -67,6 +67,9 @@
 	return b
 }
 
+// Clean says whether all changes have been handed out to be written.
+func (m *Model) Clean() bool { return len(m.dirty) == 0 }
+
 // Failed puts a batch's jobs back among those to be written.
 func (m *Model) Failed(b *Batch) {
 	for _, c := range b.chunks {
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -184,6 +184,7 @@
 	Cycles   map[string]*Cycle
 	Tuning   config.Rebalance
 	Headroom float64
+	Freed    uint64 // counts the places that have become free
 
 	cfg        *config.Settings
 	log        *slog.Logger
@@ -490,6 +491,7 @@
 	mc := m.Machines[p.Machine]
 	ref := Ref{Job: j.Idx, Task: task}
 	t.Place, t.Phase = nil, Idle
+	m.Freed++
 	delete(mc.Tasks, ref)
 	mc.Used = mc.Used.Add(j.Need, -1)
 	if len(mc.Tasks) == 0 {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -36,6 +36,9 @@
 	m       *cluster.Model
 	rev     uint64 // everything up to it is in the model
 	wants   map[cluster.Offer]int
+	passes  uint64        // scheduling passes so far
+	writing bool          // a batch is being committed
+	turned  chan struct{} // closed and replaced when a pass or a batch ends
 	renting bool
 	bons    int
 	lastAny time.Time // when a worker last reported here itself
@@ -53,7 +56,7 @@
 func (n *Node) runLeader(ctx context.Context, t *election.Term, ready func()) error {
 	l := &leadership{
 		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
-		direct: make(chan struct{}, 16), syncing: make(chan struct{}, 1),
+		direct: make(chan struct{}, 16), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
 	}
 	for {
 		err := l.load(ctx)
@@ -278,13 +281,18 @@
 	} else {
 		l.relayed = now
 	}
+	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
-	// The lease is looked at last: the answer counts from here.
-	if mc == nil || !l.term.Valid() {
+	if mc != nil && l.m.Freed != freed {
+		l.awaitPass()
+	}
+	// The lease is looked at last: the answer counts from here. A worker that
+	// has sent another report meanwhile waits for this answer no more.
+	if mc == nil || mc.Seq != r.Seq || mc.Session != r.Session || !l.term.Valid() {
 		l.mu.Unlock()
 		return unsure
 	}
-	cmds := l.m.Answer(mc, &r, now)
+	cmds := l.m.Answer(mc, &r, time.Now())
 	l.mu.Unlock()
 	kick(l.schedKick)
 	kick(l.flushKick)
@@ -294,6 +302,39 @@
 	return answer(http.StatusOK, wire.ReportAnswer{Token: l.term.Token, Commands: cmds}, 0)
 }
 
+// holdFor is how long an answer waits for what is to follow from its report.
+const holdFor = 400 * time.Millisecond
+
+// awaitPass holds an answer back until room that the report has freed is given
+// out and recorded, so that the launch goes with this answer and not with that
+// to the next report. The lock is held before and after, not meanwhile.
+func (l *leadership) awaitPass() {
+	target := l.passes + 1
+	timer := time.NewTimer(holdFor)
+	defer timer.Stop()
+	kick(l.schedKick)
+	for l.passes < target || l.writing || !l.m.Clean() {
+		turned := l.turned
+		l.mu.Unlock()
+		late := false
+		select {
+		case <-turned:
+		case <-timer.C:
+			late = true
+		}
+		l.mu.Lock()
+		if late {
+			return
+		}
+	}
+}
+
+// turn wakes those who wait for a pass or a batch; the lock is held.
+func (l *leadership) turn() {
+	close(l.turned)
+	l.turned = make(chan struct{})
+}
+
 // pushStops sends stops to the workers' own addresses: there they arrive at
 // once, and may safely be executed late.
 func (l *leadership) pushStops(ctx context.Context) {
@@ -333,6 +374,8 @@
 	for {
 		l.mu.Lock()
 		b := l.m.NextBatch(maxOps)
+		l.writing = b != nil
+		l.turn()
 		l.mu.Unlock()
 		if b == nil {
 			select {
@@ -408,6 +451,8 @@
 				renting = 100
 			}
 			d := l.m.Schedule(now, renting)
+			l.passes++
+			l.turn()
 			if !l.renting {
 				l.wants = d.Rent
 			}
