Keep room for classes that must start soon; a leader no worker reaches gives up

Cause 1: in sfax small GPU tasks refill a machine bit by bit, so that 15-CPU jobs of the same priority never find a whole one. Room for the jobs expected within 20 s is kept from classes that no aim wants started soon, and machines with room within 45 s are held. Ruled out: holding for 15 s or 80 s (noise). Cause 2: a leader cut from the workers only kept the leadership while others passed reports on, and workers sent to an earlier leader were taken not to reach the new one.

--- a/cluster/view.go
+++ b/cluster/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
 )
 
 const (
@@ -20,6 +21,22 @@
 	biggest int
 	open    int // unfinished tasks
 	seen    time.Time
+	recent  []time.Time // arrivals of the last two minutes
+	waits   bool        // an aim speaks of how soon its jobs start
+}
+
+const (
+	recentFor   = 2 * time.Minute
+	reserveLead = 20 * time.Second
+)
+
+// expected is how many jobs of a class are likely to come in the time in which
+// its aim wants one started.
+func (c *class) expected(now time.Time) int {
+	for len(c.recent) > 0 && now.Sub(c.recent[0]) > recentFor {
+		c.recent = c.recent[1:]
+	}
+	return int(math.Ceil(float64(len(c.recent)) * reserveLead.Seconds() / recentFor.Seconds()))
 }
 
 func (m *Model) arrival(j *Job, now time.Time) {
@@ -29,9 +46,15 @@
 			return
 		}
 		c = &class{}
+		for _, o := range m.cfg.Cluster.Objectives {
+			c.waits = c.waits || o.Kind == "wait" && o.Class == j.Spec.Class
+		}
 		m.classes[j.Spec.Class] = c
 	}
 	c.spec, c.seen = j, now
+	if now.Sub(j.At) < recentFor && len(c.recent) < 1000 {
+		c.recent = append(c.recent, j.At)
+	}
 	c.biggest = max(c.biggest, min(len(j.Tasks), 16))
 }
 
@@ -139,7 +162,7 @@
 		}
 		k := ranked{j: j, within: in[j.Idx], req: r}
 		k.due, k.missed, k.urgent = m.latestStart(j, now)
-		k.req.Within, k.req.Urgent = k.within, k.urgent
+		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
 	}
 	sort.SliceStable(out, func(a, b int) bool {
@@ -324,6 +347,17 @@
 		now.Sub(mc.LastSeen) < quiet
 }
 
+// Expecting is how many machines should be reporting.
+func (m *Model) Expecting() int {
+	n := 0
+	for _, mc := range m.Machines {
+		if !mc.Gone && (mc.Up || len(mc.Tasks) > 0 || mc.Listed == wire.MachineRunning) {
+			n++
+		}
+	}
+	return n
+}
+
 // booting says how long until a machine that is not up yet should be.
 func (m *Model) booting(mc *Machine, now time.Time) (float64, bool) {
 	if mc.Up || mc.Gone || mc.Returning || mc.Session > 0 || mc.Type < 0 || mc.Zone < 0 {
@@ -393,6 +427,17 @@
 	return now.Sub(p.Since).Seconds()
 }
 
+// left estimates the seconds until a task ends by itself.
+func (m *Model) left(j *Job, p *Place, now time.Time) float64 {
+	switch {
+	case j.Spec.Kind == wire.KindService:
+		return 1e9
+	case p.Seen < seenRunning || p.Since.IsZero():
+		return 5 + j.Spec.EstimateS
+	}
+	return max(5, j.Spec.EstimateS-now.Sub(p.Since).Seconds())
+}
+
 func (m *Model) machineView(mc *Machine, over map[Ref]bool, now time.Time) (placement.Machine, bool) {
 	v := placement.Machine{Name: mc.Name, Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot}
 	if m.ready(mc, now) {
@@ -430,7 +475,7 @@
 		}
 		v.Tasks = append(v.Tasks, placement.Occupant{
 			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref],
-			Loss: m.loss(j, p, now), Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
+			Loss: m.loss(j, p, now), Left: m.left(j, p, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
 		})
 	}
 	for _, im := range mc.images {
@@ -477,7 +522,14 @@
 			back = append(back, mc.Idx)
 		}
 	}
+	reserved := map[string]bool{}
+	job := make([]*Job, 0, len(reqs)+4)
 	for k := range reqs {
+		for _, r := range m.reserves(&reqs[k], reserved, now) {
+			in.Requests = append(in.Requests, r)
+			job = append(job, nil)
+		}
+		job = append(job, reqs[k].j)
 		r := reqs[k].req
 		if len(r.Avoid) > 0 {
 			avoid := map[int]bool{}
@@ -491,8 +543,10 @@
 		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
 		in.Requests = append(in.Requests, r)
 	}
-	real := len(in.Requests)
-	in.Requests = append(in.Requests, m.phantoms(now)...)
+	for _, r := range m.phantoms(now) {
+		in.Requests = append(in.Requests, r)
+		job = append(job, nil)
+	}
 	in.Teams = append(in.Teams, m.teams...)
 	var offers []Offer
 	in.Offers, offers = m.offers(now)
@@ -502,10 +556,10 @@
 	d := Decisions{Rent: map[Offer]int{}}
 	attempts := map[int32]uint64{}
 	for _, s := range plan.Starts {
-		if s.Request >= real {
+		j := job[s.Request]
+		if j == nil {
 			continue
 		}
-		j := reqs[s.Request].j
 		mc := m.Machines[back[s.Machine]]
 		a, ok := attempts[j.Idx]
 		if !ok {
@@ -528,13 +582,13 @@
 		d.Rent[offers[i]] += n
 	}
 	for _, i := range plan.Waiting {
-		if i < real {
+		if job[i] != nil {
 			d.Wanted = append(d.Wanted, in.Requests[i])
 		}
 	}
 	used := map[int]bool{}
 	for _, s := range plan.Starts {
-		if s.Request >= real && s.Machine < len(back) {
+		if job[s.Request] == nil && s.Machine < len(back) {
 			used[s.Machine] = true
 		}
 	}
@@ -547,6 +601,61 @@
 	return d
 }
 
+// rivals says whether classes that no aim wants started soon compete with a
+// job that may not stop their tasks.
+func (m *Model) rivals(j *Job) bool {
+	for _, c := range m.classes {
+		if !c.waits && c.spec.Priority == j.Priority && c.spec.Spec.Class != j.Spec.Class {
+			return true
+		}
+	}
+	return false
+}
+
+// reserves are phantoms to be served before a request: for a class whose aim
+// is to start soon, and whose jobs may not stop those of the request's class,
+// room is kept for the jobs that are likely to come.
+func (m *Model) reserves(k *ranked, done map[string]bool, now time.Time) []placement.Request {
+	if own := m.classes[k.j.Spec.Class]; own == nil || own.waits || k.within {
+		return nil
+	}
+	var out []placement.Request
+	for _, n := range m.classNames() {
+		c := m.classes[n]
+		if done[n] || !c.waits || c.spec.Priority != k.j.Priority {
+			continue
+		}
+		done[n] = true
+		if r := m.phantom(c, c.expected(now)); len(r.Tasks) > 0 {
+			r.Reserve = true
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (m *Model) classNames() []string {
+	names := make([]string, 0, len(m.classes))
+	for n := range m.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// phantom asks for room for n tasks like those of a class.
+func (m *Model) phantom(c *class, n int) placement.Request {
+	j := c.spec
+	r := placement.Request{
+		Job: -1, Need: j.Need, Priority: 9, Team: -1, Image: j.Image, Zone: -1,
+		ZoneUsed: make([]int, len(m.Zones)), Types: j.Types, Spot: j.Spec.Spot, Phantom: true,
+	}
+	for i := range n {
+		r.Tasks = append(r.Tasks, int32(i))
+	}
+	return r
+}
+
 // thrifty says whether the deployment has an aim on what it pays.
 func (m *Model) thrifty() bool {
 	for _, o := range m.cfg.Cluster.Objectives {
@@ -563,28 +672,13 @@
 	if m.Headroom <= 0 || m.thrifty() || len(m.openJobs()) == 0 {
 		return nil
 	}
-	names := make([]string, 0, len(m.classes))
-	for n := range m.classes {
-		names = append(names, n)
-	}
-	sort.Strings(names)
 	var out []placement.Request
-	for _, n := range names {
+	for _, n := range m.classNames() {
 		c := m.classes[n]
 		if now.Sub(c.seen) > 10*time.Minute {
 			continue
 		}
-		want := min(64, c.biggest+int(m.Headroom*float64(c.open)))
-		j := c.spec
-		r := placement.Request{
-			Job: -1, Need: j.Need, Priority: 9, Team: -1, Image: j.Image, Zone: -1,
-			ZoneUsed: make([]int, len(m.Zones)), Types: j.Types, Spot: j.Spec.Spot,
-			Phantom: true,
-		}
-		for i := 0; i < want; i++ {
-			r.Tasks = append(r.Tasks, int32(i))
-		}
-		out = append(out, r)
+		out = append(out, m.phantom(c, min(64, c.biggest+int(m.Headroom*float64(c.open)))))
 	}
 	return out
 }
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -42,7 +42,6 @@
 	renting bool
 	bons    int
 	lastAny time.Time // when a worker last reported here itself
-	relayed time.Time
 }
 
 func kick(c chan struct{}) {
@@ -278,8 +277,6 @@
 	}
 	if own {
 		l.lastAny = now
-	} else {
-		l.relayed = now
 	}
 	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
@@ -445,6 +442,13 @@
 		if l.term.Valid() {
 			now := time.Now()
 			l.mu.Lock()
+			if l.unreached(now) {
+				l.mu.Unlock()
+				l.log.Info("no worker reaches this leader: giving leadership up")
+				l.n.elector.Abstain(abstainFor)
+				l.term.Resign()
+				return
+			}
 			l.m.Tick(now)
 			renting := 0
 			if l.renting {
@@ -474,6 +478,22 @@
 	}
 }
 
+// abstainFor is for how long a leader that workers did not reach leaves the
+// leadership to others.
+const abstainFor = 20 * time.Second
+
+// unreached says whether workers that should report here do not, so that
+// another node had better lead; the lock is held.
+func (l *leadership) unreached(now time.Time) bool {
+	w := l.n.cfg.Cluster.Workers
+	quiet := config.Seconds(max(3*w.ReportS, w.LeaseS/3) + 4)
+	since := l.lastAny
+	if since.Before(l.m.Takeover) {
+		since = l.m.Takeover
+	}
+	return len(l.n.peers) > 0 && l.m.Expecting() >= 2 && now.Sub(since) > quiet
+}
+
 // beginMoves commits a cycle's record, so that a new leader knows of the
 // moves, and then begins them.
 func (l *leadership) beginMoves(ctx context.Context, group string, rec ledger.CycleRecord) {
--- a/controller/node.go
+++ b/controller/node.go
@@ -63,6 +63,7 @@
 }
 
 type sentAway struct {
+	leader  string
 	at      time.Time
 	relayed bool
 }
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -56,12 +56,13 @@
 	now := time.Now()
 	n.mu.Lock()
 	away, back := n.sentAway[who.Machine]
-	back = back && now.Sub(away.at) < sentAwayFor
+	// One that was sent to an earlier leader has not tried this one yet.
+	back = back && away.leader == leader && now.Sub(away.at) < sentAwayFor
 	if !back {
 		if len(n.sentAway) > 5000 {
 			clear(n.sentAway)
 		}
-		n.sentAway[who.Machine] = sentAway{at: now}
+		n.sentAway[who.Machine] = sentAway{leader: leader, at: now}
 	}
 	n.mu.Unlock()
 	if !back {
@@ -79,7 +80,7 @@
 			// then.
 			n.mu.Lock()
 			if !away.relayed {
-				n.sentAway[who.Machine] = sentAway{at: now, relayed: true}
+				n.sentAway[who.Machine] = sentAway{leader: leader, at: now, relayed: true}
 				n.log.Info("passing reports on", "machine", who.Machine, "leader", leader)
 			}
 			n.mu.Unlock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,7 +29,9 @@
 	Team     int
 	Over     bool    // runs beyond its team's guarantee
 	Loss     float64 // seconds of work that stopping it loses
+	Left     float64 // seconds until it should end by itself
 	Fixed    bool    // may not be stopped to make room
+	Stopping bool    // its room is among what is coming
 }
 
 // Machine is a machine, or one that may be rented.
@@ -72,7 +74,8 @@
 	Prefer    map[int32]int
 	WaitedS   float64
 	Phantom   bool // no job's: room to be kept free
-	Urgent    bool // the job's class has an aim on waiting that it may yet miss
+	Reserve   bool // a phantom for which room is kept from later requests, and nothing rented
+	Hold      bool // machines are kept from later requests until they have room for this one
 }
 
 // Offer is a kind of machine that may be rented.
@@ -166,6 +169,10 @@
 	if len(rest) == 0 {
 		return
 	}
+	if r.Reserve {
+		p.hold(r, rest)
+		return
+	}
 	if r.Phantom {
 		got := p.try(r, rest, booting)
 		p.rent(r, rest[len(got):])
@@ -180,6 +187,9 @@
 	if len(rest) > 0 && p.in.Preempt {
 		rest = p.preempt(r, rest)
 	}
+	if len(rest) > 0 && r.Hold {
+		p.hold(r, rest)
+	}
 	if len(rest) > 0 {
 		got := p.try(r, rest, booting)
 		rest = rest[len(got):]
@@ -189,6 +199,54 @@
 	}
 }
 
+// holdWithin is how soon a machine must have room for it to be kept from
+// smaller tasks until then.
+const holdWithin = 45
+
+// hold keeps the machines that will have room soonest from later requests:
+// where small tasks take every bit that comes free, a large one never fits.
+func (p *planner) hold(r *Request, tasks []int32) {
+	for range tasks {
+		best, bestIn := -1, 0.0
+		for i := range p.in.Machines {
+			m := &p.in.Machines[i]
+			if !p.usable(m, i, r, soon) {
+				continue
+			}
+			if in, ok := p.roomIn(r, m); ok && in <= holdWithin && (best < 0 || in < bestIn) {
+				best, bestIn = i, in
+			}
+		}
+		if best < 0 {
+			return
+		}
+		p.in.Machines[best].Free = p.in.Machines[best].Free.Add(r.Need, -1)
+	}
+}
+
+// roomIn is after how long the tasks of a machine that end by themselves leave
+// room for one of the request's.
+func (p *planner) roomIn(r *Request, m *Machine) (float64, bool) {
+	free := room(m, soon)
+	taken := make([]bool, len(m.Tasks))
+	in := 0.0
+	for !r.Need.Fits(free) {
+		next := -1
+		for k := range m.Tasks {
+			if !taken[k] && !p.stopped[m.Tasks[k].Task] && !m.Tasks[k].Stopping && (next < 0 || m.Tasks[k].Left < m.Tasks[next].Left) {
+				next = k
+			}
+		}
+		if next < 0 {
+			return 0, false
+		}
+		taken[next] = true
+		in = m.Tasks[next].Left
+		free = free.Add(m.Tasks[next].Need, 1)
+	}
+	return in, true
+}
+
 // Modes of try: which machines count, and which of their room.
 type mode int
 
