--- /dev/null
+++ b/cluster/cluster_test.go
@@ -0,0 +1,245 @@
+package cluster
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return t0.Add(config.Seconds(s)) }
+
+func newModel(token uint64) *Model {
+	cfg := &config.Settings{Cluster: config.Cluster{Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "core"}},
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 12, GangWaitS: 30, GangPeerS: 6, CancelS: 32},
+		Cloud:   config.CloudLimits{RPS: 4, ListLagS: 5}}}
+	m := New(cfg, token, t0, slog.New(slog.DiscardHandler))
+	m.Tuning = config.DefaultTuning().Rebalance
+	m.SetTypes([]wire.MachineType{{Name: "m", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: []string{"a", "b"}}})
+	return m
+}
+
+func rep(seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "host-1", Addr: "h:1", Type: "m", Zone: "a", Session: 1, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func arrayJob(id string, n int) ledger.JobRecord {
+	return ledger.JobRecord{AtMs: t0.UnixMilli(), Job: wire.Job{ID: id, Class: "c", Team: "core", Kind: wire.KindArray,
+		Priority: wire.PriorityNormal, Tasks: n, CPUs: 2, Image: "i", ImageGB: 1, EstimateS: 60, CheckpointS: 10, SaveS: 2}}
+}
+
+// commit writes whatever is to be written.
+func commit(t *testing.T, m *Model, now time.Time) {
+	t.Helper()
+	for rev := uint64(100); ; rev++ {
+		b := m.NextBatch(12)
+		if b == nil {
+			return
+		}
+		b.Committed(rev, now)
+	}
+}
+
+func ops(cmds []wire.Command) (launches, stops, forgets int) {
+	for _, c := range cmds {
+		switch c.Op {
+		case wire.OpStart:
+			launches++
+		case wire.OpStop:
+			stops++
+		case wire.OpForget:
+			forgets++
+		}
+	}
+	return launches, stops, forgets
+}
+
+// answer observes a report and answers it.
+func answer(t *testing.T, m *Model, r *wire.Report, now time.Time) []wire.Command {
+	t.Helper()
+	mc := m.Observe(r, now)
+	if mc == nil {
+		t.Fatal("report not accepted")
+	}
+	return m.Answer(mc, r, now)
+}
+
+func TestNothingIsLaunchedBeforeItsRecordIsCommitted(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	if l, _, _ := ops(answer(t, m, rep(2, 5), at(1.5))); l != 0 {
+		t.Fatal("launched before the commit")
+	}
+	commit(t, m, at(2))
+	if l, _, _ := ops(answer(t, m, rep(3, 5), at(3))); l != 1 {
+		t.Fatal("not launched after the commit")
+	}
+	// The answer was lost: the next report proves that it was not executed.
+	if l, _, _ := ops(answer(t, m, rep(4, 5), at(4.5))); l != 1 {
+		t.Fatal("a lost launch was not repeated")
+	}
+}
+
+func TestAbsenceProvesNothingWithoutThisLeadersToken(t *testing.T) {
+	m := newModel(9)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	m.LoadChunk("wk-000001", 0, ledger.ChunkRecord{Attempt: 3, Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}, 2, at(0))
+	m.Loaded(at(0))
+	task := &m.Job("wk-000001").Tasks[0]
+	// An answer of the earlier leader may still be on its way to this worker.
+	answer(t, m, rep(1, 4), at(1))
+	if task.Phase != Placed {
+		t.Fatal("believed a report that had not shown the token")
+	}
+	answer(t, m, rep(2, 9), at(2))
+	if task.Phase != Idle {
+		t.Fatal("did not believe one that had")
+	}
+	m.Schedule(at(3), 0)
+	if task.Place == nil || task.Place.Attempt <= 3 {
+		t.Fatal("the next attempt does not grow")
+	}
+}
+
+func TestSilentMachineKeepsItsTasksUntilItsLeaseIsOver(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	answer(t, m, rep(2, 5), at(2))
+	task := &m.Job("wk-000001").Tasks[0]
+	m.Tick(at(13.9))
+	if task.Phase != Placed {
+		t.Fatal("given up within the lease")
+	}
+	// A list that no longer names the machine is no proof either.
+	m.SetList(nil, at(13.9))
+	if task.Phase != Placed {
+		t.Fatal("a lagging list was believed")
+	}
+	m.Tick(at(14.5))
+	if task.Phase != Idle {
+		t.Fatal("not given up after the lease")
+	}
+	if m.Observe(rep(3, 5), at(15)) != nil {
+		t.Fatal("a late report of the ended session was accepted")
+	}
+}
+
+func TestForgetOnlyAfterTheOutcomeIsCommitted(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 2), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	answer(t, m, rep(2, 5), at(2))
+	done := wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}
+	other := wire.TaskReport{Task: "wk-000001/1", Attempt: 1, State: wire.TaskRunning}
+	if _, _, f := ops(answer(t, m, rep(3, 5, done, other), at(3))); f != 0 {
+		t.Fatal("forgotten before the commit")
+	}
+	commit(t, m, at(3))
+	if _, _, f := ops(answer(t, m, rep(4, 5, done, other), at(4))); f != 1 {
+		t.Fatal("not forgotten after the commit")
+	}
+}
+
+func TestRefusedStartsBackOffAndGoElsewhere(t *testing.T) {
+	for _, why := range []string{wire.WhyNoRoom, wire.WhyBusy, wire.WhyUnknown, wire.WhyError} {
+		m := newModel(5)
+		m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+		answer(t, m, rep(1, 5), at(0))
+		m.Schedule(at(1), 0)
+		commit(t, m, at(1))
+		answer(t, m, rep(2, 5), at(2))
+		answer(t, m, rep(3, 5, wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.TaskExited, Why: why}), at(3))
+		m.Schedule(at(3.1), 0)
+		task := &m.Job("wk-000001").Tasks[0]
+		if task.Phase != Idle {
+			t.Errorf("%s: started again at once", why)
+		}
+		second := rep(1, 5)
+		second.Machine, second.Zone = "host-2", "b"
+		answer(t, m, second, at(3.2))
+		answer(t, m, rep(4, 5), at(6.9))
+		second.Seq = 2
+		answer(t, m, second, at(7))
+		m.Schedule(at(7.1), 0)
+		if task.Place == nil || task.Place.Attempt != 2 {
+			t.Errorf("%s: not started again later under a higher attempt", why)
+		} else if why == wire.WhyError && m.Machines[task.Place.Machine].Name != "host-2" {
+			t.Errorf("%s: back on the same machine", why)
+		}
+	}
+}
+
+func TestUnlaunchedTasksAreTakenBackFromASilentMachine(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	m.Tick(at(9)) // silent, but within its lease
+	if m.Job("wk-000001").Tasks[0].Phase != Idle {
+		t.Fatal("a task that was never launched waits for the lease")
+	}
+}
+
+func TestConflictWithALostTransactionOfOnesOwn(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	b := m.NextBatch(12)
+	key := ledger.ChunkKey("wk-000001", 0)
+	m.Failed(b)
+	m.Reread(b, key, 77) // it had been applied after all
+	b = m.NextBatch(12)
+	for _, g := range b.Guards {
+		if g.Key == key && g.Version != 77 {
+			t.Fatalf("the repeated write expects version %d", g.Version)
+		}
+	}
+}
+
+func TestMovesSurviveAChangeOfLeader(t *testing.T) {
+	m := newModel(9)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+	m.LoadChunk("wk-000001", 0, ledger.ChunkRecord{Attempt: 3, Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}, 2, at(0))
+	m.LoadCycle("a/m", ledger.CycleRecord{Moves: []ledger.Move{{Task: "wk-000001/0", Attempt: 3, From: "host-1", To: "host-2"}},
+		CoolUntil: at(60).UnixMilli()}, at(0))
+	running := wire.TaskReport{Task: "wk-000001/0", Attempt: 3, State: wire.TaskRunning}
+	if _, s, _ := ops(answer(t, m, rep(1, 9, running), at(1))); s != 1 {
+		t.Fatal("the recorded move's stop was not repeated")
+	}
+	second := rep(1, 9)
+	second.Machine = "host-2"
+	answer(t, m, second, at(1))
+	exited := wire.TaskReport{Task: "wk-000001/0", Attempt: 3, State: wire.TaskExited, Why: wire.WhyStopped, Saved: true}
+	answer(t, m, rep(2, 9, exited), at(4))
+	m.Schedule(at(4.1), 0)
+	p := m.Job("wk-000001").Tasks[0].Place
+	if p == nil || m.Machines[p.Machine].Name != "host-2" || p.Attempt != 4 {
+		t.Fatal("the task did not start on its target under a higher attempt")
+	}
+	if rec := m.Cycles["a/m"].Record; rec.CoolUntil != at(60).UnixMilli() {
+		t.Error("the cooldown was lost")
+	}
+	// A start that fails there for reasons of the task quarantines it.
+	commit(t, m, at(4.2))
+	second.Seq = 2
+	answer(t, m, second, at(4.5))
+	second.Seq = 3
+	second.Tasks = []wire.TaskReport{{Task: "wk-000001/0", Attempt: 4, State: wire.TaskExited, Why: wire.WhyError}}
+	answer(t, m, second, at(6))
+	if m.Cycles["a/m"].Record.Quarantine["wk-000001/0"] == 0 {
+		t.Error("not quarantined")
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -82,6 +82,13 @@
 	return out
 }
 
+// Value is what a key holds.
+func (s *State) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys[key].Value
+}
+
 func (s *State) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/umberdeal/umberdeal/config"
@@ -67,6 +68,7 @@
 	cfg  *config.Settings
 	end  context.CancelFunc
 	done chan struct{}
+	dies *atomic.Bool
 }
 
 // Options shape a world.
@@ -78,6 +80,7 @@
 	Teams    []config.Team
 	Seed     uint64
 	Log      *slog.Logger
+	Outside  bool // the controllers are real processes: none is started
 }
 
 // Zones of every world.
@@ -137,11 +140,23 @@
 	}
 	w.Cloud.mu.Unlock()
 	for i := range w.nodes {
-		w.StartNode(i)
+		if !o.Outside {
+			w.StartNode(i)
+		}
 	}
 	return w
 }
 
+// Know tells the workers of a job that was not submitted through the world, as
+// users of real processes upload descriptions themselves.
+func (w *World) Know(j wire.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.jobs[j.ID] == nil {
+		w.jobs[j.ID] = &job{spec: j, accepted: true, done: map[int]bool{}}
+	}
+}
+
 // Close ends the world; nothing of it runs afterwards.
 func (w *World) Close() {
 	for i := range w.nodes {
@@ -188,12 +203,13 @@
 	n.end, n.done = end, make(chan struct{})
 	c := controller.New(n.cfg, config.DefaultTuning(), w.log.With("node", n.name),
 		controller.Network{Dial: w.Net.Dial(n.name), Listen: w.Net.Listen})
-	done := n.done
+	done, dies := n.done, &atomic.Bool{}
+	n.dies = dies
 	w.wg.Add(1)
 	go func() {
 		defer w.wg.Done()
 		defer close(done)
-		if err := c.Run(ctx); err != nil {
+		if err := c.Run(ctx); err != nil && !dies.Load() {
 			w.breaks("node %s ended: %v", n.name, err)
 		}
 	}()
@@ -205,6 +221,7 @@
 	if n.end == nil {
 		return
 	}
+	n.dies.Store(true)
 	w.Net.SetDown(n.name, true)
 	n.end()
 	<-n.done
--- /dev/null
+++ b/rebalance/rebalance_test.go
@@ -0,0 +1,72 @@
+package rebalance
+
+import (
+	"testing"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+var size = placement.Res{CPU: 16, GPU: 2, Mem: 128}
+
+func host(n int, tasks ...Task) Host {
+	h := Host{Cap: size, Tasks: tasks}
+	for i := range tasks {
+		tasks[i].Ref = placement.Task{Job: int32(n), Task: int32(i)}
+		h.Used = h.Used.Add(tasks[i].Need, 1)
+	}
+	return h
+}
+
+func small(movable bool) Task {
+	return Task{Need: placement.Res{CPU: 6, GPU: 1, Mem: 48}, Movable: movable}
+}
+
+func group(hosts ...Host) Group {
+	return Group{
+		Policies: []Policy{{"cpus", 0.4, 0.2, 1}, {"gpus", 0.4, 0.2, 1}, {"memory", 0.2, 0.2, 1}},
+		Hosts:    hosts, Budget: 2, Wanted: []placement.Res{{CPU: 15, Mem: 26}},
+	}
+}
+
+func TestColdestDrainsOntoTheFullest(t *testing.T) {
+	g := group(host(0, small(true)), host(1, small(true), small(true)), host(2, small(true)), host(3, Task{Need: placement.Res{CPU: 2, Mem: 8}, Movable: true}))
+	moves := Plan(g)
+	if len(moves) != 1 || moves[0].From != 3 || moves[0].To != 1 {
+		t.Fatalf("moves %v: the least booked host should drain onto the fullest one", moves)
+	}
+}
+
+func TestNoMoveWithoutWantedRoomImbalanceOrBudget(t *testing.T) {
+	hosts := func() []Host { return []Host{host(0, small(true)), host(1, small(true)), host(2)} }
+	if len(Plan(group(hosts()...))) != 1 {
+		t.Fatal("the ordinary case does not move")
+	}
+	g := group(hosts()...)
+	g.Wanted = nil
+	if len(Plan(g)) > 0 {
+		t.Error("moved without wanted room")
+	}
+	g = group(host(0, small(true)), host(1, small(true)))
+	if len(Plan(g)) > 0 {
+		t.Error("moved below every threshold")
+	}
+	g = group(host(0, small(true), small(true)), host(1), host(2))
+	g.Hosts[1] = host(1, small(true))
+	g.Budget = 0
+	if len(Plan(g)) > 0 {
+		t.Error("moved beyond the budget")
+	}
+}
+
+func TestAHostDrainsOnlyAsAWhole(t *testing.T) {
+	if moves := Plan(group(host(0, small(false)), host(1, small(false)), host(2))); len(moves) > 0 {
+		t.Errorf("moved tasks that stay put: %v", moves)
+	}
+	g := group(host(0, small(true)), host(1, small(true)), host(2))
+	for i := range g.Policies {
+		g.Policies[i].CapacityThreshold = 0.5
+	}
+	if moves := Plan(g); len(moves) > 0 && moves[0].To != 2 {
+		t.Errorf("filled a host above its capacity threshold: %v", moves)
+	}
+}
--- a/wire/submission.go
+++ b/wire/submission.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -8,6 +9,7 @@
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // MaxTasks is the largest job.
@@ -53,15 +55,9 @@
 // DecodeJob reads a submission. Where it is malformed, the id is returned all
 // the same if it could be read, since a known id is never refused.
 func DecodeJob(body []byte) (Job, error) {
-	var m map[string]any
-	if len(body) == 0 {
-		return Job{}, fmt.Errorf("%w: empty body", ErrMalformed)
-	}
-	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return Job{}, fmt.Errorf("%w: not a MessagePack map with text keys", ErrMalformed)
-	}
-	if m == nil {
-		return Job{}, fmt.Errorf("%w: not a map", ErrMalformed)
+	m, err := decodeFields(body)
+	if err != nil {
+		return Job{}, fmt.Errorf("%w: not a MessagePack map with text keys: %v", ErrMalformed, err)
 	}
 	f := fields{m: m}
 	var j Job
@@ -100,6 +96,89 @@
 	return j, f.err
 }
 
+const (
+	maxDepth = 8 // of what an unknown field may hold
+	maxTypes = 1000
+)
+
+var errShape = errors.New("unexpected shape")
+
+// decodeFields reads a map of scalars and lists of scalars; deeper values are
+// checked and left out. Lengths are never believed beyond the body's own size:
+// decoding straight into a map would let a body of five bytes claim room for
+// millions of entries and end the process for memory.
+func decodeFields(body []byte) (map[string]any, error) {
+	r := bytes.NewReader(body)
+	d := msgpack.NewDecoder(r)
+	n, err := d.DecodeMapLen()
+	if err != nil {
+		return nil, err
+	}
+	if n < 0 || n > r.Len() {
+		return nil, errShape
+	}
+	m := map[string]any{}
+	for range n {
+		key, err := d.DecodeString()
+		if err != nil {
+			return nil, err
+		}
+		v, err := decodeValue(d, r, maxDepth)
+		if err != nil {
+			return nil, err
+		}
+		m[key] = v
+	}
+	if r.Len() > 0 {
+		return nil, errShape
+	}
+	return m, nil
+}
+
+// nested stands for a map within the map, which no field of a job has.
+type nested struct{}
+
+func decodeValue(d *msgpack.Decoder, r *bytes.Reader, depth int) (any, error) {
+	code, err := d.PeekCode()
+	if err != nil {
+		return nil, err
+	}
+	isMap := msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32
+	isList := msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
+	switch {
+	case depth == 0 && (isMap || isList):
+		return nil, errShape
+	case isMap:
+		n, err := d.DecodeMapLen()
+		if err != nil || n > r.Len() {
+			return nil, errors.Join(err, errShape)
+		}
+		for range 2 * max(n, 0) {
+			if _, err := decodeValue(d, r, depth-1); err != nil {
+				return nil, err
+			}
+		}
+		return nested{}, nil
+	case isList:
+		n, err := d.DecodeArrayLen()
+		if err != nil || n > r.Len() {
+			return nil, errors.Join(err, errShape)
+		}
+		list := []any{}
+		for range max(n, 0) {
+			v, err := decodeValue(d, r, depth-1)
+			if err != nil {
+				return nil, err
+			}
+			if len(list) <= maxTypes {
+				list = append(list, v)
+			}
+		}
+		return list, nil
+	}
+	return d.DecodeInterface()
+}
+
 // fields reads a decoded map and keeps the first error.
 type fields struct {
 	m   map[string]any
@@ -190,7 +269,7 @@
 		return nil
 	}
 	list, ok := v.([]any)
-	if !ok || len(list) == 0 || len(list) > 1000 {
+	if !ok || len(list) == 0 || len(list) > maxTypes {
 		f.fail(name, "must be null or a list of 1 to 1000 texts")
 		return nil
 	}
--- /dev/null
+++ b/wire/submission_test.go
@@ -0,0 +1,36 @@
+package wire
+
+import "testing"
+
+func TestIDsAndTaskNames(t *testing.T) {
+	for id, want := range map[string]bool{"wk-000412": true, "wk-1234567": true, "wk-12": false, "wk-00041a": false, "000412": false, "": false} {
+		if ValidID(id) != want {
+			t.Errorf("ValidID(%q) is %v", id, !want)
+		}
+	}
+	if id, n, ok := SplitTask(TaskName("wk-000412", 3)); id != "wk-000412" || n != 3 || !ok {
+		t.Errorf("%s %d %v", id, n, ok)
+	}
+	if _, _, ok := SplitTask("wk-000412/-1"); ok {
+		t.Error("a negative task was taken")
+	}
+}
+
+func FuzzDecodeJob(f *testing.F) {
+	good, err := Marshal(Job{ID: "wk-000412", Class: "c", Team: "t", Kind: KindGang, Priority: PriorityNormal, Tasks: 2, CPUs: 1, Image: "i"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{0x93, 1, 2, 3})
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		j, err := DecodeJob(body)
+		if err == nil && (!ValidID(j.ID) || j.Tasks < 1 || j.Tasks > MaxTasks || j.CPUs < 0) {
+			t.Errorf("accepted %+v", j)
+		}
+		if j.ID != "" && !ValidID(j.ID) {
+			t.Errorf("id %q handed on", j.ID)
+		}
+	})
+}
