--- a/controller/node.go
+++ b/controller/node.go
@@ -86,12 +86,22 @@
 	}
 	w := cfg.Cluster.Workers
 	n.elector = &election.Elector{
-		Store: n.state, Self: cfg.Node, TTL: config.Seconds((w.CancelS - w.LeaseS) / 2), Drift: drift, Log: log,
+		Store: n.state, Self: cfg.Node, TTL: config.Seconds(leaderTTL(w)), Drift: drift, Log: log,
 		Lead: n.runLeader, CatchUp: n.catchUp,
 	}
 	return n
 }
 
+// outlast is how long an outage of the state service workers should survive.
+const outlast = 24
+
+// leaderTTL is the time of the leader's lease. At most, it leaves the tasks of
+// a cancelled job to end in time; below that, it is as short as lets workers
+// outlast an outage, since it is what a change of leader costs.
+func leaderTTL(w config.Workers) float64 {
+	return min((w.CancelS-w.LeaseS)/2, max(outlast-w.LeaseS, 5))
+}
+
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
