--- /dev/null
+++ b/cluster/preempt_test.go
@@ -0,0 +1,63 @@
+package cluster
+
+import (
+	"testing"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Two teams with work within and beyond their guarantees on one machine once
+// stopped each other's tasks every few seconds: the task started last counted
+// as beyond the guarantee, whichever job it was of.
+func TestTeamsDoNotStopEachOthersWorkInTurn(t *testing.T) {
+	m := newModel(5)
+	m.teamIdx = map[string]int{"one": 0, "two": 1}
+	m.teams = []placement.Team{{}, {}}
+	m.guarantee = []placement.Res{{CPU: 4}, {CPU: 4}}
+	put := func(id, team string, atS float64) {
+		rec := ledger.JobRecord{AtMs: at(atS).UnixMilli(), Job: wire.Job{ID: id, Class: "c", Team: team, Kind: wire.KindArray,
+			Priority: wire.PriorityNormal, Tasks: 1, CPUs: 4, Image: "i", EstimateS: 500, CheckpointS: 10, SaveS: 2}}
+		m.PutJob(id, rec, 1, at(atS))
+	}
+	m.SetTypes([]wire.MachineType{{Name: "m", CPUs: 12, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: []string{"a", "b"}}})
+	put("wk-000002", "one", 1) // beyond, once the first is there
+	put("wk-000004", "two", 3) // beyond, once the third is there
+	stops := 0
+	now := 4.0
+	running := map[string]wire.TaskReport{}
+	for seq := uint64(1); seq <= 60; seq++ {
+		if seq == 5 { // these come back after a loss, and start last
+			put("wk-000001", "one", 0)
+			put("wk-000003", "two", 2)
+		}
+		var tasks []wire.TaskReport
+		for _, r := range running {
+			tasks = append(tasks, r)
+		}
+		for _, c := range answer(t, m, rep(seq, 5, tasks...), at(now)) {
+			switch c.Op {
+			case wire.OpStart:
+				running[c.Task] = wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}
+			case wire.OpStop:
+				stops++
+				running[c.Task] = wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskExited, Why: wire.WhyStopped}
+			case wire.OpForget:
+				delete(running, c.Task)
+			}
+		}
+		m.Schedule(at(now), 0)
+		commit(t, m, at(now))
+		now += config.Seconds(1.5).Seconds()
+	}
+	if stops > 2 {
+		t.Errorf("%d stops among four jobs where one stop makes the room", stops)
+	}
+	for _, id := range []string{"wk-000001/0", "wk-000003/0"} {
+		if _, ok := running[id]; !ok {
+			t.Errorf("%s is within its team's guarantee and does not run", id)
+		}
+	}
+}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -377,8 +377,10 @@
 }
 
 // over marks the tasks that run beyond their teams' guarantees, the last
-// started first.
-func (m *Model) over() map[Ref]bool {
+// started first. Tasks of jobs that are within the guarantee are never among
+// them: two teams that each have work within and beyond theirs would otherwise
+// stop each other's in turn, over and over.
+func (m *Model) over(within map[int32]bool) map[Ref]bool {
 	out := map[Ref]bool{}
 	type cand struct {
 		ref Ref
@@ -388,7 +390,7 @@
 	for _, mc := range m.Machines {
 		for ref := range mc.Tasks {
 			j := m.Jobs[ref.Job]
-			if j.Team >= 0 {
+			if j.Team >= 0 && !within[j.Idx] {
 				byTeam[j.Team] = append(byTeam[j.Team], cand{ref, j.Tasks[ref.Task].Place.At})
 			}
 		}
@@ -511,7 +513,7 @@
 // Schedule places what waits, stops what must make room and says what to rent.
 func (m *Model) Schedule(now time.Time, renting int) Decisions {
 	reqs := m.requests(now)
-	over := m.over()
+	over := m.over(m.within(m.openJobs()))
 	in := placement.Input{Preempt: true, RentMax: max(0, 12-renting)}
 	back := make([]int32, 0, len(m.Machines))
 	fwd := make(map[int]int, len(m.Machines))
