Look only at jobs that are in the model; a checker story that does not depend on timing

A leader's passes looked at every job it had ever seen. The story that shows the checker at work failed once in a run of all tests: a controller had stopped the rogue task before it began.

--- a/cluster/model.go
+++ b/cluster/model.go
@@ -198,6 +198,7 @@
 	jobIdx     map[string]int32
 	imageIdx   map[string]int32
 	imageSize  []float64
+	live       []int32 // jobs that may be in the model
 	dirty      []int32
 	stops      []Ref // tasks to be told directly
 	refused    map[offerKey]time.Time
@@ -335,6 +336,7 @@
 		}
 	}
 	m.Jobs = append(m.Jobs, j)
+	m.live = append(m.live, j.Idx)
 	m.jobIdx[id] = j.Idx
 	return j
 }
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -134,9 +134,18 @@
 }
 
 func (m *Model) openJobs() []*Job {
+	// A leader may see far more jobs over its time than are there at once: those
+	// that are out of the model are dropped here, not looked at for ever.
+	live := m.live[:0]
+	for _, idx := range m.live {
+		if m.Jobs[idx] != nil {
+			live = append(live, idx)
+		}
+	}
+	m.live = live
 	var jobs []*Job
-	for _, j := range m.Jobs {
-		if j != nil && !j.Cancelled && !j.Finished && j.Done < len(j.Tasks) {
+	for _, idx := range m.live {
+		if j := m.Jobs[idx]; !j.Cancelled && !j.Finished && j.Done < len(j.Tasks) {
 			jobs = append(jobs, j)
 		}
 	}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -297,7 +297,14 @@
 	if id, _, ok := wire.SplitTask(task); ok && w.jobs[id] != nil {
 		m.images[w.jobs[id].spec.Image] = true
 	}
-	m.launch(taskKey{task, 1 << 40}, time.Now())
+	// At once, before any controller can notice: what the checker sees must not
+	// depend on who is faster.
+	now := time.Now()
+	m.launch(taskKey{task, 1 << 40}, now)
+	if t := m.tasks[taskKey{task, 1 << 40}]; t.state == wire.TaskFetching {
+		t.ready = now
+		m.step(now)
+	}
 }
 
 // Finished is how many tasks of a job have really completed.
