--- a/cluster/model.go
+++ b/cluster/model.go
@@ -314,7 +314,12 @@
 	j := m.addJob(id, rec)
 	j.Version = version
 	m.arrival(j, now)
-	m.log.Info("job", "id", id, "class", rec.Job.Class, "team", rec.Job.Team, "tasks", rec.Job.Tasks)
+	s, deadline := &j.Spec, 0.0
+	if s.DeadlineS != nil {
+		deadline = *s.DeadlineS
+	}
+	m.log.Info("job", "id", id, "class", s.Class, "team", s.Team, "kind", s.Kind, "tasks", s.Tasks, "cpus", s.CPUs, "gpus", s.GPUs,
+		"spot", s.Spot, "at", j.At, "estimate", s.EstimateS, "deadline", deadline)
 }
 
 func (m *Model) addJob(id string, rec ledger.JobRecord) *Job {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -114,6 +114,7 @@
 	case wire.TaskRunning:
 		if p.Seen != seenRunning {
 			p.Seen, p.Since = seenRunning, now
+			m.log.Debug("running", "task", t.Task, "attempt", t.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
 		if j.FirstRun.IsZero() {
 			j.FirstRun = now
@@ -156,7 +157,11 @@
 
 // exited takes in the end of a task's attempt.
 func (m *Model) exited(j *Job, task int32, mc *Machine, p *Place, t *wire.TaskReport, now time.Time) {
-	m.log.Debug("exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "saved", t.Saved, "machine", mc.Name)
+	ran := 0.0
+	if !p.Since.IsZero() {
+		ran = now.Sub(p.Since).Seconds()
+	}
+	m.log.Debug("exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "saved", t.Saved, "ran", ran, "machine", mc.Name)
 	ref := Ref{Job: j.Idx, Task: task}
 	if t.Why == wire.WhyDone {
 		m.hasImage(mc, j)
