Run times are predicted from what jobs of a class have taken

In logarithms, short estimates are mostly too short and long ones too long. Now a line is fitted per class to the errors of completed jobs; work that attempts have saved and tasks under way are counted too. A new leader starts without what was learnt.

--- /dev/null
+++ b/cluster/estimate.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"math"
+	"time"
+)
+
+// estimator learns how long a class's tasks run, given what their owners
+// expect. Owners' estimates are often wrong by half, and on some days mostly
+// too high or too low: the shortest of them are mostly too short, the longest
+// too long. In logarithms, the error is taken to be a line over the estimate,
+// a + c*(x - mean), fitted to the jobs that have completed and drawn towards
+// a = 0 and c = priorSlope, which is what is believed of a class whose jobs
+// have not completed yet.
+type estimator struct {
+	seen, sum       float64 // estimates of all jobs that came
+	n, x, d, xx, xd float64 // jobs done: estimates and errors
+	lastN, lastSeen float64 // of which a and c were worked out
+	a, c, mean      float64
+}
+
+const (
+	priorSlope  = -0.3
+	priorWeight = 2.0 // jobs
+	priorSpread = 1.0 // of squared logarithms
+	maxError    = 1.4 // a factor of four
+)
+
+// came takes in a job's estimate.
+func (e *estimator) came(estimate float64) {
+	if estimate > 0 {
+		e.seen++
+		e.sum += math.Log(estimate)
+	}
+}
+
+// done takes in a job whose tasks ran for so long on average.
+func (e *estimator) done(estimate, ran float64) {
+	if estimate <= 0 || ran <= 0 {
+		return
+	}
+	x := math.Log(estimate)
+	d := max(-maxError, min(maxError, math.Log(ran)-x))
+	e.n++
+	e.x += x
+	e.d += d
+	e.xx += x * x
+	e.xd += x * d
+}
+
+// expect is how long a task of a job with this estimate should run.
+func (e *estimator) expect(estimate float64) float64 {
+	if estimate <= 0 || e.seen == 0 {
+		return estimate
+	}
+	if e.n != e.lastN || e.seen != e.lastSeen {
+		e.lastN, e.lastSeen = e.n, e.seen
+		e.mean = e.sum / e.seen
+		u := e.x - e.n*e.mean
+		uu := e.xx - 2*e.mean*e.x + e.n*e.mean*e.mean
+		ud := e.xd - e.mean*e.d
+		// (n+p) a + u c = d;  u a + (uu+s) c = ud + s c0
+		p, s := e.n+priorWeight, uu+priorSpread
+		r := ud + priorSpread*priorSlope
+		det := p*s - u*u
+		e.a, e.c = (e.d*s-u*r)/det, (p*r-u*e.d)/det
+	}
+	err := e.a + e.c*(math.Log(estimate)-e.mean)
+	return estimate * math.Exp(max(-maxError, min(maxError, err)))
+}
+
+// expected is how long a task of the job should run from its beginning: what
+// its completed tasks took says most, then what is known of its class.
+func (m *Model) expected(j *Job) float64 {
+	est := j.Spec.EstimateS
+	if c := m.classes[j.Spec.Class]; c != nil {
+		est = c.runs.expect(est)
+	}
+	if j.ranN > 0 && est > 0 {
+		w := 2 * float64(j.ranN)
+		est = math.Exp((math.Log(est) + w*math.Log(j.ranSum/float64(j.ranN))) / (1 + w))
+	}
+	return est
+}
+
+// remaining is how long a waiting task should still run.
+func (m *Model) remaining(j *Job, task int32) float64 {
+	est := m.expected(j)
+	return max(est-float64(j.Tasks[task].Progress), min(est, 5))
+}
+
+// progressed takes in how far an attempt that did not complete has brought its
+// task. It leads to no decision but in which order things are served.
+func (j *Job) progressed(task int32, p *Place, saved bool, now time.Time) {
+	if j.Spec.CheckpointS <= 0 || p.Since.IsZero() {
+		return
+	}
+	t := &j.Tasks[task]
+	end := now
+	if p.Stop != nil {
+		end = p.Stop.At
+	}
+	ran := float32(max(0, end.Sub(p.Since).Seconds()))
+	if !saved {
+		// Checkpoints are at multiples of the job's progress.
+		every := float32(j.Spec.CheckpointS)
+		t.Progress = max(t.Progress, every*float32(math.Floor(float64((t.Progress+ran)/every))))
+	} else {
+		t.Progress += ran
+	}
+	t.Resumed = true
+}
+
+// completed takes in how long a task ran that completed in one go.
+func (m *Model) completed(j *Job, task int32, p *Place, now time.Time) {
+	if j.Tasks[task].Resumed || p.Inherited || p.Since.IsZero() || j.Spec.EstimateS <= 0 {
+		return
+	}
+	j.ranN++
+	j.ranSum += now.Sub(p.Since).Seconds()
+}
+
+// learn takes in a job that is done.
+func (m *Model) learn(j *Job) {
+	if c := m.classes[j.Spec.Class]; c != nil && j.ranN > 0 {
+		c.runs.done(j.Spec.EstimateS, j.ranSum/float64(j.ranN))
+	}
+}
--- /dev/null
+++ b/cluster/estimate_test.go
@@ -0,0 +1,28 @@
+package cluster
+
+import "testing"
+
+func TestEstimatesAreCorrectedByWhatRan(t *testing.T) {
+	var e estimator
+	if got := e.expect(60); got != 60 {
+		t.Errorf("nothing known: %v for 60", got)
+	}
+	for _, est := range []float64{30, 60, 100, 200, 400} {
+		e.came(est)
+	}
+	if short, long := e.expect(30), e.expect(400); short <= 30 || long >= 400 {
+		t.Errorf("extreme estimates should be drawn towards the others: %v, %v", short, long)
+	}
+	// On this day all take twice as long as said.
+	for range 4 {
+		for _, est := range []float64{30, 60, 100, 200, 400} {
+			e.came(est)
+			e.done(est, 2*est)
+		}
+	}
+	for _, est := range []float64{30, 400} {
+		if got := e.expect(est); got < 1.7*est || got > 2.3*est {
+			t.Errorf("%v for %v, where all take twice as long", got, est)
+		}
+	}
+}
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -73,7 +73,9 @@
 type Task struct {
 	Phase     uint8
 	Fails     uint8
-	NotBefore int64 // Unix milliseconds
+	Resumed   bool    // an earlier attempt has run
+	Progress  float32 // seconds of work that earlier attempts have saved
+	NotBefore int64   // Unix milliseconds
 	Place     *Place
 }
 
@@ -108,6 +110,8 @@
 	ZoneUsed  []int
 	Cancelled bool
 	Finished  bool // committed as done
+	ranN      int  // tasks that completed in one go, and
+	ranSum    float64
 	Started   bool // gang: the current attempt was seen running
 	Ending    bool // gang: the current attempt is coming to its end
 	NotBefore time.Time
@@ -535,6 +539,7 @@
 	j.Done++
 	m.touch(j, task)
 	if j.Done == len(j.Tasks) {
+		m.learn(j)
 		m.log.Info("job's tasks done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
 	}
 }
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -166,6 +166,7 @@
 	if t.Why == wire.WhyDone {
 		m.hasImage(mc, j)
 		m.measureSpeed(j, mc, p, now)
+		m.completed(j, task, p, now)
 		if j.Gang() {
 			// They complete together: if one task is done, all are.
 			for i := range j.Tasks {
@@ -206,6 +207,7 @@
 	case wire.WhyPeers, wire.WhyStopped:
 		j.Ending = true
 	}
+	j.progressed(task, p, t.Saved, now)
 	m.unplace(j, task, now)
 	j.Tasks[task].NotBefore = now.Add(wait).UnixMilli()
 	m.rememberExit(j, task, mc, t)
@@ -228,6 +230,9 @@
 // lost takes in that a task is gone without having said how.
 func (m *Model) lost(j *Job, task int32, why string, now time.Time) {
 	m.log.Info("task lost", "job", j.ID, "task", task, "why", why)
+	if p := j.Tasks[task].Place; p != nil {
+		j.progressed(task, p, false, now)
+	}
 	m.unplace(j, task, now)
 	m.moveEnded(Ref{Job: j.Idx, Task: task}, "", now)
 	m.gangLost(j, task, now)
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -23,6 +23,7 @@
 	seen    time.Time
 	recent  []time.Time // arrivals of the last two minutes
 	waits   bool        // an aim speaks of how soon its jobs start
+	runs    estimator
 }
 
 const (
@@ -52,6 +53,7 @@
 		m.classes[j.Spec.Class] = c
 	}
 	c.spec, c.seen = j, now
+	c.runs.came(j.Spec.EstimateS)
 	if now.Sub(j.At) < recentFor && len(c.recent) < 1000 {
 		c.recent = append(c.recent, j.At)
 	}
@@ -60,8 +62,8 @@
 
 // latestStart is when a job must start at the latest to meet the next of its
 // class's aims that it can still meet; missed says that none is left.
-func (m *Model) latestStart(j *Job, now time.Time) (at time.Time, missed, urgent bool) {
-	est := config.Seconds(j.Spec.EstimateS)
+func (m *Model) latestStart(j *Job, left float64, now time.Time) (at time.Time, missed, urgent bool) {
+	est := config.Seconds(left)
 	aims := 0
 	best := time.Time{}
 	take := func(t time.Time) bool {
@@ -108,6 +110,7 @@
 	due    time.Time
 	missed bool
 	urgent bool
+	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
 	req    placement.Request
 }
@@ -170,7 +173,10 @@
 			continue
 		}
 		k := ranked{j: j, within: in[j.Idx], req: r}
-		k.due, k.missed, k.urgent = m.latestStart(j, now)
+		for _, t := range r.Tasks {
+			k.left = max(k.left, m.remaining(j, t))
+		}
+		k.due, k.missed, k.urgent = m.latestStart(j, k.left, now)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
 	}
@@ -215,7 +221,7 @@
 				byEnd = append(byEnd, &group[i])
 			}
 		}
-		end := func(r *ranked) time.Time { return r.due.Add(config.Seconds(r.j.Spec.EstimateS)) }
+		end := func(r *ranked) time.Time { return r.due.Add(config.Seconds(r.left)) }
 		sort.SliceStable(byEnd, func(a, b int) bool { return end(byEnd[a]).Before(end(byEnd[b])) })
 		t := 0.0
 		for i, r := range byEnd {
@@ -274,7 +280,16 @@
 
 // work is how long what is left of a job would take on all slots it may use.
 func (m *Model) work(j *Job, now time.Time) float64 {
-	return float64(len(j.Tasks)-j.Done) * j.Spec.EstimateS / m.slots(j, now)
+	sum, est := 0.0, m.expected(j)
+	for i := range j.Tasks {
+		switch t := &j.Tasks[i]; t.Phase {
+		case Idle:
+			sum += max(est-float64(t.Progress), min(est, 5))
+		case Placed:
+			sum += m.left(j, int32(i), now)
+		}
+	}
+	return sum / m.slots(j, now)
 }
 
 func (m *Model) request(j *Job, now time.Time) (placement.Request, bool) {
@@ -439,14 +454,17 @@
 }
 
 // left estimates the seconds until a task ends by itself.
-func (m *Model) left(j *Job, p *Place, now time.Time) float64 {
-	switch {
-	case j.Spec.Kind == wire.KindService:
+func (m *Model) left(j *Job, task int32, now time.Time) float64 {
+	if j.Spec.Kind == wire.KindService {
 		return 1e9
-	case p.Seen < seenRunning || p.Since.IsZero():
-		return 5 + j.Spec.EstimateS
 	}
-	return max(5, j.Spec.EstimateS-now.Sub(p.Since).Seconds())
+	p, rest := j.Tasks[task].Place, m.remaining(j, task)
+	if p.Seen < seenRunning || p.Since.IsZero() {
+		return 5 + rest
+	}
+	ran := now.Sub(p.Since).Seconds()
+	// One that has run past what was expected is likely to run on for a while.
+	return max(5, ran/5, rest-ran)
 }
 
 func (m *Model) machineView(mc *Machine, over map[Ref]bool, now time.Time) (placement.Machine, bool) {
@@ -486,7 +504,7 @@
 		}
 		v.Tasks = append(v.Tasks, placement.Occupant{
 			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref],
-			Loss: m.loss(j, p, now), Left: m.left(j, p, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
+			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
 		})
 	}
 	for _, im := range mc.images {
