Triage plays the waiting jobs through on the places that will be free

Cause: triage took the cluster as one fluid machine that is free at once, and so found most jobs in time that were not; on long queues nearly all came late by a little. Now the jobs of a class are played through, in the order they are served, on the places that are free or will be when tasks under way end and machines come up.

--- /dev/null
+++ b/cluster/triage.go
@@ -0,0 +1,187 @@
+package cluster
+
+import (
+	"container/heap"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+const (
+	triageJobs  = 80  // of a class are looked at
+	triageTasks = 128 // of a job are followed one by one
+	startDelay  = 3.0 // seconds from a place being free to a task running there
+)
+
+// triage gives up, for now, on the aims of the jobs that cost the most where
+// there is more work than can be done in time. The jobs of a class are played
+// through in the order they would be served, on the places that are free or
+// will be; whenever one would come too late, the largest so far is put off, so
+// that as many as possible meet their aims (Moore and Hodgson's rule). Those
+// put off come after the others, the smallest first.
+func (m *Model) triage(out []ranked, now time.Time) {
+	for lo := 0; lo < len(out); {
+		hi := lo + 1
+		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
+			hi++
+		}
+		group := out[lo:hi]
+		lo = hi
+		byClass := map[string][]*ranked{}
+		for i := range group {
+			k := &group[i]
+			k.work = m.work(k.j, now)
+			if c := k.j.Spec.Class; !k.missed && len(byClass[c]) < triageJobs {
+				byClass[c] = append(byClass[c], k)
+			}
+		}
+		for _, jobs := range byClass { // the classes' results don't depend on one another
+			m.triageClass(jobs, now)
+		}
+		sort.SliceStable(group, func(a, b int) bool {
+			x, y := &group[a], &group[b]
+			if x.missed != y.missed {
+				return y.missed
+			}
+			if x.missed {
+				return x.work < y.work
+			}
+			return x.due.Before(y.due)
+		})
+	}
+}
+
+func (m *Model) triageClass(jobs []*ranked, now time.Time) {
+	places := m.places(jobs[0].j, now)
+	if len(places) == 0 {
+		return
+	}
+	for {
+		late := play(jobs, places, now)
+		if late < 0 {
+			return
+		}
+		worst := 0
+		for k := range jobs[:late+1] {
+			if jobs[k].work > jobs[worst].work {
+				worst = k
+			}
+		}
+		jobs[worst].missed = true
+		jobs = append(append([]*ranked(nil), jobs[:worst]...), jobs[worst+1:]...)
+	}
+}
+
+type times []float64
+
+func (t times) Len() int           { return len(t) }
+func (t times) Less(a, b int) bool { return t[a] < t[b] }
+func (t times) Swap(a, b int)      { t[a], t[b] = t[b], t[a] }
+func (t *times) Push(x any)        { *t = append(*t, x.(float64)) }
+func (t *times) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// play serves the jobs in their order on places that are free at the given
+// times, in seconds from now. It returns the first that starts its last task
+// later than it is due, or -1.
+func play(jobs []*ranked, places []float64, now time.Time) int {
+	free := append(times(nil), places...)
+	heap.Init(&free)
+	for i, r := range jobs {
+		due := r.due.Sub(now).Seconds()
+		n := len(r.req.Tasks)
+		last := 0.0
+		for range min(n, triageTasks) {
+			last = free[0]
+			free[0] += r.left + startDelay
+			heap.Fix(&free, 0)
+		}
+		if n > triageTasks {
+			last += float64(n-triageTasks) * r.left / float64(len(free))
+		}
+		// A job that is due at once is not given up for a place that is free.
+		if last > max(due, 0)+0.5 {
+			return i
+		}
+	}
+	return -1
+}
+
+// places says after how many seconds there is a place for a task like the
+// job's, once for each. Places that tasks of higher priority hold are not
+// counted, since others of theirs are likely to follow; those of lower
+// priority can be had at once.
+func (m *Model) places(j *Job, now time.Time) []float64 {
+	var out []float64
+	type end struct {
+		at   float64
+		need placement.Res
+	}
+	for _, mc := range m.Machines {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
+			continue
+		}
+		room := m.Types[mc.Type].Cap
+		if !m.ready(mc, now) {
+			if eta, ok := m.booting(mc, now); ok {
+				for range fit(j.Need, room) {
+					out = append(out, eta)
+				}
+			}
+			continue
+		}
+		var ends []end
+		for ref := range mc.Tasks {
+			o := m.Jobs[ref.Job]
+			if o.Priority <= j.Priority {
+				room = room.Add(o.Need, -1)
+			}
+			if o.Priority == j.Priority {
+				ends = append(ends, end{m.left(o, ref.Task, now), o.Need})
+			}
+		}
+		n := fit(j.Need, room)
+		for range n {
+			out = append(out, 0)
+		}
+		sort.Slice(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
+		for _, e := range ends {
+			room = room.Add(e.need, 1)
+			for k := fit(j.Need, room); n < k; n++ {
+				out = append(out, e.at)
+			}
+		}
+	}
+	return out
+}
+
+// fit is how many tasks with a need fit into room.
+func fit(need, room placement.Res) int {
+	n := 1000.0
+	for _, x := range [][2]float64{{need.CPU, room.CPU}, {need.GPU, room.GPU}, {need.Mem, room.Mem}} {
+		if x[0] > 0 {
+			n = min(n, math.Floor(x[1]/x[0]+1e-6))
+		}
+	}
+	return int(max(n, 0))
+}
+
+// work is how many seconds what is left of a job would take on a single place.
+func (m *Model) work(j *Job, now time.Time) float64 {
+	sum, est := 0.0, m.expected(j)
+	for i := range j.Tasks {
+		switch t := &j.Tasks[i]; t.Phase {
+		case Idle:
+			sum += max(est-float64(t.Progress), min(est, 5))
+		case Placed:
+			sum += m.left(j, int32(i), now)
+		}
+	}
+	return sum
+}
