A job put off from one aim is served for its next one

Cause: jobs put off were served smallest first whatever aim they had left (1.75 times the deadline, 350 s).

--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -20,7 +20,8 @@
 // through in the order they would be served, on the places that are free or
 // will be; whenever one would come too late, the largest so far is put off, so
 // that as many as possible meet their aims (Moore and Hodgson's rule). Those
-// put off come after the others, the smallest first.
+// put off come after the others: if they have a further aim, for that, and
+// after these the ones that can meet none, the smallest first.
 func (m *Model) triage(out []ranked, now time.Time) {
 	for lo := 0; lo < len(out); {
 		hi := lo + 1
@@ -42,35 +43,54 @@
 		}
 		sort.SliceStable(group, func(a, b int) bool {
 			x, y := &group[a], &group[b]
-			if x.missed != y.missed {
+			switch {
+			case x.missed != y.missed:
 				return y.missed
-			}
-			if x.missed {
+			case x.missed:
 				return x.work < y.work
+			case x.stage != y.stage:
+				return x.stage < y.stage
 			}
 			return x.due.Before(y.due)
 		})
 	}
 }
 
+// triageClass plays a class's jobs through, and then those that were put off,
+// for the next of their aims on the places the others leave.
 func (m *Model) triageClass(jobs []*ranked, now time.Time) {
-	places := m.places(jobs[0].j, now)
+	places := times(m.places(jobs[0].j, now))
 	if len(places) == 0 {
 		return
 	}
-	for {
-		late := play(jobs, places, now)
-		if late < 0 {
-			return
+	heap.Init(&places)
+	for len(jobs) > 0 {
+		var off []*ranked
+		for {
+			late, after := play(jobs, places, now)
+			if late < 0 {
+				places = after
+				break
+			}
+			worst := 0
+			for k := range jobs[:late+1] {
+				if jobs[k].work > jobs[worst].work {
+					worst = k
+				}
+			}
+			off = append(off, jobs[worst])
+			jobs = append(append([]*ranked(nil), jobs[:worst]...), jobs[worst+1:]...)
 		}
-		worst := 0
-		for k := range jobs[:late+1] {
-			if jobs[k].work > jobs[worst].work {
-				worst = k
+		jobs = off[:0:0]
+		for _, r := range off {
+			if r.stage++; len(r.later) == 0 {
+				r.missed = true
+				continue
 			}
+			r.next(now)
+			jobs = append(jobs, r)
 		}
-		jobs[worst].missed = true
-		jobs = append(append([]*ranked(nil), jobs[:worst]...), jobs[worst+1:]...)
+		sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
 	}
 }
 
@@ -89,10 +109,9 @@
 
 // play serves the jobs in their order on places that are free at the given
 // times, in seconds from now. It returns the first that starts its last task
-// later than it is due, or -1.
-func play(jobs []*ranked, places []float64, now time.Time) int {
+// later than it is due, or -1 and when the places are free after all of them.
+func play(jobs []*ranked, places times, now time.Time) (int, times) {
 	free := append(times(nil), places...)
-	heap.Init(&free)
 	for i, r := range jobs {
 		due := r.due.Sub(now).Seconds()
 		n := len(r.req.Tasks)
@@ -107,10 +126,10 @@
 		}
 		// A job that is due at once is not given up for a place that is free.
 		if last > max(due, 0)+0.5 {
-			return i
+			return i, nil
 		}
 	}
-	return -1
+	return -1, free
 }
 
 // places says after how many seconds there is a place for a task like the
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -60,22 +60,18 @@
 	c.biggest = max(c.biggest, min(len(j.Tasks), 16))
 }
 
-// latestStart is when a job must start at the latest to meet the next of its
-// class's aims that it can still meet; missed says that none is left.
-func (m *Model) latestStart(j *Job, left float64, now time.Time) (at time.Time, missed, urgent bool) {
+// latestStarts is when a job must start at the latest to meet each of its
+// class's aims that it can still meet; urgent says that the first is on how
+// soon it starts, and missed that none is left of those there were.
+func (m *Model) latestStarts(j *Job, left float64, now time.Time) (at []time.Time, missed, urgent bool) {
 	est := config.Seconds(left)
 	aims := 0
-	best := time.Time{}
-	take := func(t time.Time) bool {
+	var wait time.Time
+	take := func(t time.Time) {
 		aims++
-		if t.Before(now) {
-			return false
+		if !t.Before(now) {
+			at = append(at, t)
 		}
-		if best.IsZero() || t.Before(best) {
-			best = t
-			return true
-		}
-		return false
 	}
 	for _, o := range m.cfg.Cluster.Objectives {
 		if o.Class != j.Spec.Class && o.Class != "" {
@@ -83,8 +79,12 @@
 		}
 		switch o.Kind {
 		case "wait":
-			if j.FirstRun.IsZero() && take(j.At.Add(config.Seconds(o.WithinS))) {
-				urgent = true
+			if j.FirstRun.IsZero() {
+				t := j.At.Add(config.Seconds(o.WithinS))
+				take(t)
+				if !t.Before(now) && (wait.IsZero() || t.Before(wait)) {
+					wait = t
+				}
 			}
 		case "finished":
 			take(j.At.Add(config.Seconds(o.WithinS) - est))
@@ -98,23 +98,32 @@
 			}
 		}
 	}
-	if !best.IsZero() {
-		return best, false, urgent
-	}
-	return j.At.Add(time.Hour), aims > 0, false
+	sort.Slice(at, func(a, b int) bool { return at[a].Before(at[b]) })
+	return at, aims > 0 && len(at) == 0, len(at) > 0 && at[0].Equal(wait)
 }
 
 type ranked struct {
 	j      *Job
 	within bool
 	due    time.Time
+	later  []time.Time // what it is due for once it is put off
 	missed bool
+	stage  int // how often it was put off
 	urgent bool
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
 	req    placement.Request
 }
 
+// next takes a job's next aim as what it is due for.
+func (r *ranked) next(now time.Time) {
+	if len(r.later) == 0 {
+		r.due = now.Add(time.Hour)
+		return
+	}
+	r.due, r.later = r.later[0], r.later[1:]
+}
+
 // within finds the jobs that fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
 func (m *Model) within(jobs []*Job) map[int32]bool {
@@ -176,7 +185,8 @@
 		for _, t := range r.Tasks {
 			k.left = max(k.left, m.remaining(j, t))
 		}
-		k.due, k.missed, k.urgent = m.latestStart(j, k.left, now)
+		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, now)
+		k.next(now)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
 	}
