--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -20,8 +20,8 @@
 // through in the order they would be served, on the places that are free or
 // will be; whenever one would come too late, the largest so far is put off, so
 // that as many as possible meet their aims (Moore and Hodgson's rule). Those
-// put off come after the others: if they have a further aim, for that, and
-// after these the ones that can meet none, the smallest first.
+// put off are served for a later aim, if they can meet one beside the others,
+// and else after them, the smallest first.
 func (m *Model) triage(out []ranked, now time.Time) {
 	for lo := 0; lo < len(out); {
 		hi := lo + 1
@@ -48,49 +48,46 @@
 				return y.missed
 			case x.missed:
 				return x.work < y.work
-			case x.stage != y.stage:
-				return x.stage < y.stage
 			}
 			return x.due.Before(y.due)
 		})
 	}
 }
 
-// triageClass plays a class's jobs through, and then those that were put off,
-// for the next of their aims on the places the others leave.
+// triageClass plays a class's jobs through, and then looks for each of those
+// put off, the smallest first, whether it can meet a later aim without making
+// any of the others late.
 func (m *Model) triageClass(jobs []*ranked, now time.Time) {
 	places := times(m.places(jobs[0].j, now))
 	if len(places) == 0 {
 		return
 	}
 	heap.Init(&places)
-	for len(jobs) > 0 {
-		var off []*ranked
-		for {
-			late, after := play(jobs, places, now)
-			if late < 0 {
-				places = after
-				break
-			}
-			worst := 0
-			for k := range jobs[:late+1] {
-				if jobs[k].work > jobs[worst].work {
-					worst = k
-				}
-			}
-			off = append(off, jobs[worst])
-			jobs = append(append([]*ranked(nil), jobs[:worst]...), jobs[worst+1:]...)
-		}
-		jobs = off[:0:0]
-		for _, r := range off {
-			if r.stage++; len(r.later) == 0 {
-				r.missed = true
-				continue
+	var off []*ranked
+	for {
+		late := play(jobs, places, now)
+		if late < 0 {
+			break
+		}
+		worst := 0
+		for k := range jobs[:late+1] {
+			if jobs[k].work > jobs[worst].work {
+				worst = k
 			}
+		}
+		off = append(off, jobs[worst])
+		jobs = append(append([]*ranked(nil), jobs[:worst]...), jobs[worst+1:]...)
+	}
+	sort.SliceStable(off, func(a, b int) bool { return off[a].work < off[b].work })
+	for _, r := range off {
+		for r.missed = true; r.missed && len(r.later) > 0; {
 			r.next(now)
-			jobs = append(jobs, r)
+			at := sort.Search(len(jobs), func(k int) bool { return jobs[k].due.After(r.due) })
+			with := append(append(append([]*ranked(nil), jobs[:at]...), r), jobs[at:]...)
+			if play(with, places, now) < 0 {
+				jobs, r.missed = with, false
+			}
 		}
-		sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
 	}
 }
 
@@ -109,8 +106,8 @@
 
 // play serves the jobs in their order on places that are free at the given
 // times, in seconds from now. It returns the first that starts its last task
-// later than it is due, or -1 and when the places are free after all of them.
-func play(jobs []*ranked, places times, now time.Time) (int, times) {
+// later than it is due, or -1.
+func play(jobs []*ranked, places times, now time.Time) int {
 	free := append(times(nil), places...)
 	for i, r := range jobs {
 		due := r.due.Sub(now).Seconds()
@@ -126,10 +123,10 @@
 		}
 		// A job that is due at once is not given up for a place that is free.
 		if last > max(due, 0)+0.5 {
-			return i, nil
+			return i
 		}
 	}
-	return -1, free
+	return -1
 }
 
 // places says after how many seconds there is a place for a task like the
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -108,7 +108,6 @@
 	due    time.Time
 	later  []time.Time // what it is due for once it is put off
 	missed bool
-	stage  int // how often it was put off
 	urgent bool
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
