--- a/cluster/view.go
+++ b/cluster/view.go
@@ -213,7 +213,6 @@
 		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
 		Image: j.Image, ImageGB: j.Spec.ImageGB, Zone: j.Zone, OneZone: j.Spec.OneZone,
 		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot,
-		WaitedS: now.Sub(j.At).Seconds(),
 	}
 	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
 		return r, false
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,7 +72,6 @@
 	Spot      bool
 	Avoid     map[int]bool // machines this job stays away from for now
 	Prefer    map[int32]int
-	WaitedS   float64
 	Phantom   bool // no job's: room to be kept free
 	Reserve   bool // a phantom for which room is kept from later requests, and nothing rented
 	Hold      bool // machines are kept from later requests until they have room for this one
