--- a/controller/leader.go
+++ b/controller/leader.go
@@ -486,7 +486,7 @@
 // another node had better lead; the lock is held.
 func (l *leadership) unreached(now time.Time) bool {
 	w := l.n.cfg.Cluster.Workers
-	quiet := config.Seconds(max(3*w.ReportS, w.LeaseS/3) + 4)
+	quiet := config.Seconds(max(3*w.ReportS, w.LeaseS/4) + 2)
 	since := l.lastAny
 	if since.Before(l.m.Takeover) {
 		since = l.m.Takeover
