Tests of triage and progress; one Pause; mesh handlers share their bound

What the tests hold fast: the largest job is put off where not all can be in time; places under work count from when they will be free, and a job put off is served for its next aim; saved work is not expected again.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// placed gives the first job n tasks, which the first machine is told to start
+// with its second report.
+func placed(t *testing.T, n int) *Model {
+	t.Helper()
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", n), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	answer(t, m, rep(2, 5), at(2))
+	return m
+}
+
 func ops(cmds []wire.Command) (launches, stops, forgets int) {
 	for _, c := range cmds {
 		switch c.Op {
@@ -109,12 +122,7 @@
 }
 
 func TestSilentMachineKeepsItsTasksUntilItsLeaseIsOver(t *testing.T) {
-	m := newModel(5)
-	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
-	answer(t, m, rep(1, 5), at(0))
-	m.Schedule(at(1), 0)
-	commit(t, m, at(1))
-	answer(t, m, rep(2, 5), at(2))
+	m := placed(t, 1)
 	task := &m.Job("wk-000001").Tasks[0]
 	m.Tick(at(13.9))
 	if task.Phase != Placed {
@@ -135,12 +143,7 @@
 }
 
 func TestForgetOnlyAfterTheOutcomeIsCommitted(t *testing.T) {
-	m := newModel(5)
-	m.PutJob("wk-000001", arrayJob("wk-000001", 2), 1, at(0))
-	answer(t, m, rep(1, 5), at(0))
-	m.Schedule(at(1), 0)
-	commit(t, m, at(1))
-	answer(t, m, rep(2, 5), at(2))
+	m := placed(t, 2)
 	done := wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}
 	other := wire.TaskReport{Task: "wk-000001/1", Attempt: 1, State: wire.TaskRunning}
 	if _, _, f := ops(answer(t, m, rep(3, 5, done, other), at(3))); f != 0 {
--- /dev/null
+++ b/cluster/triage_test.go
@@ -0,0 +1,73 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/umberdeal/umberdeal/config"
+)
+
+// due makes a job of the test's class that is to be done within its deadline.
+func due(m *Model, id string, tasks int, deadline float64, came float64) {
+	rec := arrayJob(id, tasks)
+	rec.AtMs = at(came).UnixMilli()
+	rec.Job.CPUs, rec.Job.DeadlineS = 4, &deadline
+	m.PutJob(id, rec, 1, at(came))
+}
+
+func order(m *Model, now float64) (ids []string, late int) {
+	for _, r := range m.requests(at(now)) {
+		ids = append(ids, r.j.ID)
+		if r.missed {
+			late++
+		}
+	}
+	return ids, late
+}
+
+func TestTheLargestIsPutOffWhereNotAllCanBeInTime(t *testing.T) {
+	m := newModel(5)
+	m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+	answer(t, m, rep(1, 5), at(0)) // a machine with room for two tasks
+	due(m, "wk-000001", 4, 150, 0)
+	for i := range 3 {
+		due(m, fmt.Sprintf("wk-00001%d", i), 1, 160, 0)
+	}
+	// Two places, 60 s a task: by 160 s there is time for four tasks, not for seven.
+	ids, late := order(m, 1)
+	if late != 1 || ids[3] != "wk-000001" {
+		t.Fatalf("%d put off, in order %v", late, ids)
+	}
+}
+
+func TestPlacesThatAreTakenCountFromWhenTheyWillBeFree(t *testing.T) {
+	m := newModel(5)
+	m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}, {Kind: "deadline", Class: "c", Times: 3}}
+	answer(t, m, rep(1, 5), at(0))
+	due(m, "wk-000001", 2, 600, 0)
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	answer(t, m, rep(2, 5), at(2))
+	// Both places are taken for about a minute, so that this one can't be in time;
+	// it is served for three times its deadline.
+	due(m, "wk-000002", 1, 80, 2)
+	reqs := m.requests(at(3))
+	if len(reqs) != 1 || reqs[0].missed || reqs[0].due.Before(at(150)) {
+		t.Fatalf("%d wait; missed %v, due %v", len(reqs), reqs[0].missed, reqs[0].due.Sub(t0))
+	}
+}
+
+func TestWorkThatWasSavedIsNotExpectedAgain(t *testing.T) {
+	m := placed(t, 1)
+	j := m.Job("wk-000001")
+	p := j.Tasks[0].Place
+	p.Seen, p.Since, p.Stop = seenRunning, at(5), &Stop{At: at(45)}
+	j.progressed(0, p, true, at(48))
+	if left := m.remaining(j, 0); left < 10 || left > 30 {
+		t.Errorf("%v s left of 60 after 40 s were saved", left)
+	}
+	j.progressed(0, &Place{Since: at(50)}, false, at(58))
+	if j.Tasks[0].Progress != 40 {
+		t.Errorf("progress %v after 8 s of work without a checkpoint", j.Tasks[0].Progress)
+	}
+}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -14,6 +14,7 @@
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/election"
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/mesh"
 	"github.com/umberdeal/umberdeal/state"
@@ -63,7 +64,7 @@
 			break
 		}
 		l.log.Info("records not loaded, retrying", "err", err)
-		if !pause(ctx, 300*time.Millisecond) {
+		if !call.Pause(ctx, 300*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
@@ -248,7 +249,7 @@
 			l.term.Resign()
 			return
 		case err != nil:
-			pause(ctx, time.Duration(200+rand.IntN(300))*time.Millisecond)
+			call.Pause(ctx, time.Duration(200+rand.IntN(300))*time.Millisecond)
 		default:
 			l.apply(ev)
 			l.pushStops(ctx)
@@ -390,7 +391,7 @@
 			continue
 		}
 		l.settle(ctx, b, err)
-		if !pause(ctx, time.Duration(50+rand.IntN(150))*time.Millisecond) {
+		if !call.Pause(ctx, time.Duration(50+rand.IntN(150))*time.Millisecond) {
 			return
 		}
 	}
@@ -472,7 +473,7 @@
 			l.pushStops(ctx)
 			kick(l.flushKick)
 		}
-		if !pause(ctx, 40*time.Millisecond) {
+		if !call.Pause(ctx, 40*time.Millisecond) {
 			return
 		}
 	}
@@ -513,7 +514,7 @@
 	every := max(4*time.Second, time.Duration(4/l.n.cfg.Cluster.Cloud.RPS*float64(time.Second)))
 	var listed time.Time
 	typesKept := false
-	for pause(ctx, 300*time.Millisecond) {
+	for call.Pause(ctx, 300*time.Millisecond) {
 		if !l.term.Valid() {
 			continue
 		}
@@ -533,7 +534,7 @@
 		list, err := l.n.cloud.List(ctx)
 		if err != nil {
 			l.log.Debug("machine list", "err", err)
-			pause(ctx, time.Second)
+			call.Pause(ctx, time.Second)
 			continue
 		}
 		listed = time.Now()
@@ -558,7 +559,7 @@
 func (l *leadership) giveBack(ctx context.Context, names []string) {
 	if err := l.n.cloud.Delete(ctx, names); err != nil {
 		l.log.Info("machines not returned, retrying", "count", len(names), "err", err)
-		pause(ctx, time.Second)
+		call.Pause(ctx, time.Second)
 		return
 	}
 	now := time.Now()
--- a/controller/node.go
+++ b/controller/node.go
@@ -160,17 +160,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // stateOK says whether the state service serves this node.
 func (n *Node) stateOK() bool {
 	ok, bad := n.state.Served()
@@ -190,7 +179,7 @@
 		} else {
 			n.askPeers(ctx)
 		}
-		if !pause(ctx, time.Second) {
+		if !call.Pause(ctx, time.Second) {
 			return
 		}
 	}
@@ -249,7 +238,7 @@
 				l.setTypes(types)
 			}
 		}
-		if !pause(ctx, wait) {
+		if !call.Pause(ctx, wait) {
 			return
 		}
 	}
--- a/controller/users.go
+++ b/controller/users.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/mesh"
 	"github.com/umberdeal/umberdeal/state"
@@ -147,7 +148,7 @@
 func retryRefused(ctx context.Context, f func() error) error {
 	for try := 0; ; try++ {
 		err := f()
-		if !errors.Is(err, state.ErrRefused) || try >= 3 || !pause(ctx, time.Duration(80+60*try)*time.Millisecond) {
+		if !errors.Is(err, state.ErrRefused) || try >= 3 || !call.Pause(ctx, time.Duration(80+60*try)*time.Millisecond) {
 			return err
 		}
 	}
--- a/election/election.go
+++ b/election/election.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -113,21 +114,12 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Run follows the leader key and stands for it whenever it is free.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := e.round(ctx); err != nil && ctx.Err() == nil {
 			e.Log.Debug("election", "err", err)
-			pause(ctx, jitter(300*time.Millisecond))
+			call.Pause(ctx, jitter(300*time.Millisecond))
 		}
 	}
 }
@@ -159,7 +151,7 @@
 	}
 	e.setLeader("")
 	if e.abstaining() {
-		pause(ctx, 500*time.Millisecond)
+		call.Pause(ctx, 500*time.Millisecond)
 		return nil
 	}
 	return e.stand(ctx)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -72,3 +72,15 @@
 	}
 	return resp.StatusCode, out, nil
 }
+
+// Pause waits, and says whether it did so to the end.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -107,7 +107,7 @@
 }
 
 func (m *machine) run() {
-	if !sleep(m.ctx, m.boot) {
+	if !call.Pause(m.ctx, m.boot) {
 		return
 	}
 	l, err := m.w.Net.Listen("tcp", m.addr)
@@ -129,7 +129,7 @@
 }
 
 func (m *machine) steps() {
-	for sleep(m.ctx, stepEvery) {
+	for call.Pause(m.ctx, stepEvery) {
 		m.w.mu.Lock()
 		// A machine that hangs resumes within its lease or not at all with
 		// what it had.
@@ -207,13 +207,13 @@
 		m.w.mu.Unlock()
 		since := time.Since(last)
 		if hung || since < interval && !(changed && since >= 500*time.Millisecond) {
-			if !sleep(m.ctx, stepEvery) {
+			if !call.Pause(m.ctx, stepEvery) {
 				return
 			}
 			continue
 		}
 		last = time.Now()
-		if !m.send(last) && !sleep(m.ctx, time.Second) {
+		if !m.send(last) && !call.Pause(m.ctx, time.Second) {
 			return
 		}
 	}
@@ -359,14 +359,3 @@
 }
 
 func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -66,7 +66,7 @@
 			}
 			return false
 		}
-		if !sleep(w.ctx, time.Second) {
+		if !call.Pause(w.ctx, time.Second) {
 			return false
 		}
 	}
@@ -134,7 +134,7 @@
 			w.told(id, s.State)
 			return s.State
 		}
-		if !sleep(w.ctx, time.Second) {
+		if !call.Pause(w.ctx, time.Second) {
 			break
 		}
 	}
@@ -147,7 +147,7 @@
 		if w.Poll(w.Any(), id) == state {
 			return true
 		}
-		if !sleep(w.ctx, 500*time.Millisecond) {
+		if !call.Pause(w.ctx, 500*time.Millisecond) {
 			return false
 		}
 	}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -14,6 +14,7 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/controller"
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -334,7 +335,7 @@
 	w.wg.Add(1)
 	go func() {
 		defer w.wg.Done()
-		if sleep(m.ctx, in) {
+		if call.Pause(m.ctx, in) {
 			m.kill()
 			w.Cloud.mu.Lock()
 			delete(w.Cloud.machines, name)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -52,39 +52,28 @@
 
 var errBusy = errors.New("busy")
 
-func (m *Mesh) enter() (func(), error) {
+// serve runs a request of another node, as long as not too many are under way.
+func (m *Mesh) serve(f func(ctx context.Context)) error {
 	select {
 	case m.sem <- struct{}{}:
-		return func() { <-m.sem }, nil
+		defer func() { <-m.sem }()
 	default:
-		return nil, errBusy
+		return errBusy
 	}
+	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
+	defer cancel()
+	f(ctx)
+	return nil
 }
 
 // Report handles a worker's report that another node received.
 func (m *Mesh) Report(r Request, a *Answer) error {
-	leave, err := m.enter()
-	if err != nil {
-		return err
-	}
-	defer leave()
-	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
-	defer cancel()
-	*a = m.h.Report(ctx, r.Body)
-	return nil
+	return m.serve(func(ctx context.Context) { *a = m.h.Report(ctx, r.Body) })
 }
 
 // User handles a user's request that another node could not serve.
 func (m *Mesh) User(r Request, a *Answer) error {
-	leave, err := m.enter()
-	if err != nil {
-		return err
-	}
-	defer leave()
-	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
-	defer cancel()
-	*a = m.h.User(ctx, r)
-	return nil
+	return m.serve(func(ctx context.Context) { *a = m.h.User(ctx, r) })
 }
 
 // Status says how this node is.
