--- a/controller/node.go
+++ b/controller/node.go
@@ -166,12 +166,22 @@
 	return ok.After(bad) && time.Since(ok) < 5*time.Second
 }
 
-// watchHealth probes the state service, and the other nodes while it fails.
+// watchHealth probes the state service, and the other nodes while it fails. An
+// operator who gave a wrong address, or whose service is out, is told so once.
 func (n *Node) watchHealth(ctx context.Context) {
+	served := true
 	for {
 		pctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
 		_, err := n.state.Get(pctx, election.Key)
 		cancel()
+		if ctx.Err() == nil && served != (err == nil) {
+			served = err == nil
+			if served {
+				n.log.Info("state service reached again")
+			} else {
+				n.log.Info("state service not reached, retrying", "err", err)
+			}
+		}
 		if err == nil {
 			n.mu.Lock()
 			n.begun = true
