--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -103,7 +103,8 @@
 func TestAbsenceProvesNothingWithoutThisLeadersToken(t *testing.T) {
 	m := newModel(9)
 	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
-	m.LoadChunk("wk-000001", 0, ledger.ChunkRecord{Attempt: 3, Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}, 2, at(0))
+	m.LoadPage(0, ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001", Attempt: 3,
+		Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}}}, 2, at(0))
 	m.Loaded(at(0))
 	task := &m.Job("wk-000001").Tasks[0]
 	// An answer of the earlier leader may still be on its way to this worker.
@@ -201,7 +202,7 @@
 	answer(t, m, rep(1, 5), at(0))
 	m.Schedule(at(1), 0)
 	b := m.NextBatch(12)
-	key := ledger.ChunkKey("wk-000001", 0)
+	key := ledger.PageKey(0)
 	m.Failed(b)
 	m.Reread(b, key, 77) // it had been applied after all
 	b = m.NextBatch(12)
@@ -215,7 +216,8 @@
 func TestMovesSurviveAChangeOfLeader(t *testing.T) {
 	m := newModel(9)
 	m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
-	m.LoadChunk("wk-000001", 0, ledger.ChunkRecord{Attempt: 3, Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}, 2, at(0))
+	m.LoadPage(0, ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001", Attempt: 3,
+		Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}}}, 2, at(0))
 	m.LoadCycle("a/m", ledger.CycleRecord{Moves: []ledger.Move{{Task: "wk-000001/0", Attempt: 3, From: "host-1", To: "host-2"}},
 		CoolUntil: at(60).UnixMilli()}, at(0))
 	running := wire.TaskReport{Task: "wk-000001/0", Attempt: 3, State: wire.TaskRunning}
--- a/cluster/estimate.go
+++ b/cluster/estimate.go
@@ -73,20 +73,39 @@
 // its completed tasks took says most, then what is known of its class.
 func (m *Model) expected(j *Job) float64 {
 	est := j.Spec.EstimateS
-	if c := m.classes[j.Spec.Class]; c != nil {
+	c := m.classes[j.Spec.Class]
+	now := basis{ranN: j.ranN}
+	if c != nil {
+		now.n, now.seen = c.runs.n, c.runs.seen
+	}
+	if j.basis == now && j.guess > 0 {
+		return j.guess // a pass asks this of every task that runs or waits
+	}
+	if c != nil {
 		est = c.runs.expect(est)
 	}
 	if j.ranN > 0 && est > 0 {
 		w := 2 * float64(j.ranN)
 		est = math.Exp((math.Log(est) + w*math.Log(j.ranSum/float64(j.ranN))) / (1 + w))
 	}
+	j.basis, j.guess = now, est
 	return est
 }
 
+// basis is what an expectation was worked out from.
+type basis struct {
+	ranN    int
+	n, seen float64
+}
+
 // remaining is how long a waiting task should still run.
 func (m *Model) remaining(j *Job, task int32) float64 {
-	est := m.expected(j)
-	return max(est-float64(j.Tasks[task].Progress), min(est, 5))
+	return rest(m.expected(j), &j.Tasks[task])
+}
+
+// rest is what is left of a task's run time, given the whole.
+func rest(est float64, t *Task) float64 {
+	return max(est-float64(t.Progress), min(est, 5))
 }
 
 // progressed takes in how far an attempt that did not complete has brought its
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -1,7 +1,7 @@
 package cluster
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/umberdeal/umberdeal/ledger"
@@ -15,9 +15,22 @@
 	Ops    []wire.Op
 	// Committed takes the revision in after a success.
 	Committed func(rev uint64, now time.Time)
-	// Conflicts are what to do about keys whose condition failed.
-	chunks map[string]chunkRef
-	jobs   map[string]*Job
+
+	pages map[string]*page
+	jobs  map[string]*Job
+	after []func(rev uint64, now time.Time)
+	bytes int
+}
+
+// page is a key of the state service on which placement records of several
+// jobs stand.
+type page struct {
+	n         int
+	version   uint64
+	gen       uint64 // counts changes
+	committed uint64 // the last change that is in the store
+	chunks    []chunkRef
+	size      int // the most bytes that its records take
 }
 
 type chunkRef struct {
@@ -25,56 +38,240 @@
 	n int
 }
 
-// maxBytes keeps a transaction well below the service's limit of 64 KiB.
-const maxBytes = 40 << 10
+const (
+	// maxBytes keeps a transaction well below the service's limit of 64 KiB.
+	maxBytes = 48 << 10
+	// donesAtOnce bounds the jobs that are ended by a transaction that also
+	// places tasks, so that the conditions of both fit.
+	donesAtOnce = 4
+)
+
+// maxGuards is how many conditions a transaction may have, the leader key's
+// left out.
+func (m *Model) maxGuards() int {
+	ops := m.cfg.Cluster.State.TxnOps
+	if ops <= 0 {
+		ops = 12
+	}
+	return 4*ops - 1
+}
+
+// pageBytes and pageChunks bound a page, so that whatever becomes of its
+// records it fits into a value, and their conditions into a transaction.
+func (m *Model) pageBytes() int {
+	kb := m.cfg.Cluster.State.ValueKB
+	if kb <= 0 {
+		kb = 16
+	}
+	return int(kb*1024) - 256
+}
+
+func (m *Model) pageChunks() int { return m.maxGuards() - 2 - 2*donesAtOnce }
+
+// findPage gives a chunk the first page with room for all that may ever be
+// said of its tasks, so that it never has to move.
+func (m *Model) findPage(j *Job, n int) {
+	size := m.chunkSize(j, n)
+	for _, p := range m.pages {
+		if p.size+size <= m.pageBytes() && len(p.chunks) < m.pageChunks() {
+			m.putOn(p, j, n)
+			return
+		}
+	}
+	p := &page{n: len(m.pages)}
+	m.pages = append(m.pages, p)
+	m.putOn(p, j, n)
+}
+
+// chunkSize is the most bytes that a chunk's record takes, in the form in
+// which the service counts them.
+func (m *Model) chunkSize(j *Job, n int) int {
+	tasks := min(ledger.ChunkSize, len(j.Tasks)-n*ledger.ChunkSize)
+	return 80 + len(j.ID) + tasks*(22+max(m.longest, 12))
+}
 
-// NextBatch collects changed records, at most maxOps of them.
+func (m *Model) putOn(p *page, j *Job, n int) {
+	c := &j.Chunks[n]
+	m.takeOff(c) // a chunk stands on one page only
+	c.page, c.size = p, m.chunkSize(j, n)
+	p.chunks = append(p.chunks, chunkRef{j, n})
+	p.size += c.size
+}
+
+func (m *Model) takeOff(c *Chunk) {
+	p := c.page
+	if p == nil {
+		return
+	}
+	p.chunks = slices.DeleteFunc(p.chunks, func(r chunkRef) bool { return &r.j.Chunks[r.n] == c })
+	p.size -= c.size
+	p.gen++
+	c.page = nil
+}
+
+// Pending is how many puts and deletes the next batch would like to have.
+func (m *Model) Pending() int {
+	n := 0
+	for _, idx := range m.dirty {
+		if j := m.Jobs[idx]; j != nil && j.over() {
+			n += 2
+		}
+	}
+	for _, p := range m.pages {
+		if p.gen != p.committed {
+			n++
+		}
+	}
+	if n == 0 && len(m.dirty) > 0 {
+		return 1 // nothing to write, but jobs to be dropped
+	}
+	return n
+}
+
+// Clean says whether all changes have been handed out to be written.
+func (m *Model) Clean() bool { return m.Pending() == 0 }
+
+// over says whether a job is done and its end is to be committed.
+func (j *Job) over() bool { return j.Done == len(j.Tasks) && !j.Cancelled && !j.Finished }
+
+// NextBatch collects changed records, at most maxOps of them. Users wait for
+// the ends of jobs, and machines for placements: these come first.
 func (m *Model) NextBatch(maxOps int) *Batch {
-	b := &Batch{chunks: map[string]chunkRef{}, jobs: map[string]*Job{}}
-	var done []func(rev uint64, now time.Time)
+	b := &Batch{pages: map[string]*page{}, jobs: map[string]*Job{}}
+	fresh, other := m.changedPages()
+	dones := maxOps
+	if len(fresh) > 0 {
+		dones = donesAtOnce
+	}
 	left := m.dirty[:0]
-	bytes := 0
-	full := false
 	for _, idx := range m.dirty {
 		j := m.Jobs[idx]
-		if j == nil {
-			continue
-		}
-		if full {
-			left = append(left, idx)
+		switch {
+		case j == nil:
 			continue
-		}
-		more, f := m.batchJob(b, j, maxOps, &bytes)
-		if f != nil {
-			done = append(done, f)
-		}
-		if more {
-			left = append(left, idx)
-			full = true
+		case j.Finished || j.Cancelled && j.Placed == 0:
+			m.forget(j)
 			continue
+		case j.over():
+			if dones == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.maxGuards() {
+				left = append(left, idx)
+				continue
+			}
+			dones--
+			m.batchDone(b, j)
 		}
 		j.dirty = false
 	}
 	m.dirty = left
+	for _, p := range append(fresh, other...) {
+		if len(b.Ops) >= maxOps {
+			break
+		}
+		m.batchPage(b, p)
+	}
+	m.nextPage++
 	if len(b.Ops) == 0 {
 		return nil
 	}
 	b.Committed = func(rev uint64, now time.Time) {
-		for _, f := range done {
+		for _, f := range b.after {
 			f(rev, now)
 		}
 	}
 	return b
 }
 
-// Clean says whether all changes have been handed out to be written.
-func (m *Model) Clean() bool { return len(m.dirty) == 0 }
+// changedPages lists the pages to be written: those with new placements, and
+// the others. Each begins elsewhere every time, so that none is left out for
+// long where not all can be written.
+func (m *Model) changedPages() (fresh, other []*page) {
+	for i := range m.pages {
+		p := m.pages[(i+m.nextPage)%len(m.pages)]
+		switch {
+		case p.gen == p.committed:
+		case slices.ContainsFunc(p.chunks, func(r chunkRef) bool { c := &r.j.Chunks[r.n]; return c.PlaceGen > c.Committed }):
+			fresh = append(fresh, p)
+		default:
+			other = append(other, p)
+		}
+	}
+	return fresh, other
+}
 
-// Failed puts a batch's jobs back among those to be written.
-func (m *Model) Failed(b *Batch) {
-	for _, c := range b.chunks {
-		m.markDirty(c.j)
+func (m *Model) batchDone(b *Batch, j *Job) {
+	rec := ledger.JobRecord{Job: j.Spec, AtMs: j.At.UnixMilli(), State: wire.JobDone}
+	b.Guards = append(b.Guards, wire.Guard{Key: ledger.JobKey(j.ID), Version: j.Version}, wire.Guard{Key: ledger.FinalKey(j.ID)})
+	b.Ops = append(b.Ops, wire.Op{Delete: ledger.JobKey(j.ID)}, wire.Op{Put: ledger.FinalKey(j.ID), Value: rec})
+	b.jobs[ledger.JobKey(j.ID)] = j
+	b.bytes += 1000
+	b.after = append(b.after, func(_ uint64, now time.Time) {
+		j.Finished = true
+		m.log.Info("job done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
+		m.forget(j)
+	})
+}
+
+// batchPage adds a page, if it fits in beside what is there already.
+func (m *Model) batchPage(b *Batch, p *page) {
+	type written struct {
+		c   *Chunk
+		gen uint64
+	}
+	var (
+		rec    ledger.PageRecord
+		chunks []written
+		guards []wire.Guard
+		bytes  = 200
+	)
+	jobs := map[string]*Job{}
+	for _, r := range p.chunks {
+		c := &r.j.Chunks[r.n]
+		cr := r.j.chunkRecord(r.n)
+		rec.Chunks = append(rec.Chunks, cr)
+		chunks = append(chunks, written{c, c.Gen})
+		bytes += 60 + len(r.j.ID) + (20+m.longest)*len(cr.Placed) + 5*len(cr.Done)
+		key := ledger.JobKey(r.j.ID)
+		if c.PlaceGen > c.Committed && !r.j.Cancelled && b.jobs[key] == nil && jobs[key] == nil {
+			// A placement is only good for a job that is still wanted.
+			guards = append(guards, wire.Guard{Key: key, Version: r.j.Version})
+			jobs[key] = r.j
+			bytes += 60
+		}
 	}
+	if len(b.Ops) > 0 && (b.bytes+bytes > maxBytes || len(b.Guards)+len(guards)+1 > m.maxGuards()) {
+		return
+	}
+	key := ledger.PageKey(p.n)
+	op := wire.Op{Put: key, Value: rec}
+	if len(p.chunks) == 0 {
+		op = wire.Op{Delete: key}
+		if p.version == 0 {
+			p.committed = p.gen // it was never written
+			return
+		}
+	}
+	b.Guards = append(append(b.Guards, guards...), wire.Guard{Key: key, Version: p.version})
+	b.Ops = append(b.Ops, op)
+	b.pages[key] = p
+	for k, j := range jobs {
+		b.jobs[k] = j
+	}
+	b.bytes += bytes
+	gen := p.gen
+	b.after = append(b.after, func(rev uint64, _ time.Time) {
+		p.version, p.committed = rev, gen
+		if op.Delete != "" {
+			p.version = 0
+		}
+		for _, w := range chunks {
+			w.c.Committed = max(w.c.Committed, w.gen)
+		}
+	})
+}
+
+// Failed puts a batch's jobs back among those to be written; its pages still
+// are.
+func (m *Model) Failed(b *Batch) {
 	for _, j := range b.jobs {
 		m.markDirty(j)
 	}
@@ -85,9 +282,9 @@
 // is that of a transaction of its own whose answer was lost; what is in the
 // model is newer.
 func (m *Model) Reread(b *Batch, key string, version uint64) {
-	if c, ok := b.chunks[key]; ok {
-		c.j.Chunks[c.n].Version = version
-		c.j.Chunks[c.n].Exists = version != 0
+	if p := b.pages[key]; p != nil {
+		p.version = version
+		p.gen++ // also where it was to be deleted
 	}
 }
 
@@ -97,118 +294,21 @@
 	return ok
 }
 
-// batchJob adds a job's changes to the batch, and says whether more are left.
-func (m *Model) batchJob(b *Batch, j *Job, maxOps int, bytes *int) (more bool, committed func(uint64, time.Time)) {
-	if j.Done == len(j.Tasks) && !j.Cancelled && !j.Finished {
-		if len(b.Ops)+2 > maxOps {
-			return true, nil
-		}
-		rec := ledger.JobRecord{Job: j.Spec, AtMs: j.At.UnixMilli(), State: wire.JobDone}
-		b.Guards = append(b.Guards, wire.Guard{Key: ledger.JobKey(j.ID), Version: j.Version}, wire.Guard{Key: ledger.FinalKey(j.ID)})
-		b.Ops = append(b.Ops, wire.Op{Delete: ledger.JobKey(j.ID)}, wire.Op{Put: ledger.FinalKey(j.ID), Value: rec})
-		b.jobs[ledger.JobKey(j.ID)] = j
-		*bytes += 1000
-		more, rest := m.removeChunks(b, j, maxOps)
-		return more, func(rev uint64, now time.Time) {
-			j.Finished = true
-			m.log.Info("job done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
-			rest(rev, now)
-		}
-	}
-	if j.Finished || j.Cancelled && j.Placed == 0 {
-		return m.removeChunks(b, j, maxOps)
-	}
-	var refs []int
-	var gens []uint64
-	guarded := false
-	for n := range j.Chunks {
-		c := &j.Chunks[n]
-		if c.Gen == c.Committed {
-			continue
-		}
-		if len(b.Ops)+1 > maxOps || *bytes > maxBytes || len(b.Guards)+3 > 3*maxOps {
-			more = true
-			break
-		}
-		rec := j.chunkRecord(n)
-		if c.PlaceGen > c.Committed && !j.Cancelled && !guarded {
-			// A placement is only good for a job that is still wanted.
-			guarded = true
-			b.Guards = append(b.Guards, wire.Guard{Key: ledger.JobKey(j.ID), Version: j.Version})
-			b.jobs[ledger.JobKey(j.ID)] = j
-		}
-		key := ledger.ChunkKey(j.ID, n)
-		b.Guards = append(b.Guards, wire.Guard{Key: key, Version: c.Version})
-		b.Ops = append(b.Ops, wire.Op{Put: key, Value: rec})
-		b.chunks[key] = chunkRef{j, n}
-		*bytes += 120 + 48*len(rec.Placed) + 8*len(rec.Done)
-		refs, gens = append(refs, n), append(gens, c.Gen)
-	}
-	return more, func(rev uint64, now time.Time) {
-		for i, n := range refs {
-			c := &j.Chunks[n]
-			c.Version, c.Exists, c.Committed = rev, true, gens[i]
-		}
-	}
-}
-
-func (m *Model) removeChunks(b *Batch, j *Job, maxOps int) (more bool, committed func(uint64, time.Time)) {
-	var refs []int
-	left := 0
-	for n := range j.Chunks {
-		c := &j.Chunks[n]
-		if !c.Exists && c.Version == 0 && c.Gen == 0 {
-			continue
-		}
-		if !c.Exists {
-			continue
-		}
-		if len(b.Ops)+1 > maxOps || len(b.Guards)+3 > 3*maxOps {
-			left++
-			continue
-		}
-		key := ledger.ChunkKey(j.ID, n)
-		b.Guards = append(b.Guards, wire.Guard{Key: key, Version: c.Version})
-		b.Ops = append(b.Ops, wire.Op{Delete: key})
-		b.chunks[key] = chunkRef{j, n}
-		refs = append(refs, n)
-	}
-	if left == 0 && len(refs) == 0 {
-		// A record that may have been written by a lost transaction is found
-		// by the next leader, and removed there.
-		over := j.Finished || j.Cancelled
-		if over {
-			m.forget(j)
-		}
-		return false, func(uint64, time.Time) {
-			if !over {
-				m.forget(j)
-			}
-		}
-	}
-	return left > 0, func(rev uint64, now time.Time) {
-		for _, n := range refs {
-			j.Chunks[n].Exists = false
-			j.Chunks[n].Version = 0
-		}
-		if left == 0 {
-			m.forget(j)
-		} else {
-			m.markDirty(j)
-		}
-	}
-}
-
+// forget drops a job that is over. Its records leave their pages with the
+// pages' next change; a leader that finds them sees that the job is over.
 func (m *Model) forget(j *Job) {
 	if m.Jobs[j.Idx] == nil || j.Placed > 0 {
 		return
 	}
+	for n := range j.Chunks {
+		m.takeOff(&j.Chunks[n])
+	}
 	m.Jobs[j.Idx] = nil
 	delete(m.jobIdx, j.ID)
 }
 
 func (j *Job) chunkRecord(n int) ledger.ChunkRecord {
-	rec := ledger.ChunkRecord{Attempt: j.Attempt}
+	rec := ledger.ChunkRecord{Job: j.ID, Chunk: n, Attempt: j.Attempt}
 	lo := n * ledger.ChunkSize
 	hi := min(lo+ledger.ChunkSize, len(j.Tasks))
 	for i := lo; i < hi; i++ {
@@ -231,16 +331,17 @@
 }
 
 // sortedRefs lists refs in an order that does not depend on the map's.
-func sortedRefs(set map[Ref]bool) []Ref {
-	out := make([]Ref, 0, len(set))
+func sortedRefs(set map[Ref]bool) []Ref { return sortRefs(set, make([]Ref, 0, len(set))) }
+
+func sortRefs(set map[Ref]bool, out []Ref) []Ref {
 	for r := range set {
 		out = append(out, r)
 	}
-	sort.Slice(out, func(a, b int) bool {
-		if out[a].Job != out[b].Job {
-			return out[a].Job < out[b].Job
+	slices.SortFunc(out, func(a, b Ref) int {
+		if a.Job != b.Job {
+			return int(a.Job - b.Job)
 		}
-		return out[a].Task < out[b].Task
+		return int(a.Task - b.Task)
 	})
 	return out
 }
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -79,14 +79,16 @@
 	Place     *Place
 }
 
-// Chunk is one placement record.
+// Chunk is one placement record. It stands on a page from when its first task
+// is placed until its job is over and none of its tasks can be anywhere.
 type Chunk struct {
-	Version   uint64
 	Gen       uint64 // counts changes
 	Committed uint64 // the last change that is in the store
 	PlaceGen  uint64 // the last change that placed a task
-	Exists    bool
 	Placed    int
+
+	page *page
+	size int // the most bytes that it takes on its page
 }
 
 // Job is a job that is not over, or whose tasks may still be somewhere.
@@ -112,6 +114,8 @@
 	Finished  bool // committed as done
 	ranN      int  // tasks that completed in one go, and
 	ranSum    float64
+	basis     basis // of guess, which is how long a task should run
+	guess     float64
 	Started   bool // gang: the current attempt was seen running
 	Ending    bool // gang: the current attempt is coming to its end
 	NotBefore time.Time
@@ -203,10 +207,19 @@
 	imageIdx   map[string]int32
 	imageSize  []float64
 	live       []int32 // jobs that may be in the model
-	dirty      []int32
+	dirty      []int32 // jobs that may be done, or out of the model
+	pages      []*page
+	nextPage   int   // where writing goes on
+	longest    int   // of the machines' names
 	stops      []Ref // tasks to be told directly
 	refused    map[offerKey]time.Time
 	classes    map[string]*class
+
+	// Reused from pass to pass.
+	viewBuf  []placement.Machine
+	taskBuf  []placement.Occupant
+	imageBuf []placement.ImageAt
+	refBuf   []Ref
 }
 
 type offerKey struct {
@@ -376,15 +389,28 @@
 	m.markDirty(j)
 }
 
-// LoadChunk takes a placement record of an earlier leader in. The job must be
-// there already; cancelled says that it is there only for its placements.
-func (m *Model) LoadChunk(id string, n int, c ledger.ChunkRecord, version uint64, now time.Time) {
-	j := m.Job(id)
-	if j == nil || n >= len(j.Chunks) {
+// LoadPage takes a page of placement records of an earlier leader in. The jobs
+// must be there already, those that are over for their placements only.
+func (m *Model) LoadPage(n int, rec ledger.PageRecord, version uint64, now time.Time) {
+	for len(m.pages) <= n {
+		m.pages = append(m.pages, &page{n: len(m.pages)})
+	}
+	p := m.pages[n]
+	p.version = version
+	for i := range rec.Chunks {
+		m.loadChunk(p, &rec.Chunks[i], now)
+	}
+}
+
+func (m *Model) loadChunk(p *page, c *ledger.ChunkRecord, now time.Time) {
+	j := m.Job(c.Job)
+	if j == nil || c.Chunk < 0 || c.Chunk >= len(j.Chunks) {
+		p.gen++ // of a job that is over: the page is to be written without it
 		return
 	}
-	ch := &j.Chunks[n]
-	ch.Version, ch.Exists = version, true
+	ch := &j.Chunks[c.Chunk]
+	m.putOn(p, j, c.Chunk)
+	ch.Committed = ch.Gen
 	j.Attempt = max(j.Attempt, c.Attempt)
 	for i := 0; i+1 < len(c.Done); i += 2 {
 		for t := c.Done[i]; t <= c.Done[i+1] && t < len(j.Tasks); t++ {
@@ -435,6 +461,7 @@
 		Idx: int32(len(m.Machines)), Name: name, Type: -1, Zone: -1, Tasks: map[Ref]bool{},
 		exits: map[exitKey]*exit{}, IdleSince: now, Created: now, LastSeen: now,
 	}
+	m.longest = max(m.longest, len(name))
 	m.Machines = append(m.Machines, mc)
 	m.machineIdx[name] = mc.Idx
 	return mc
@@ -470,12 +497,16 @@
 	}
 }
 
-func (m *Model) touch(j *Job, task int32) (*Chunk, int) {
+func (m *Model) touch(j *Job, task int32) *Chunk {
 	n := int(task) / ledger.ChunkSize
 	c := &j.Chunks[n]
 	c.Gen++
+	if c.page == nil {
+		m.findPage(j, n)
+	}
+	c.page.gen++
 	m.markDirty(j)
-	return c, n
+	return c
 }
 
 // place books a task on a machine; it is launched once that is committed.
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -22,7 +22,7 @@
 // that as many as possible meet their aims (Moore and Hodgson's rule). Those
 // put off are served for a later aim, if they can meet one beside the others,
 // and else after them, the smallest first.
-func (m *Model) triage(out []ranked, now time.Time) {
+func (m *Model) triage(out []*ranked, now time.Time) {
 	for lo := 0; lo < len(out); {
 		hi := lo + 1
 		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
@@ -31,8 +31,7 @@
 		group := out[lo:hi]
 		lo = hi
 		byClass := map[string][]*ranked{}
-		for i := range group {
-			k := &group[i]
+		for _, k := range group {
 			k.work = m.work(k.j, now)
 			if c := k.j.Spec.Class; !k.missed && len(byClass[c]) < triageJobs {
 				byClass[c] = append(byClass[c], k)
@@ -42,7 +41,7 @@
 			m.triageClass(jobs, now)
 		}
 		sort.SliceStable(group, func(a, b int) bool {
-			x, y := &group[a], &group[b]
+			x, y := group[a], group[b]
 			switch {
 			case x.missed != y.missed:
 				return y.missed
@@ -194,7 +193,7 @@
 	for i := range j.Tasks {
 		switch t := &j.Tasks[i]; t.Phase {
 		case Idle:
-			sum += max(est-float64(t.Progress), min(est, 5))
+			sum += rest(est, t)
 		case Placed:
 			sum += m.left(j, int32(i), now)
 		}
--- a/cluster/triage_test.go
+++ b/cluster/triage_test.go
@@ -16,7 +16,7 @@
 }
 
 func order(m *Model, now float64) (ids []string, late int) {
-	for _, r := range m.requests(at(now)) {
+	for _, r := range m.requests(m.openJobs(), nil, at(now)) {
 		ids = append(ids, r.j.ID)
 		if r.missed {
 			late++
@@ -51,7 +51,7 @@
 	// Both places are taken for about a minute, so that this one can't be in time;
 	// it is served for three times its deadline.
 	due(m, "wk-000002", 1, 80, 2)
-	reqs := m.requests(at(3))
+	reqs := m.requests(m.openJobs(), nil, at(3))
 	if len(reqs) != 1 || reqs[0].missed || reqs[0].due.Before(at(150)) {
 		t.Fatalf("%d wait; missed %v, due %v", len(reqs), reqs[0].missed, reqs[0].due.Sub(t0))
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -165,13 +166,11 @@
 }
 
 // requests lists what waits for room, in the order it is to be served.
-func (m *Model) requests(now time.Time) []ranked {
-	jobs := m.openJobs()
-	in := m.within(jobs)
+func (m *Model) requests(jobs []*Job, in map[int32]bool, now time.Time) []*ranked {
 	for _, c := range m.classes {
 		c.open = 0
 	}
-	var out []ranked
+	var out []*ranked
 	for _, j := range jobs {
 		if c := m.classes[j.Spec.Class]; c != nil {
 			c.open += len(j.Tasks) - j.Done
@@ -180,9 +179,10 @@
 		if !ok {
 			continue
 		}
-		k := ranked{j: j, within: in[j.Idx], req: r}
+		k := &ranked{j: j, within: in[j.Idx], req: r}
+		est := m.expected(j)
 		for _, t := range r.Tasks {
-			k.left = max(k.left, m.remaining(j, t))
+			k.left = max(k.left, rest(est, &j.Tasks[t]))
 		}
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, now)
 		k.next(now)
@@ -190,7 +190,7 @@
 		out = append(out, k)
 	}
 	sort.SliceStable(out, func(a, b int) bool {
-		x, y := &out[a], &out[b]
+		x, y := out[a], out[b]
 		switch {
 		case x.within != y.within:
 			return x.within
@@ -321,6 +321,9 @@
 // stop each other's in turn, over and over.
 func (m *Model) over(within map[int32]bool) map[Ref]bool {
 	out := map[Ref]bool{}
+	if !slices.ContainsFunc(m.guarantee, func(g placement.Res) bool { return g != placement.Res{} }) {
+		return out // nobody may claim anything
+	}
 	type cand struct {
 		ref Ref
 		at  time.Time
@@ -373,13 +376,13 @@
 	if j.Spec.Kind == wire.KindService {
 		return 1e9
 	}
-	p, rest := j.Tasks[task].Place, m.remaining(j, task)
+	p, more := j.Tasks[task].Place, m.remaining(j, task)
 	if p.Seen < seenRunning || p.Since.IsZero() {
-		return 5 + rest
+		return 5 + more
 	}
 	ran := now.Sub(p.Since).Seconds()
 	// One that has run past what was expected is likely to run on for a while.
-	return max(5, ran/5, rest-ran)
+	return max(5, ran/5, more-ran)
 }
 
 func (m *Model) machineView(mc *Machine, over map[Ref]bool, now time.Time) (placement.Machine, bool) {
@@ -397,34 +400,37 @@
 		v.Price = t.Spot
 	}
 	v.Free = t.Cap.Add(mc.Used, -1).Add(mc.orphans, -1)
-	v.Images = make(map[int32]float64, len(mc.images)+2)
+	images := len(m.imageBuf)
 	if now.Before(mc.Suspect) {
 		v.Slow = 300
 	}
 	if mc.speed > 1.5 {
 		v.Slow += 20 * mc.speed
 	}
-	for _, ref := range sortedRefs(mc.Tasks) {
+	tasks := len(m.taskBuf)
+	m.refBuf = sortRefs(mc.Tasks, m.refBuf[:0])
+	for _, ref := range m.refBuf {
 		j := m.Jobs[ref.Job]
 		p := j.Tasks[ref.Task].Place
 		if p.Seen < seenWaiting && t.Fetch > 0 && !mc.has(j.Image) {
 			left := max(0.5, j.Spec.ImageGB/t.Fetch-now.Sub(p.At).Seconds())
-			if _, ok := v.Images[j.Image]; !ok {
-				v.Images[j.Image] = left
+			if !slices.ContainsFunc(m.imageBuf[images:], func(im placement.ImageAt) bool { return im.Image == j.Image }) {
+				m.imageBuf = append(m.imageBuf, placement.ImageAt{Image: j.Image, In: left})
 				v.Backlog += left
 			}
 		}
 		if p.Stop != nil {
 			v.Coming = v.Coming.Add(j.Need, 1)
 		}
-		v.Tasks = append(v.Tasks, placement.Occupant{
+		m.taskBuf = append(m.taskBuf, placement.Occupant{
 			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref],
 			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
 		})
 	}
 	for _, im := range mc.images {
-		v.Images[im] = 0
+		m.imageBuf = append(m.imageBuf, placement.ImageAt{Image: im})
 	}
+	v.Images, v.Tasks = m.imageBuf[images:], m.taskBuf[tasks:]
 	return v, true
 }
 
@@ -454,9 +460,12 @@
 
 // Schedule places what waits, stops what must make room and says what to rent.
 func (m *Model) Schedule(now time.Time, renting int) Decisions {
-	reqs := m.requests(now)
-	over := m.over(m.within(m.openJobs()))
-	in := placement.Input{Preempt: true, RentMax: max(0, 12-renting)}
+	jobs := m.openJobs()
+	within := m.within(jobs)
+	reqs := m.requests(jobs, within, now)
+	over := m.over(within)
+	in := placement.Input{Machines: m.viewBuf[:0], Preempt: true, RentMax: max(0, 12-renting)}
+	m.taskBuf, m.imageBuf = m.taskBuf[:0], m.imageBuf[:0]
 	back := make([]int32, 0, len(m.Machines))
 	fwd := make(map[int]int, len(m.Machines))
 	for _, mc := range m.Machines {
@@ -469,7 +478,7 @@
 	reserved := map[string]bool{}
 	job := make([]*Job, 0, len(reqs)+4)
 	for k := range reqs {
-		for _, r := range m.reserves(&reqs[k], reserved, now) {
+		for _, r := range m.reserves(reqs[k], reserved, now) {
 			in.Requests = append(in.Requests, r)
 			job = append(job, nil)
 		}
@@ -487,7 +496,7 @@
 		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
 		in.Requests = append(in.Requests, r)
 	}
-	for _, r := range m.phantoms(now) {
+	for _, r := range m.phantoms(jobs, now) {
 		in.Requests = append(in.Requests, r)
 		job = append(job, nil)
 	}
@@ -496,6 +505,7 @@
 	in.Offers, offers = m.offers(now)
 
 	plan := placement.Make(&in)
+	m.viewBuf = in.Machines
 
 	d := Decisions{Rent: map[Offer]int{}}
 	attempts := map[int32]uint64{}
@@ -514,7 +524,7 @@
 			attempts[j.Idx] = a
 		}
 		m.place(j, s.Task, mc, a, now)
-		c, _ := m.touch(j, s.Task)
+		c := m.touch(j, s.Task)
 		c.PlaceGen = c.Gen
 		d.Started++
 		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
@@ -612,8 +622,8 @@
 
 // phantoms are requests that no job has made: room kept for jobs that are
 // likely to come, where no aim speaks of the price.
-func (m *Model) phantoms(now time.Time) []placement.Request {
-	if m.Headroom <= 0 || m.thrifty() || len(m.openJobs()) == 0 {
+func (m *Model) phantoms(jobs []*Job, now time.Time) []placement.Request {
+	if m.Headroom <= 0 || m.thrifty() || len(jobs) == 0 {
 		return nil
 	}
 	var out []placement.Request
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/umberdeal/umberdeal/cloud"
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/config"
@@ -42,7 +44,8 @@
 	turned  chan struct{} // closed and replaced when a pass or a batch ends
 	renting bool
 	bons    int
-	lastAny time.Time // when a worker last reported here itself
+	userOps []time.Time // users' changes of the last seconds
+	lastAny time.Time   // when a worker last reported here itself
 }
 
 func kick(c chan struct{}) {
@@ -121,17 +124,20 @@
 		}
 	}
 	for _, it := range items {
-		id, chunk, ok := ledger.ParseChunkKey(it.Key)
+		n, ok := ledger.ParsePageKey(it.Key)
 		if !ok {
 			continue
 		}
-		var rec ledger.ChunkRecord
+		var rec ledger.PageRecord
 		if err := wire.Unmarshal(it.Value, &rec); err != nil {
 			return fmt.Errorf("%s: %w", it.Key, err)
 		}
-		if m.Job(id) == nil {
+		for _, c := range rec.Chunks {
+			if m.Job(c.Job) != nil || len(c.Placed) == 0 {
+				continue
+			}
 			// The job is over, but its tasks may still be somewhere.
-			e, err := st.Get(ctx, ledger.FinalKey(id))
+			e, err := st.Get(ctx, ledger.FinalKey(c.Job))
 			if err != nil {
 				return err
 			}
@@ -140,10 +146,10 @@
 				if err := wire.Unmarshal(e.Value, &over); err != nil {
 					return fmt.Errorf("%s: %w", it.Key, err)
 				}
-				m.LoadCancelled(id, over)
+				m.LoadCancelled(c.Job, over)
 			}
 		}
-		m.LoadChunk(id, chunk, rec, it.Version, now)
+		m.LoadPage(n, rec, it.Version, now)
 	}
 	for _, it := range cycles {
 		var rec ledger.CycleRecord
@@ -183,6 +189,9 @@
 		}
 		if e.Delete != "" {
 			if id, ok := ledger.ParseJobKey(e.Delete); ok {
+				if j := l.m.Job(id); j != nil && !j.Finished && j.Done < len(j.Tasks) {
+					l.userOps = append(l.userOps, now, now)
+				}
 				l.m.RemoveJob(id, now)
 			}
 			continue
@@ -194,6 +203,7 @@
 				continue
 			}
 			l.m.PutJob(id, rec, e.Version, now)
+			l.userOps = append(l.userOps, now)
 		}
 	}
 	l.rev = max(l.rev, ev.Revision)
@@ -215,7 +225,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	ev, err := l.n.state.Follow(ctx, ledger.Active, l.revision(), 0)
+	ev, err := l.n.state.Follow(ctx, ledger.Jobs, l.revision(), 0)
 	if err != nil {
 		return err
 	}
@@ -242,7 +252,7 @@
 // follow learns of submissions and cancellations as they are committed.
 func (l *leadership) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		ev, err := l.n.state.Follow(ctx, ledger.Active, l.revision(), 8*time.Second)
+		ev, err := l.n.state.Follow(ctx, ledger.Jobs, l.revision(), 8*time.Second)
 		switch {
 		case errors.Is(err, state.ErrTooOld):
 			l.log.Info("the watch fell behind; beginning anew")
@@ -365,17 +375,22 @@
 	return wire.Guard{Key: election.Key, Version: l.term.Token}
 }
 
-// flush writes changed records, and resigns where the leader key is lost.
+// flush writes changed records, and resigns where the leader key is lost. It
+// waits for its share of the state service's changes first and collects then,
+// so that whatever has changed meanwhile goes along.
 func (l *leadership) flush(ctx context.Context) {
 	sl := l.n.cfg.Cluster.State
-	maxOps := max(3, min(sl.TxnOps, int(sl.WriteRPS*0.7)))
+	burst := max(3, min(sl.TxnOps, int(sl.WriteRPS*0.7)))
+	share := rate.NewLimiter(rate.Limit(sl.WriteRPS*0.7), burst)
 	for {
 		l.mu.Lock()
-		b := l.m.NextBatch(maxOps)
-		l.writing = b != nil
-		l.turn()
+		want := min(l.m.Pending(), burst)
+		if want == 0 {
+			l.writing = false
+			l.turn()
+		}
 		l.mu.Unlock()
-		if b == nil {
+		if want == 0 {
 			select {
 			case <-ctx.Done():
 				return
@@ -383,6 +398,18 @@
 			}
 			continue
 		}
+		share.SetLimit(l.share())
+		if err := share.WaitN(ctx, want); err != nil {
+			return
+		}
+		l.mu.Lock()
+		b := l.m.NextBatch(want)
+		l.writing = b != nil
+		l.turn()
+		l.mu.Unlock()
+		if b == nil {
+			continue
+		}
 		rev, err := l.n.state.Commit(ctx, append([]wire.Guard{l.guard()}, b.Guards...), b.Ops)
 		if err == nil {
 			l.mu.Lock()
@@ -397,6 +424,25 @@
 	}
 }
 
+// usersOver is over how many seconds users' changes are averaged.
+const usersOver = 5
+
+// share is how many changes a second are left for the leader's bookkeeping:
+// users' submissions and cancellations come first.
+func (l *leadership) share() rate.Limit {
+	w := l.n.cfg.Cluster.State.WriteRPS
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	recent := l.userOps[:0]
+	for _, at := range l.userOps {
+		if time.Since(at) < usersOver*time.Second {
+			recent = append(recent, at)
+		}
+	}
+	l.userOps = recent
+	return rate.Limit(max(0.4*w, 0.9*w-1.5*float64(len(recent))/usersOver))
+}
+
 // settle finds out why a batch was not committed.
 func (l *leadership) settle(ctx context.Context, b *cluster.Batch, err error) {
 	l.log.Debug("commit", "err", err, "ops", len(b.Ops))
@@ -440,9 +486,10 @@
 		case <-tick.C:
 		case <-l.schedKick:
 		}
+		pause := 40 * time.Millisecond
 		if l.term.Valid() {
-			now := time.Now()
 			l.mu.Lock()
+			now := time.Now()
 			if l.unreached(now) {
 				l.mu.Unlock()
 				l.log.Info("no worker reaches this leader: giving leadership up")
@@ -466,6 +513,9 @@
 				cycle = now
 				moves = l.m.PlanMoves(d.Wanted, now)
 			}
+			// The larger the cluster, the longer a pass: reports, renewals and
+			// users get most of the processor even so.
+			pause = max(pause, passShare*time.Since(now))
 			l.mu.Unlock()
 			for g, rec := range moves {
 				l.beginMoves(ctx, g, rec)
@@ -473,12 +523,15 @@
 			l.pushStops(ctx)
 			kick(l.flushKick)
 		}
-		if !call.Pause(ctx, 40*time.Millisecond) {
+		if !call.Pause(ctx, pause) {
 			return
 		}
 	}
 }
 
+// passShare is how many times as long as a pass the leader does other things.
+const passShare = 3
+
 // abstainFor is for how long a leader that workers did not reach leaves the
 // leadership to others.
 const abstainFor = 20 * time.Second
--- a/controller/node.go
+++ b/controller/node.go
@@ -73,7 +73,7 @@
 	sl := cfg.Cluster.State
 	n := &Node{
 		cfg: cfg, tuning: tuning, log: log, net: nw,
-		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.7, sl.WriteRPS*0.7),
+		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.7, sl.WriteRPS),
 		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
 		workers:  worker.New(nw.Dial),
 		users:    make(chan struct{}, 96),
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -14,43 +14,42 @@
 // and one listing give all that a leader needs.
 const (
 	Active   = "w/"
-	jobs     = "w/j/"
-	chunks   = "w/t/"
+	Jobs     = "w/j/" // the part of it that users' requests change
+	pages    = "w/p/"
 	final    = "f/"
 	Rentals  = "r/"
 	Cycles   = "x/"
 	TypesKey = "c/types"
 )
 
-// ChunkSize is how many tasks share one placement record.
+// ChunkSize is how many tasks of a job share one placement record. The records
+// of many jobs share a page, which is one key: with thousands of tasks there
+// are far more records that change each second than the state service takes
+// changes.
 const ChunkSize = 100
 
 // JobKey is the key of an unfinished job.
-func JobKey(id string) string { return jobs + id }
+func JobKey(id string) string { return Jobs + id }
 
 // FinalKey is the key of a finished or cancelled job, kept for good.
 func FinalKey(id string) string { return final + id }
 
-// ChunkKey is the key of a chunk of placements.
-func ChunkKey(id string, chunk int) string { return chunks + id + "/" + strconv.Itoa(chunk) }
+// PageKey is the key of a page of placement records.
+func PageKey(page int) string { return pages + strconv.Itoa(page) }
 
-// ParseJobKey takes a JobKey apart.
-func ParseJobKey(key string) (id string, ok bool) { return strings.CutPrefix(key, jobs) }
-
-// ParseChunkKey takes a ChunkKey apart.
-func ParseChunkKey(key string) (id string, chunk int, ok bool) {
-	rest, ok := strings.CutPrefix(key, chunks)
-	if !ok {
-		return "", 0, false
-	}
-	id, num, ok := strings.Cut(rest, "/")
+// ParsePageKey takes a PageKey apart.
+func ParsePageKey(key string) (page int, ok bool) {
+	num, ok := strings.CutPrefix(key, pages)
 	if !ok {
-		return "", 0, false
+		return 0, false
 	}
-	chunk, err := strconv.Atoi(num)
-	return id, chunk, err == nil && chunk >= 0
+	page, err := strconv.Atoi(num)
+	return page, err == nil && page >= 0
 }
 
+// ParseJobKey takes a JobKey apart.
+func ParseJobKey(key string) (id string, ok bool) { return strings.CutPrefix(key, Jobs) }
+
 // JobRecord is an accepted job, or its end.
 type JobRecord struct {
 	Job   wire.Job `msgpack:"job"`
@@ -58,8 +57,15 @@
 	State string   `msgpack:"st,omitempty"` // JobDone or JobCancelled once it is over
 }
 
+// PageRecord is the value of a page.
+type PageRecord struct {
+	Chunks []ChunkRecord `msgpack:"c"`
+}
+
 // ChunkRecord says where the tasks of a chunk may be.
 type ChunkRecord struct {
+	Job     string      `msgpack:"j"`
+	Chunk   int         `msgpack:"n"`
 	Attempt uint64      `msgpack:"a"` // highest attempt ever used here
 	Placed  []Placement `msgpack:"p"`
 	Done    []int       `msgpack:"d"` // ranges: first, last, first, last
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -33,8 +33,20 @@
 type activeJob struct {
 	rec     JobRecord
 	version uint64
-	done    map[int]int
-	placed  map[int]int
+	chunks  map[int]counts
+}
+
+// counts is what a job's display needs of a chunk, and the page it stands on.
+type counts struct{ page, done, placed int }
+
+type page struct {
+	version uint64 // to apply no older change
+	chunks  []chunkName
+}
+
+type chunkName struct {
+	job   string
+	chunk int
 }
 
 // Reader answers what state jobs are in, as current as a read of the records
@@ -48,7 +60,7 @@
 	loaded bool
 	rev    uint64
 	jobs   map[string]*activeJob
-	chunks map[string]uint64 // version of each chunk key, to apply no older change
+	pages  map[int]*page
 	finals map[string]JobRecord
 	order  []string
 }
@@ -123,7 +135,7 @@
 	}
 	r.mu.Lock()
 	r.loaded, r.rev = true, rev
-	r.jobs, r.chunks = map[string]*activeJob{}, map[string]uint64{}
+	r.jobs, r.pages = map[string]*activeJob{}, map[int]*page{}
 	for _, it := range items {
 		r.put(it.Key, it.Value, it.Version)
 	}
@@ -142,12 +154,19 @@
 }
 
 func (r *Reader) apply(ev wire.Events) {
+	// A page may have changed many times since: only its last state counts.
+	last := map[string]uint64{}
+	for i := range ev.Log {
+		if e := &ev.Log[i]; e.Delete == "" {
+			last[e.Put] = max(last[e.Put], e.Version)
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range ev.Log {
 		if e.Delete != "" {
 			r.remove(e.Delete, e.Version)
-		} else {
+		} else if e.Version == last[e.Put] {
 			r.put(e.Put, e.Value, e.Version)
 		}
 	}
@@ -157,7 +176,7 @@
 func (r *Reader) job(id string) *activeJob {
 	j := r.jobs[id]
 	if j == nil {
-		j = &activeJob{done: map[int]int{}, placed: map[int]int{}}
+		j = &activeJob{chunks: map[int]counts{}}
 		r.jobs[id] = j
 	}
 	return j
@@ -172,17 +191,36 @@
 		}
 		return
 	}
-	id, n, ok := ParseChunkKey(key)
-	if !ok || version <= r.chunks[key] {
-		return
+	if n, ok := ParsePageKey(key); ok {
+		var rec PageRecord
+		if wire.Unmarshal(v, &rec) == nil {
+			r.setPage(n, rec.Chunks, version)
+		}
 	}
-	var c ChunkRecord
-	if wire.Unmarshal(v, &c) != nil {
+}
+
+// setPage replaces what stands on a page.
+func (r *Reader) setPage(n int, chunks []ChunkRecord, version uint64) {
+	p := r.pages[n]
+	if p == nil {
+		p = &page{}
+		r.pages[n] = p
+	}
+	if version <= p.version {
 		return
 	}
-	r.chunks[key] = version
-	j := r.job(id)
-	j.done[n], j.placed[n] = c.DoneCount(), len(c.Placed)
+	for _, c := range p.chunks {
+		if j := r.jobs[c.job]; j != nil && j.chunks[c.chunk].page == n {
+			delete(j.chunks, c.chunk)
+			r.drop(c.job, j)
+		}
+	}
+	p.version, p.chunks = version, p.chunks[:0]
+	for i := range chunks {
+		c := &chunks[i]
+		p.chunks = append(p.chunks, chunkName{c.Job, c.Chunk})
+		r.job(c.Job).chunks[c.Chunk] = counts{page: n, done: c.DoneCount(), placed: len(c.Placed)}
+	}
 }
 
 func (r *Reader) remove(key string, version uint64) {
@@ -193,18 +231,13 @@
 		}
 		return
 	}
-	if id, n, ok := ParseChunkKey(key); ok && r.chunks[key] <= version {
-		delete(r.chunks, key)
-		if j := r.jobs[id]; j != nil {
-			delete(j.done, n)
-			delete(j.placed, n)
-			r.drop(id, j)
-		}
+	if n, ok := ParsePageKey(key); ok {
+		r.setPage(n, nil, version)
 	}
 }
 
 func (r *Reader) drop(id string, j *activeJob) {
-	if j.version == 0 && len(j.done) == 0 && len(j.placed) == 0 {
+	if j.version == 0 && len(j.chunks) == 0 {
 		delete(r.jobs, id)
 	}
 }
@@ -220,11 +253,9 @@
 		return View{}, false
 	}
 	v := View{Record: j.rec, Version: j.version}
-	for _, n := range j.done {
-		v.Done += n
-	}
-	for _, n := range j.placed {
-		v.Placed += n
+	for _, c := range j.chunks {
+		v.Done += c.done
+		v.Placed += c.placed
 	}
 	return v, true
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,11 @@
 // the same plan.
 package placement
 
+import (
+	"container/heap"
+	"slices"
+)
+
 // Res is an amount of each resource.
 type Res struct{ CPU, GPU, Mem float64 }
 
@@ -47,12 +52,29 @@
 	Cap       Res
 	Price     float64
 	FetchRate float64
-	Backlog   float64           // seconds of image fetches under way
-	Images    map[int32]float64 // seconds until an image is there
-	Slow      float64           // penalty in seconds for a machine that is suspect
+	Backlog   float64   // seconds of image fetches under way
+	Images    []ImageAt // images that are there or on their way
+	Slow      float64   // penalty in seconds for a machine that is suspect
 	Tasks     []Occupant
 }
 
+// ImageAt is an image that a machine has, or will have after so many seconds.
+type ImageAt struct {
+	Image int32
+	In    float64
+}
+
+// Image says after how many seconds a machine has an image, if it is there or
+// on its way.
+func (m *Machine) Image(image int32) (float64, bool) {
+	for i := range m.Images {
+		if m.Images[i].Image == image {
+			return m.Images[i].In, true
+		}
+	}
+	return 0, false
+}
+
 // Request is a job that wants tasks started.
 type Request struct {
 	Job       int32
@@ -116,15 +138,20 @@
 	in      *Input
 	plan    Plan
 	rented  []int // offer of each machine appended to the input
-	base    int
 	stopped map[Task]bool
+	queue   queue
+	vain    [modes][]vain
+	zones   int
 }
 
 // Make plans. Requests are served in their order. The input's machines are
 // changed on the way.
 func Make(in *Input) Plan {
-	p := &planner{in: in, base: len(in.Machines), stopped: map[Task]bool{}}
+	p := &planner{in: in, stopped: map[Task]bool{}}
 	p.plan.Rent = map[int]int{}
+	for i := range in.Machines {
+		p.zones = max(p.zones, in.Machines[i].Zone+1)
+	}
 	for i := range in.Requests {
 		p.serve(i)
 	}
@@ -205,29 +232,34 @@
 // hold keeps the machines that will have room soonest from later requests:
 // where small tasks take every bit that comes free, a large one never fits.
 func (p *planner) hold(r *Request, tasks []int32) {
-	for range tasks {
-		best, bestIn := -1, 0.0
-		for i := range p.in.Machines {
-			m := &p.in.Machines[i]
-			if !p.usable(m, i, r, soon) {
-				continue
-			}
-			if in, ok := p.roomIn(r, m); ok && in <= holdWithin && (best < 0 || in < bestIn) {
-				best, bestIn = i, in
-			}
-		}
-		if best < 0 {
-			return
+	p.greedy(len(tasks), func(i int) (float64, bool) {
+		m := &p.in.Machines[i]
+		if !p.usable(m, i, r, soon) {
+			return 0, false
 		}
-		p.in.Machines[best].Free = p.in.Machines[best].Free.Add(r.Need, -1)
-	}
+		in, ok := p.roomIn(r, m)
+		return in, ok && in <= holdWithin
+	}, func(i int) bool {
+		p.in.Machines[i].Free = p.in.Machines[i].Free.Add(r.Need, -1)
+		return true
+	})
 }
 
 // roomIn is after how long the tasks of a machine that end by themselves leave
 // room for one of the request's.
 func (p *planner) roomIn(r *Request, m *Machine) (float64, bool) {
 	free := room(m, soon)
-	taken := make([]bool, len(m.Tasks))
+	if r.Need.Fits(free) {
+		return 0, true
+	}
+	if !r.Need.Fits(m.Cap) {
+		return 0, false
+	}
+	var few [16]bool
+	taken := few[:]
+	if len(m.Tasks) > len(few) {
+		taken = make([]bool, len(m.Tasks))
+	}
 	in := 0.0
 	for !r.Need.Fits(free) {
 		next := -1
@@ -253,8 +285,101 @@
 	readyNow mode = iota
 	soon
 	booting
+	byStopping // not of try: room made by stopping others
+	modes
 )
 
+// entry is a machine and what it costs to use it next.
+type entry struct {
+	cost float64
+	idx  int
+}
+
+// queue has the cheapest machine first, and the first of those that cost the
+// same.
+type queue []entry
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(a, b int) bool {
+	return q[a].cost < q[b].cost || q[a].cost == q[b].cost && q[a].idx < q[b].idx
+}
+func (q queue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(entry)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// greedy takes the cheapest machine up to n times. Taking one changes what
+// that one costs and no other, so that each machine is judged once and then
+// again only when it is taken: with hundreds of machines, judging all of them
+// anew for each task was most of a leader's processor time. take says whether
+// the machine could be used. greedy returns how often one could.
+func (p *planner) greedy(n int, judge func(i int) (float64, bool), take func(i int) bool) int {
+	q := p.queue[:0]
+	for i := range p.in.Machines {
+		if c, ok := judge(i); ok {
+			q = append(q, entry{c, i})
+		}
+	}
+	p.queue = q
+	heap.Init(&q)
+	got := 0
+	for got < n && len(q) > 0 {
+		i := q[0].idx
+		if !take(i) {
+			heap.Pop(&q)
+			continue
+		}
+		got++
+		if c, ok := judge(i); ok {
+			q[0].cost = c
+			heap.Fix(&q, 0)
+		} else {
+			heap.Pop(&q)
+		}
+	}
+	return got
+}
+
+// vain is a search that found no room. As room only shrinks while planning,
+// whoever wants as much or more searches in vain too: among hundreds of
+// waiting jobs most are alike.
+type vain struct {
+	r    *Request
+	zone int
+	n    int
+}
+
+// inVain says whether a search for n tasks is known to be in vain.
+func (p *planner) inVain(md mode, r *Request, zone, n int) bool {
+	for i := range p.vain[md] {
+		v := &p.vain[md][i]
+		o := v.r
+		if v.n > n || v.zone >= 0 && v.zone != zone || r.Spot && !o.Spot || !o.Need.Fits(r.Need) {
+			continue
+		}
+		if md == byStopping && (o.Priority > r.Priority || r.Within && !(o.Within && o.Team == r.Team)) {
+			continue
+		}
+		if slices.Equal(o.Types, r.Types) {
+			return true
+		}
+	}
+	return false
+}
+
+// note remembers a search for n tasks that was in vain, unless it was for
+// reasons of that request alone.
+func (p *planner) note(md mode, r *Request, zone, n int) {
+	if len(r.Avoid) > 0 || r.SpreadMax > 0 || len(p.vain[md]) >= 64 {
+		return
+	}
+	p.vain[md] = append(p.vain[md], vain{r, zone, n})
+}
+
 func (p *planner) usable(m *Machine, idx int, r *Request, md mode) bool {
 	if (md == booting) == m.Ready {
 		return false
@@ -271,9 +396,9 @@
 
 // cost ranks the machines that fit, in seconds: what the start is delayed by,
 // and what it takes away from others.
-func cost(m *Machine, idx int, r *Request, task int32, free Res) float64 {
+func cost(m *Machine, r *Request, free Res) float64 {
 	c := m.Slow + m.ETA
-	if left, ok := m.Images[r.Image]; ok {
+	if left, ok := m.Image(r.Image); ok {
 		c += left
 	} else if m.FetchRate > 0 {
 		c += m.Backlog + r.ImageGB/m.FetchRate
@@ -297,9 +422,6 @@
 		frac += left.GPU / m.Cap.GPU
 	}
 	c += 2 * frac
-	if to, ok := r.Prefer[task]; ok && to == idx {
-		c -= 1000
-	}
 	return c
 }
 
@@ -309,14 +431,10 @@
 		got, _ := p.fill(r, tasks, md, r.Zone)
 		return got
 	}
-	zones := 0
-	for i := range p.in.Machines {
-		zones = max(zones, p.in.Machines[i].Zone+1)
-	}
 	best, bestN, bestCost := -1, 0, 0.0
-	for z := 0; z < zones; z++ {
+	for z := 0; z < p.zones; z++ {
 		got, c := p.fill(r, tasks, md, z)
-		p.undo(r, got, md)
+		p.undo(r, got)
 		if n := len(got); n > bestN || n == bestN && n > 0 && c < bestCost {
 			best, bestN, bestCost = z, n, c
 		}
@@ -329,41 +447,61 @@
 }
 
 func (p *planner) fill(r *Request, tasks []int32, md mode, zone int) ([]Start, float64) {
+	need := 1
+	if r.All {
+		need = len(tasks)
+	}
+	if p.inVain(md, r, zone, need) {
+		return nil, 0
+	}
 	var got []Start
 	total := 0.0
-	for _, t := range tasks {
-		best, bestCost := -1, 0.0
-		for i := range p.in.Machines {
-			m := &p.in.Machines[i]
-			if !p.usable(m, i, r, md) || zone >= 0 && m.Zone != zone {
-				continue
-			}
-			if r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax {
-				continue
-			}
-			free := room(m, md)
-			if !r.Need.Fits(free) {
-				continue
-			}
-			if c := cost(m, i, r, t, free); best < 0 || c < bestCost {
-				best, bestCost = i, c
+	judge := func(i int) (float64, bool) {
+		m := &p.in.Machines[i]
+		if !r.Need.Fits(room(m, md)) || !p.usable(m, i, r, md) || zone >= 0 && m.Zone != zone {
+			return 0, false
+		}
+		return cost(m, r, room(m, md)), !(r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax)
+	}
+	take := func(i int, t int32, c float64) {
+		p.book(r, i, 1)
+		total += c
+		got = append(got, Start{Task: t, Machine: i})
+	}
+	rest := tasks
+	if len(r.Prefer) > 0 {
+		// Moved tasks go where the move was to bring them.
+		rest = make([]int32, 0, len(tasks))
+		for _, t := range tasks {
+			to, ok := r.Prefer[t]
+			if ok && to < len(p.in.Machines) {
+				if c, ok := judge(to); ok {
+					take(to, t, c)
+					continue
+				}
 			}
+			rest = append(rest, t)
 		}
-		if best < 0 {
-			break
+	}
+	p.greedy(len(rest), judge, func(i int) bool {
+		c, ok := judge(i) // the zone may be full by now
+		if ok {
+			take(i, rest[0], c)
+			rest = rest[1:]
 		}
-		p.book(r, best, 1, md)
-		total += bestCost
-		got = append(got, Start{Task: t, Machine: best})
+		return ok
+	})
+	if len(rest) > 0 && (r.All || len(got) == 0) {
+		p.note(md, r, zone, need)
 	}
-	if r.All && len(got) < len(tasks) {
-		p.undo(r, got, md)
+	if r.All && len(rest) > 0 {
+		p.undo(r, got)
 		return nil, 0
 	}
 	return got, total
 }
 
-func (p *planner) book(r *Request, machine int, sign float64, md mode) {
+func (p *planner) book(r *Request, machine int, sign float64) {
 	m := &p.in.Machines[machine]
 	m.Free = m.Free.Add(r.Need, -sign)
 	if r.ZoneUsed != nil {
@@ -371,9 +509,9 @@
 	}
 }
 
-func (p *planner) undo(r *Request, got []Start, md mode) {
+func (p *planner) undo(r *Request, got []Start) {
 	for _, s := range got {
-		p.book(r, s.Machine, -1, md)
+		p.book(r, s.Machine, -1)
 	}
 }
 
@@ -395,111 +533,117 @@
 // preempt stops the tasks whose loss is least to make room, all of the
 // request's tasks or none for a gang. It returns the tasks left.
 func (p *planner) preempt(r *Request, tasks []int32) []int32 {
-	if !r.OneZone || r.Zone >= 0 {
-		n, stops, _ := p.preemptIn(r, tasks, r.Zone)
-		p.commitStops(stops)
-		return tasks[n:]
+	zone := r.Zone
+	if r.OneZone && zone < 0 {
+		bestN, bestLoss := 0, 0.0
+		for z := 0; z < p.zones; z++ {
+			made := p.preemptIn(r, tasks, z)
+			n, loss := len(made), 0.0
+			for _, d := range made {
+				loss += d.loss
+			}
+			p.unmake(r, made)
+			if n > bestN || n == bestN && n > 0 && loss < bestLoss {
+				zone, bestN, bestLoss = z, n, loss
+			}
+		}
+		if zone < 0 {
+			return tasks
+		}
 	}
-	zones := 0
-	for i := range p.in.Machines {
-		zones = max(zones, p.in.Machines[i].Zone+1)
-	}
-	best, bestN, bestLoss := -1, 0, 0.0
-	for z := 0; z < zones; z++ {
-		saved := p.snapshot()
-		n, _, loss := p.preemptIn(r, tasks, z)
-		p.restore(r, saved)
-		if n > bestN || n == bestN && n > 0 && loss < bestLoss {
-			best, bestN, bestLoss = z, n, loss
+	made := p.preemptIn(r, tasks, zone)
+	for _, d := range made {
+		for _, k := range d.victims {
+			p.plan.Stops = append(p.plan.Stops, p.in.Machines[d.machine].Tasks[k].Task)
 		}
 	}
-	if best < 0 {
-		return tasks
+	if len(made) > 0 {
+		// What was stopped may leave more room than was wanted.
+		p.vain[soon] = p.vain[soon][:0]
 	}
-	n, stops, _ := p.preemptIn(r, tasks, best)
-	p.commitStops(stops)
-	return tasks[n:]
+	return tasks[len(made):]
 }
 
-type saved struct {
-	free, coming []Res
-	zoneUsed     []int
-	stopped      map[Task]bool
+// made is room for one task, made on a machine by stopping some there.
+type made struct {
+	machine int
+	victims []int
+	loss    float64
 }
 
-func (p *planner) snapshot() saved {
-	s := saved{stopped: map[Task]bool{}}
-	for i := range p.in.Machines {
-		s.free = append(s.free, p.in.Machines[i].Free)
-		s.coming = append(s.coming, p.in.Machines[i].Coming)
+func (p *planner) preemptIn(r *Request, tasks []int32, zone int) []made {
+	need := 1
+	if r.All {
+		need = len(tasks)
 	}
-	for k := range p.stopped {
-		s.stopped[k] = true
+	if p.inVain(byStopping, r, zone, need) {
+		return nil
 	}
-	return s
-}
-
-func (p *planner) restore(r *Request, s saved) {
-	for i := range s.free {
-		p.in.Machines[i].Free, p.in.Machines[i].Coming = s.free[i], s.coming[i]
+	var out []made
+	judge := func(i int) (made, bool) {
+		m := &p.in.Machines[i]
+		if !p.usable(m, i, r, soon) || zone >= 0 && m.Zone != zone || r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax {
+			return made{}, false
+		}
+		chosen, loss, ok := p.cheapest(r, m)
+		return made{i, chosen, loss}, ok
+	}
+	n := p.greedy(len(tasks), func(i int) (float64, bool) {
+		d, ok := judge(i)
+		return d.loss, ok
+	}, func(i int) bool {
+		d, ok := judge(i)
+		if ok {
+			p.make(r, d, 1)
+			out = append(out, d)
+		}
+		return ok
+	})
+	if n < need {
+		p.note(byStopping, r, zone, need)
+		p.unmake(r, out)
+		return nil
 	}
-	p.stopped = s.stopped
+	return out
 }
 
-func (p *planner) commitStops(stops []Task) {
-	p.plan.Stops = append(p.plan.Stops, stops...)
-}
-
-func (p *planner) preemptIn(r *Request, tasks []int32, zone int) (int, []Task, float64) {
-	before := p.snapshot()
-	used := append([]int(nil), r.ZoneUsed...)
-	var stops []Task
-	n, total := 0, 0.0
-	for range tasks {
-		best, bestLoss := -1, 0.0
-		var bestStops []int
-		for i := range p.in.Machines {
-			m := &p.in.Machines[i]
-			if !p.usable(m, i, r, soon) || zone >= 0 && m.Zone != zone {
-				continue
-			}
-			if r.SpreadMax > 0 && used[m.Zone] >= r.SpreadMax {
-				continue
-			}
-			chosen, loss, ok := p.cheapest(r, m)
-			if ok && (best < 0 || loss < bestLoss) {
-				best, bestLoss, bestStops = i, loss, chosen
-			}
-		}
-		if best < 0 {
-			break
-		}
-		m := &p.in.Machines[best]
-		for _, k := range bestStops {
-			o := &m.Tasks[k]
+// make books a task in room that stops make; sign -1 takes that back.
+func (p *planner) make(r *Request, d made, sign float64) {
+	m := &p.in.Machines[d.machine]
+	for _, k := range d.victims {
+		o := &m.Tasks[k]
+		if sign > 0 {
 			p.stopped[o.Task] = true
-			stops = append(stops, o.Task)
-			m.Coming = m.Coming.Add(o.Need, 1)
-		}
-		m.Free = m.Free.Add(r.Need, -1)
-		if used != nil {
-			used[m.Zone]++
+		} else {
+			delete(p.stopped, o.Task)
 		}
-		total += bestLoss
-		n++
+		m.Coming = m.Coming.Add(o.Need, sign)
 	}
-	if r.All && n < len(tasks) {
-		p.restore(r, before)
-		return 0, nil, 0
+	p.book(r, d.machine, sign)
+}
+
+func (p *planner) unmake(r *Request, done []made) {
+	for _, d := range done {
+		p.make(r, d, -1)
 	}
-	copy(r.ZoneUsed, used)
-	return n, stops, total
 }
 
 // cheapest picks the victims on a machine that free enough room at the least
 // loss: least loss first, then without those that turned out not to be needed.
 func (p *planner) cheapest(r *Request, m *Machine) ([]int, float64, bool) {
 	free := room(m, soon)
+	if r.Need.Fits(free) {
+		return nil, m.Slow, true
+	}
+	most := free
+	for k := range m.Tasks {
+		if o := &m.Tasks[k]; victim(r, o) && !p.stopped[o.Task] {
+			most = most.Add(o.Need, 1)
+		}
+	}
+	if !r.Need.Fits(most) {
+		return nil, 0, false
+	}
 	var chosen []int
 	taken := make([]bool, len(m.Tasks))
 	for !r.Need.Fits(free) {
@@ -565,12 +709,13 @@
 		idx := len(p.in.Machines) - 1
 		n := 0
 		for n < len(tasks) && r.Need.Fits(p.in.Machines[idx].Free) && !(r.SpreadMax > 0 && r.ZoneUsed[o.Zone] >= r.SpreadMax) {
-			p.book(r, idx, 1, booting)
+			p.book(r, idx, 1)
 			n++
 		}
 		if n == 0 {
 			return
 		}
 		tasks = tasks[n:]
+		p.vain[booting] = p.vain[booting][:0]
 	}
 }
