--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -15,9 +15,9 @@
 	for _, size := range []struct{ machines, jobs int }{{36, 150}, {300, 150}, {1000, 400}} {
 		b.Run(fmt.Sprintf("machines=%d/jobs=%d", size.machines, size.jobs), func(b *testing.B) {
 			m := crowded(size.machines, size.jobs)
-			m.Schedule(at(1), 100)
+			m.Schedule(at(1), 1000)
 			for b.Loop() {
-				m.Schedule(at(2), 100)
+				m.Schedule(at(2), 1000)
 			}
 		})
 	}
--- a/cluster/estimate.go
+++ b/cluster/estimate.go
@@ -136,12 +136,65 @@
 		return
 	}
 	j.ranN++
-	j.ranSum += now.Sub(p.Since).Seconds()
+	ran := now.Sub(p.Since).Seconds()
+	j.ranSum += ran
+	j.ranMax = max(j.ranMax, ran)
+}
+
+// spread learns of a class by how much a job's slowest task takes longer than
+// its average one, and how long a task takes from its placement until it runs.
+// A job is over when its last task is: with a dozen tasks or more, one that is
+// begun when its average task could just be in time is late.
+type spread struct{ slowest, n, start, starts float64 }
+
+const (
+	priorSlowest = 0.15 // beyond the average, as a share of it
+	priorStart   = 3.0  // seconds
+	priorSpreads = 3.0  // jobs or tasks that the priors count for
+	spreadMemory = 50.0 // and how many are remembered
+)
+
+// widens is how much of the difference shows in a job of n tasks.
+func widens(n int) float64 { return min(1, float64(n-1)/4) }
+
+func (s *spread) done(slowest float64, tasks int) {
+	if tasks > 1 {
+		s.n = min(s.n+1, spreadMemory)
+		s.slowest += (min(slowest, 3)/widens(tasks) - s.slowest) / s.n
+	}
+}
+
+func (s *spread) began(after float64) {
+	s.starts = min(s.starts+1, spreadMemory)
+	s.start += (min(after, 60) - s.start) / s.starts
+}
+
+// delay is how long a task of the class should take from placement to running.
+func (s *spread) delay() float64 {
+	return (s.starts*s.start + priorSpreads*priorStart) / (s.starts + priorSpreads)
+}
+
+// last is how long the last of n tasks should take to end, of which one takes
+// so long on average.
+func (s *spread) last(average float64, n int) float64 {
+	return average * (1 + widens(n)*(s.n*s.slowest+priorSpreads*priorSlowest)/(s.n+priorSpreads))
+}
+
+// spreadOf is what is known of a job's class.
+func (m *Model) spreadOf(j *Job) *spread {
+	if c := m.classes[j.Spec.Class]; c != nil {
+		return &c.spread
+	}
+	return &spread{}
 }
 
 // learn takes in a job that is done.
 func (m *Model) learn(j *Job) {
 	if c := m.classes[j.Spec.Class]; c != nil && j.ranN > 0 {
-		c.runs.done(j.Spec.EstimateS, j.ranSum/float64(j.ranN))
+		average := j.ranSum / float64(j.ranN)
+		c.runs.done(j.Spec.EstimateS, average)
+		if !j.Gang() {
+			c.spread.done(j.ranMax/average-1, j.ranN)
+		}
 	}
 }
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -114,10 +114,14 @@
 	Finished  bool // committed as done
 	ranN      int  // tasks that completed in one go, and
 	ranSum    float64
+	ranMax    float64
 	basis     basis // of guess, which is how long a task should run
 	guess     float64
-	Started   bool // gang: the current attempt was seen running
-	Ending    bool // gang: the current attempt is coming to its end
+	off       bool // given up by the last triage
+	putOff    bool
+	due       time.Time // by the last triage
+	Started   bool      // gang: the current attempt was seen running
+	Ending    bool      // gang: the current attempt is coming to its end
 	NotBefore time.Time
 	FirstRun  time.Time
 
@@ -220,6 +224,8 @@
 	taskBuf  []placement.Occupant
 	imageBuf []placement.ImageAt
 	refBuf   []Ref
+	playBuf  times
+	triageAt time.Time // not before then again
 }
 
 type offerKey struct {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -114,6 +114,9 @@
 	case wire.TaskRunning:
 		if p.Seen != seenRunning {
 			p.Seen, p.Since = seenRunning, now
+			if !p.Inherited {
+				m.spreadOf(j).began(now.Sub(p.At).Seconds())
+			}
 			m.log.Debug("running", "task", t.Task, "attempt", t.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
 		if j.FirstRun.IsZero() {
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -1,8 +1,8 @@
 package cluster
 
 import (
-	"container/heap"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -10,9 +10,14 @@
 )
 
 const (
-	triageJobs  = 80  // of a class are looked at
-	triageTasks = 128 // of a job are followed one by one
-	startDelay  = 3.0 // seconds from a place being free to a task running there
+	triageJobs  = 1000 // of a class are looked at
+	triageTasks = 128  // of a job are followed one by one
+
+	// triagePace is for how long a verdict stands for each waiting task, since
+	// playing them through takes the longer the more there are. triageAgain
+	// bounds that.
+	triagePace  = 500 * time.Microsecond
+	triageAgain = 2 * time.Second
 )
 
 // triage gives up, for now, on the aims of the jobs that cost the most where
@@ -21,8 +26,16 @@
 // will be; whenever one would come too late, the largest so far is put off, so
 // that as many as possible meet their aims (Moore and Hodgson's rule). Those
 // put off are served for a later aim, if they can meet one beside the others,
-// and else after them, the smallest first.
+// and else after them, those that take longest first.
 func (m *Model) triage(out []*ranked, now time.Time) {
+	fresh := !now.Before(m.triageAt)
+	if fresh {
+		tasks := 0
+		for _, k := range out {
+			tasks += len(k.req.Tasks)
+		}
+		m.triageAt = now.Add(min(time.Duration(tasks)*triagePace, triageAgain))
+	}
 	for lo := 0; lo < len(out); {
 		hi := lo + 1
 		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
@@ -32,6 +45,14 @@
 		lo = hi
 		byClass := map[string][]*ranked{}
 		for _, k := range group {
+			if !fresh {
+				// As last judged; a job that came since is taken for one in time.
+				k.missed, k.putOff = k.missed || k.j.off, k.j.putOff
+				if !k.j.due.IsZero() {
+					k.due = k.j.due
+				}
+				continue
+			}
 			k.work = m.work(k.j, now)
 			if c := k.j.Spec.Class; !k.missed && len(byClass[c]) < triageJobs {
 				byClass[c] = append(byClass[c], k)
@@ -40,13 +61,29 @@
 		for _, jobs := range byClass { // the classes' results don't depend on one another
 			m.triageClass(jobs, now)
 		}
+		if fresh {
+			off, tasks, all := 0, 0, 0
+			for _, k := range group {
+				k.j.off, k.j.putOff, k.j.due = k.missed, k.putOff, k.due
+				all += len(k.req.Tasks)
+				if k.missed {
+					off++
+					tasks += len(k.req.Tasks)
+				}
+			}
+			m.log.Debug("triage", "priority", group[0].j.Priority, "jobs", len(group), "tasks", all, "givenUp", off, "tasksGivenUp", tasks)
+		}
 		sort.SliceStable(group, func(a, b int) bool {
 			x, y := group[a], group[b]
 			switch {
 			case x.missed != y.missed:
 				return y.missed
+			case x.putOff != y.putOff:
+				return y.putOff
 			case x.missed:
-				return x.work < y.work
+				// No aim is left but to have all work done soon: what takes
+				// longest must not be what begins last.
+				return x.left > y.left
 			}
 			return x.due.Before(y.due)
 		})
@@ -61,10 +98,11 @@
 	if len(places) == 0 {
 		return
 	}
-	heap.Init(&places)
+	slices.Sort(places) // a sorted list is a heap
+	m.log.Debug("triage", "class", jobs[0].j.Spec.Class, "places", len(places), "first", places[0], "median", places[len(places)/2], "last", places[len(places)-1], "jobs", len(jobs))
 	var off []*ranked
 	for {
-		late := play(jobs, places, now)
+		late := m.play(jobs, places, now)
 		if late < 0 {
 			break
 		}
@@ -79,11 +117,12 @@
 	}
 	sort.SliceStable(off, func(a, b int) bool { return off[a].work < off[b].work })
 	for _, r := range off {
+		r.putOff = true
 		for r.missed = true; r.missed && len(r.later) > 0; {
 			r.next(now)
 			at := sort.Search(len(jobs), func(k int) bool { return jobs[k].due.After(r.due) })
 			with := append(append(append([]*ranked(nil), jobs[:at]...), r), jobs[at:]...)
-			if play(with, places, now) < 0 {
+			if m.play(with, places, now) < 0 {
 				jobs, r.missed = with, false
 			}
 		}
@@ -92,30 +131,41 @@
 
 type times []float64
 
-func (t times) Len() int           { return len(t) }
-func (t times) Less(a, b int) bool { return t[a] < t[b] }
-func (t times) Swap(a, b int)      { t[a], t[b] = t[b], t[a] }
-func (t *times) Push(x any)        { *t = append(*t, x.(float64)) }
-func (t *times) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return x
+// later moves the earliest place back, to when it is free again. This is the
+// step that triage takes most often by far, and container/heap takes four
+// times as long for it.
+func (t times) later(by float64) {
+	x, i := t[0]+by, 0
+	for {
+		k := 2*i + 1
+		if k >= len(t) {
+			break
+		}
+		if k+1 < len(t) && t[k+1] < t[k] {
+			k++
+		}
+		if x <= t[k] {
+			break
+		}
+		t[i] = t[k]
+		i = k
+	}
+	t[i] = x
 }
 
 // play serves the jobs in their order on places that are free at the given
 // times, in seconds from now. It returns the first that starts its last task
 // later than it is due, or -1.
-func play(jobs []*ranked, places times, now time.Time) int {
-	free := append(times(nil), places...)
+func (m *Model) play(jobs []*ranked, places times, now time.Time) int {
+	free := append(m.playBuf[:0], places...)
+	m.playBuf = free
 	for i, r := range jobs {
-		due := r.due.Sub(now).Seconds()
+		due, delay := r.due.Sub(now).Seconds(), m.spreadOf(r.j).delay()
 		n := len(r.req.Tasks)
 		last := 0.0
 		for range min(n, triageTasks) {
 			last = free[0]
-			free[0] += r.left + startDelay
-			heap.Fix(&free, 0)
+			free.later(r.left + delay)
 		}
 		if n > triageTasks {
 			last += float64(n-triageTasks) * r.left / float64(len(free))
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"slices"
 	"sort"
@@ -25,6 +27,7 @@
 	recent  []time.Time // arrivals of the last two minutes
 	waits   bool        // an aim speaks of how soon its jobs start
 	runs    estimator
+	spread  spread
 }
 
 const (
@@ -64,8 +67,10 @@
 // latestStarts is when a job must start at the latest to meet each of its
 // class's aims that it can still meet; urgent says that the first is on how
 // soon it starts, and missed that none is left of those there were.
-func (m *Model) latestStarts(j *Job, left float64, now time.Time) (at []time.Time, missed, urgent bool) {
-	est := config.Seconds(left)
+func (m *Model) latestStarts(j *Job, left float64, tasks int, now time.Time) (at []time.Time, missed, urgent bool) {
+	sp := m.spreadOf(j)
+	delay := config.Seconds(sp.delay())
+	est := config.Seconds(sp.last(left, tasks)) + delay
 	aims := 0
 	var wait time.Time
 	take := func(t time.Time) {
@@ -81,7 +86,7 @@
 		switch o.Kind {
 		case "wait":
 			if j.FirstRun.IsZero() {
-				t := j.At.Add(config.Seconds(o.WithinS))
+				t := j.At.Add(config.Seconds(o.WithinS) - delay)
 				take(t)
 				if !t.Before(now) && (wait.IsZero() || t.Before(wait)) {
 					wait = t
@@ -109,6 +114,7 @@
 	due    time.Time
 	later  []time.Time // what it is due for once it is put off
 	missed bool
+	putOff bool // from an aim it could still meet, for others' sake
 	urgent bool
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
@@ -184,7 +190,7 @@
 		for _, t := range r.Tasks {
 			k.left = max(k.left, rest(est, &j.Tasks[t]))
 		}
-		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, now)
+		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), now)
 		k.next(now)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
@@ -464,7 +470,7 @@
 	within := m.within(jobs)
 	reqs := m.requests(jobs, within, now)
 	over := m.over(within)
-	in := placement.Input{Machines: m.viewBuf[:0], Preempt: true, RentMax: max(0, 12-renting)}
+	in := placement.Input{Machines: m.viewBuf[:0], Preempt: true, RentMax: max(0, rentAtOnce-renting)}
 	m.taskBuf, m.imageBuf = m.taskBuf[:0], m.imageBuf[:0]
 	back := make([]int32, 0, len(m.Machines))
 	fwd := make(map[int]int, len(m.Machines))
@@ -555,6 +561,48 @@
 	return d
 }
 
+// LogRoom says how the machines of each type are booked and what waits.
+func (m *Model) LogRoom(wanted []placement.Request, now time.Time) {
+	if !m.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	waiting := 0
+	for i := range wanted {
+		waiting += len(wanted[i].Tasks)
+	}
+	for ti := range m.Types {
+		var ready, booting, without int // machines
+		var cap, used, unsent placement.Res
+		for _, mc := range m.Machines {
+			if mc.Type != ti {
+				continue
+			}
+			if !m.ready(mc, now) {
+				if _, ok := m.booting(mc, now); ok {
+					booting++
+				}
+				continue
+			}
+			ready++
+			cap = cap.Add(m.Types[ti].Cap, 1)
+			used = used.Add(mc.Used, 1)
+			no := true
+			for ref := range mc.Tasks {
+				j := m.Jobs[ref.Job]
+				no = no && j.Need.GPU == 0
+				if j.Tasks[ref.Task].Place.Seen < seenRunning {
+					unsent = unsent.Add(j.Need, 1)
+				}
+			}
+			if no && len(mc.Tasks) > 0 {
+				without++
+			}
+		}
+		m.log.Debug("room", "type", m.Types[ti].Name, "ready", ready, "booting", booting, "cpus", cap.CPU, "cpusUsed", used.CPU,
+			"gpus", cap.GPU, "gpusUsed", used.GPU, "cpusNotRunning", unsent.CPU, "gpusNotRunning", unsent.GPU, "withoutGPUTasks", without, "waiting", waiting)
+	}
+}
+
 // rivals says whether classes that no aim wants started soon compete with a
 // job that may not stop their tasks.
 func (m *Model) rivals(j *Job) bool {
@@ -637,7 +685,12 @@
 	return out
 }
 
-const refusedFor = 15 * time.Second
+const (
+	refusedFor = 15 * time.Second
+	// rentAtOnce bounds what a pass wants rented: a few of the cloud's largest
+	// requests.
+	rentAtOnce = 200
+)
 
 func (m *Model) offers(now time.Time) ([]placement.Offer, []Offer) {
 	var out []placement.Offer
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -311,14 +312,18 @@
 }
 
 // holdFor is how long an answer waits for what is to follow from its report.
-const holdFor = 400 * time.Millisecond
+// It is worth the more the longer the worker's next report takes to come; a
+// worker gives an answer up after 4 s.
+func (l *leadership) holdFor() time.Duration {
+	return config.Seconds(min(max(0.4, l.n.cfg.Cluster.Workers.ReportS/4), 1.5))
+}
 
 // awaitPass holds an answer back until room that the report has freed is given
 // out and recorded, so that the launch goes with this answer and not with that
 // to the next report. The lock is held before and after, not meanwhile.
 func (l *leadership) awaitPass() {
 	target := l.passes + 1
-	timer := time.NewTimer(holdFor)
+	timer := time.NewTimer(l.holdFor())
 	defer timer.Stop()
 	kick(l.schedKick)
 	for l.passes < target || l.writing || !l.m.Clean() {
@@ -500,7 +505,7 @@
 			l.m.Tick(now)
 			renting := 0
 			if l.renting {
-				renting = 100
+				renting = math.MaxInt32
 			}
 			d := l.m.Schedule(now, renting)
 			l.passes++
@@ -512,6 +517,7 @@
 			if now.Sub(cycle) >= config.Seconds(l.n.tuning.Rebalance.EveryS) {
 				cycle = now
 				moves = l.m.PlanMoves(d.Wanted, now)
+				l.m.LogRoom(d.Wanted, now)
 			}
 			// The larger the cluster, the longer a pass: reports, renewals and
 			// users get most of the processor even so.
