Work within a guarantee is due within that aim; gangs hold machines of one zone

Cause: on the grown sfax nearly all jobs are within a guarantee, and each waited its turn behind older ones that had missed that aim already.

--- a/cluster/view.go
+++ b/cluster/view.go
@@ -67,7 +67,7 @@
 // latestStarts is when a job must start at the latest to meet each of its
 // class's aims that it can still meet; urgent says that the first is on how
 // soon it starts, and missed that none is left of those there were.
-func (m *Model) latestStarts(j *Job, left float64, tasks int, now time.Time) (at []time.Time, missed, urgent bool) {
+func (m *Model) latestStarts(j *Job, left float64, tasks int, within bool, now time.Time) (at []time.Time, missed, urgent bool) {
 	sp := m.spreadOf(j)
 	delay := config.Seconds(sp.delay())
 	est := config.Seconds(sp.last(left, tasks)) + delay
@@ -79,18 +79,28 @@
 			at = append(at, t)
 		}
 	}
+	soon := func(o config.Objective) {
+		if j.FirstRun.IsZero() {
+			t := j.At.Add(config.Seconds(o.WithinS) - delay)
+			take(t)
+			if !t.Before(now) && (wait.IsZero() || t.Before(wait)) {
+				wait = t
+			}
+		}
+	}
 	for _, o := range m.cfg.Cluster.Objectives {
 		if o.Class != j.Spec.Class && o.Class != "" {
 			continue
 		}
 		switch o.Kind {
 		case "wait":
-			if j.FirstRun.IsZero() {
-				t := j.At.Add(config.Seconds(o.WithinS) - delay)
-				take(t)
-				if !t.Before(now) && (wait.IsZero() || t.Before(wait)) {
-					wait = t
-				}
+			soon(o)
+		case "guarantee":
+			// One that has waited for longer is no worse off for waiting on:
+			// those that have just come are served before it, until its next
+			// aim is near.
+			if within {
+				soon(o)
 			}
 		case "finished":
 			take(j.At.Add(config.Seconds(o.WithinS) - est))
@@ -190,7 +200,7 @@
 		for _, t := range r.Tasks {
 			k.left = max(k.left, rest(est, &j.Tasks[t]))
 		}
-		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), now)
+		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -232,17 +232,44 @@
 // hold keeps the machines that will have room soonest from later requests:
 // where small tasks take every bit that comes free, a large one never fits.
 func (p *planner) hold(r *Request, tasks []int32) {
-	p.greedy(len(tasks), func(i int) (float64, bool) {
+	zone := r.Zone
+	if r.OneZone && zone < 0 {
+		most, first := 0, 0.0
+		for z := 0; z < p.zones; z++ {
+			held, in := p.holdIn(r, len(tasks), z)
+			p.undo(r, held)
+			if n := len(held); n > most || n == most && n > 0 && in < first {
+				zone, most, first = z, n, in
+			}
+		}
+		if zone < 0 {
+			return
+		}
+	}
+	p.holdIn(r, len(tasks), zone)
+}
+
+// holdIn holds machines for n tasks in a zone, for a gang all or none, and says
+// after how long the last of them has room.
+func (p *planner) holdIn(r *Request, n, zone int) (held []Start, last float64) {
+	p.greedy(n, func(i int) (float64, bool) {
 		m := &p.in.Machines[i]
-		if !p.usable(m, i, r, soon) {
+		if !p.usable(m, i, r, soon) || zone >= 0 && m.Zone != zone {
 			return 0, false
 		}
 		in, ok := p.roomIn(r, m)
 		return in, ok && in <= holdWithin
 	}, func(i int) bool {
-		p.in.Machines[i].Free = p.in.Machines[i].Free.Add(r.Need, -1)
+		last, _ = p.roomIn(r, &p.in.Machines[i])
+		p.book(r, i, 1)
+		held = append(held, Start{Machine: i})
 		return true
 	})
+	if r.All && len(held) < n {
+		p.undo(r, held)
+		return nil, 0
+	}
+	return held, last
 }
 
 // roomIn is after how long the tasks of a machine that end by themselves leave
