--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
@@ -10,12 +11,13 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// State is a state service in memory, with the limits of sizes and counts but
-// not of rates.
+// State is a state service in memory, with the limits of sizes and counts, and
+// that of changes a second where a story sets it.
 type State struct {
 	mu      sync.Mutex
 	rev     uint64
@@ -28,6 +30,7 @@
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
 	ops     int
+	writes  *rate.Limiter
 }
 
 type stateLease struct {
@@ -213,6 +216,29 @@
 	reply(w, http.StatusOK, l)
 }
 
+// valueMax is the most that a value may take, as text.
+const valueMax = 16 << 10
+
+// jsonSize is how large a body is in the form in which limits are counted.
+func jsonSize(body []byte) int {
+	var v any
+	if msgpack.Unmarshal(body, &v) != nil {
+		return 0
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return 1 << 30
+	}
+	return len(b)
+}
+
+// LimitWrites makes the service refuse more puts and deletes a second.
+func (s *State) LimitWrites(rps float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes = rate.NewLimiter(rate.Limit(rps), int(rps))
+}
+
 type txn struct {
 	If   []wire.Guard `msgpack:"guards"`
 	Then []struct {
@@ -225,10 +251,20 @@
 
 func (s *State) commit(w http.ResponseWriter, body []byte) {
 	var t txn
-	if msgpack.Unmarshal(body, &t) != nil || len(t.Then) > s.ops || len(t.If) > 4*s.ops || len(body) > wire.MaxBody {
+	if msgpack.Unmarshal(body, &t) != nil || len(t.Then) > s.ops || len(t.If) > 4*s.ops || jsonSize(body) > wire.MaxBody {
 		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
 	}
+	for _, op := range t.Then {
+		if op.Put != "" && jsonSize(op.Value) > valueMax {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "value too large"})
+			return
+		}
+	}
+	if n := len(t.Then); n > 0 && s.writes != nil && !s.writes.AllowN(time.Now(), n) {
+		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many changes"})
+		return
+	}
 	if s.late > 0 && len(t.Then) > 0 {
 		by := s.late
 		s.late = 0
