--- a/controller/node.go
+++ b/controller/node.go
@@ -76,8 +76,8 @@
 		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.7, sl.WriteRPS),
 		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
 		workers:  worker.New(nw.Dial),
-		users:    make(chan struct{}, 96),
-		reports:  make(chan struct{}, 128),
+		users:    make(chan struct{}, max(32, cfg.Cluster.Limits.Sockets/8)),
+		reports:  make(chan struct{}, max(64, cfg.Cluster.Limits.Sockets/2)),
 		sentAway: map[string]sentAway{},
 	}
 	n.reader = ledger.NewReader(n.state)
