--- /dev/null
+++ b/cluster/page_test.go
@@ -0,0 +1,154 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// grown is a model with many jobs placed on many machines, all of it written.
+func grown(t *testing.T, jobs, tasks int) (*Model, map[string]ledger.PageRecord) {
+	t.Helper()
+	m := newModel(5)
+	for i := range jobs * tasks / 4 {
+		r := rep(1, 5)
+		r.Machine = fmt.Sprintf("host-%06d", i)
+		m.Observe(r, at(0))
+	}
+	for i := range jobs {
+		id := fmt.Sprintf("wk-%06d", i)
+		m.PutJob(id, arrayJob(id, tasks), 1, at(0))
+	}
+	m.Schedule(at(1), 1000)
+	stored := map[string]ledger.PageRecord{}
+	write(t, m, stored)
+	return m, stored
+}
+
+// write commits all that is to be written, and checks the limits that hold for
+// it: 12 changes and 48 conditions a transaction, 64 KiB of text in all and 16
+// a value.
+func write(t *testing.T, m *Model, stored map[string]ledger.PageRecord) (changes int) {
+	t.Helper()
+	for rev := uint64(100); m.Pending() > 0; rev++ {
+		if rev > 300 {
+			t.Fatal("writing does not end")
+		}
+		b := m.NextBatch(12)
+		if b == nil {
+			continue
+		}
+		if len(b.Ops) > 12 || len(b.Guards)+1 > 48 {
+			t.Errorf("%d changes and %d conditions", len(b.Ops), len(b.Guards)+1)
+		}
+		total := 0
+		for _, op := range b.Ops {
+			n := textSize(t, op.Value)
+			total += n
+			if n > 16<<10 {
+				t.Errorf("%s takes %d bytes", op.Put, n)
+			}
+			if rec, ok := op.Value.(ledger.PageRecord); ok {
+				stored[op.Put] = rec
+			}
+			delete(stored, op.Delete)
+		}
+		if total > 60<<10 {
+			t.Errorf("a transaction takes %d bytes", total)
+		}
+		changes += len(b.Ops)
+		b.Committed(rev, at(2))
+	}
+	return changes
+}
+
+func textSize(t *testing.T, v any) int {
+	t.Helper()
+	b, err := wire.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plain any
+	if err := msgpack.Unmarshal(b, &plain); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(text)
+}
+
+// Each job's placements had a key of their own. With dozens of jobs whose tasks
+// start and end each second that was more changes than the service takes.
+func TestPlacementsOfManyJobsShareAPage(t *testing.T) {
+	m, stored := grown(t, 120, 20)
+	if len(stored) > 12 {
+		t.Errorf("%d pages for 120 jobs", len(stored))
+	}
+	placed := 0
+	for _, p := range stored {
+		for _, c := range p.Chunks {
+			placed += len(c.Placed)
+		}
+	}
+	if placed < 1000 {
+		t.Fatalf("only %d tasks are recorded", placed)
+	}
+	// One task of each job ends: all that is written is those pages.
+	for _, j := range m.Jobs {
+		m.markDone(j, 0, at(3))
+	}
+	if n := write(t, m, stored); n > 12 {
+		t.Errorf("%d changes for a task's end in each job", n)
+	}
+}
+
+// A leader that takes over finds on the pages exactly what was placed, and goes
+// on from the attempts that were used.
+func TestANewLeaderReadsThePages(t *testing.T) {
+	m, stored := grown(t, 30, 10)
+	m.markDone(m.Jobs[3], 4, at(3))
+	write(t, m, stored)
+	next := newModel(9)
+	for _, j := range m.Jobs {
+		next.PutJob(j.ID, ledger.JobRecord{Job: j.Spec, AtMs: t0.UnixMilli()}, 1, at(5))
+	}
+	for key, rec := range stored {
+		n, ok := ledger.ParsePageKey(key)
+		if !ok {
+			t.Fatal(key)
+		}
+		next.LoadPage(n, rec, 200, at(5))
+	}
+	for _, j := range m.Jobs {
+		got := next.Job(j.ID)
+		if got.Placed != j.Placed || got.Done != j.Done || got.Attempt != j.Attempt {
+			t.Errorf("%s: %d placed, %d done, attempt %d; was %d, %d, %d", j.ID,
+				got.Placed, got.Done, got.Attempt, j.Placed, j.Done, j.Attempt)
+		}
+	}
+	if n := next.Pending(); n != 0 {
+		t.Errorf("%d changes to be written though nothing has changed", n)
+	}
+}
+
+// The record of a job that is over leaves its page with the page's next change.
+// A page that nothing stands on any more is removed.
+func TestWhatIsOverLeavesThePages(t *testing.T) {
+	m, stored := grown(t, 10, 4)
+	for _, j := range append([]*Job(nil), m.Jobs...) {
+		for i := range j.Tasks {
+			m.markDone(j, int32(i), at(3))
+		}
+	}
+	write(t, m, stored)
+	if len(stored) != 0 {
+		t.Errorf("still there: %v", stored)
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -80,6 +80,14 @@
 		reports:  make(chan struct{}, max(64, cfg.Cluster.Limits.Sockets/2)),
 		sentAway: map[string]sentAway{},
 	}
+	for _, o := range cfg.Cluster.Objectives {
+		switch o.Kind {
+		case "wait", "finished", "deadline", "guarantee", "price", "cost":
+		default:
+			// Settings may be newer than the program: it serves what it knows.
+			log.Info("an aim of a kind that this program does not know", "kind", o.Kind, "class", o.Class)
+		}
+	}
 	n.reader = ledger.NewReader(n.state)
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
--- /dev/null
+++ b/controller/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package controller_test
+
+const grownMachines, grownJobs = 300, 60
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -86,3 +86,51 @@
 		t.Errorf("the held machine was given away: %v", p.Starts)
 	}
 }
+
+// A search that found nothing is not repeated for those that want as much or
+// more. It must not hide room from those that want less or elsewhere.
+func TestASearchInVainSpeaksOnlyForThoseThatWantAsMuch(t *testing.T) {
+	large, little, gpu := request(1, Res{CPU: 12}), request(1, Res{CPU: 4}), request(1, Res{CPU: 12})
+	gpu.Types = []bool{false, true}
+	other := machine(0, Res{CPU: 16})
+	other.Type = 1
+	in := Input{Machines: []Machine{machine(0, Res{CPU: 8}), other}, Requests: []Request{large, large, little, gpu}}
+	in.Requests[0].Types = []bool{true, false}
+	in.Requests[1].Types = []bool{true, false}
+	in.Requests[2].Types = []bool{true, false}
+	p := Make(&in)
+	if len(p.Starts) != 2 || p.Starts[0].Request != 2 || p.Starts[1].Request != 3 {
+		t.Errorf("started %v", p.Starts)
+	}
+	// Room that stops make for one is there for the next.
+	m := machine(0, Res{})
+	m.Tasks = []Occupant{{Task: Task{9, 0}, Need: Res{CPU: 16}, Priority: 3}}
+	in = Input{Machines: []Machine{m}, Requests: []Request{request(1, Res{CPU: 8}), request(1, Res{CPU: 8})}, Preempt: true}
+	if p := Make(&in); len(p.Stops) != 1 || len(p.Waiting) != 2 {
+		t.Errorf("stops %v, waiting %v", p.Stops, p.Waiting)
+	}
+}
+
+// Machines held for a gang that must be in one zone are all of that zone, and
+// none are held where there are not enough.
+func TestAGangHoldsMachinesOfOneZone(t *testing.T) {
+	busy := func(zone int, left float64) Machine {
+		m := machine(zone, Res{})
+		m.Tasks = []Occupant{{Task: Task{int32(left), 0}, Need: Res{CPU: 16}, Priority: 2, Left: left}}
+		return m
+	}
+	gang := request(2, Res{CPU: 16})
+	gang.All, gang.OneZone, gang.Hold = true, true, true
+	in := Input{Machines: []Machine{busy(0, 5), busy(1, 20), busy(1, 30)}, Requests: []Request{gang}}
+	Make(&in)
+	if in.Machines[0].Free.CPU != 0 || in.Machines[1].Free.CPU != -16 || in.Machines[2].Free.CPU != -16 {
+		t.Errorf("held: %v %v %v", in.Machines[0].Free, in.Machines[1].Free, in.Machines[2].Free)
+	}
+	in = Input{Machines: []Machine{busy(0, 5), busy(1, 20), busy(1, 90)}, Requests: []Request{gang}}
+	Make(&in)
+	for i := range in.Machines {
+		if in.Machines[i].Free.CPU != 0 {
+			t.Errorf("machine %d is held for part of a gang", i)
+		}
+	}
+}
