--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -25,15 +25,19 @@
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomStory(t, seed) })
+			synctest.Test(t, func(t *testing.T) { randomStory(t, seed, 1) })
 		})
 	}
+	t.Run("larger", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { randomStory(t, 1, 6) })
+	})
 }
 
-func randomStory(t *testing.T, seed uint64) {
+// randomStory plays a story in a world that many times as large.
+func randomStory(t *testing.T, seed uint64, size int) {
 	rnd := rand.New(rand.NewPCG(seed, 99))
-	o := fake.Options{Machines: 6, Capacity: 10, Seed: seed,
-		Teams: []config.Team{{Name: "core", CPUs: 12, CPUsMax: 28}, {Name: "edge", CPUs: 8}}}
+	o := fake.Options{Machines: 6 * size, Capacity: 10 * size, Seed: seed,
+		Teams: []config.Team{{Name: "core", CPUs: 12 * float64(size), CPUsMax: 28 * float64(size)}, {Name: "edge", CPUs: 8 * float64(size)}}}
 	if os.Getenv("STORY_LOG") != "" {
 		o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
@@ -44,7 +48,7 @@
 	cancelled := map[string]bool{}
 	for step := range 40 {
 		if rnd.IntN(3) > 0 {
-			j := randomJob(rnd, step+1)
+			j := randomJob(rnd, step+1, size)
 			if w.Submit(j) {
 				ids = append(ids, j.ID)
 			}
@@ -94,12 +98,12 @@
 
 var everything = []string{"state", "workers", "nodes", "cloud", "user"}
 
-func randomJob(rnd *rand.Rand, n int) wire.Job {
+func randomJob(rnd *rand.Rand, n, size int) wire.Job {
 	pick := func(list ...string) string { return list[rnd.IntN(len(list))] }
 	return job(n, func(j *wire.Job) {
 		j.Kind, j.Team = pick(wire.KindArray, wire.KindArray, wire.KindGang), pick("core", "edge")
 		j.Priority = pick(wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow)
-		j.Tasks, j.CPUs = 1+rnd.IntN(5), float64(1+rnd.IntN(4))
+		j.Tasks, j.CPUs = 1+rnd.IntN(5*size), float64(1+rnd.IntN(4))
 		j.EstimateS = float64(5 + rnd.IntN(40))
 		j.Image = fmt.Sprintf("img-%d", rnd.IntN(3))
 		j.OneZone = rnd.IntN(3) == 0
