--- a/controller/node.go
+++ b/controller/node.go
@@ -62,6 +62,15 @@
 	begun    bool                // the state service or another node has answered once
 }
 
+const (
+	// usersShare is the part of what the state service takes that is left to
+	// users' requests of all nodes when there are too many, beside the leader's.
+	usersShare = 0.5
+	// barrierShare is how many requests of a node's there may be for each
+	// barrier: submissions and final states need theirs.
+	barrierShare = 2.0
+)
+
 type sentAway struct {
 	leader  string
 	at      time.Time
@@ -73,7 +82,7 @@
 	sl := cfg.Cluster.State
 	n := &Node{
 		cfg: cfg, tuning: tuning, log: log, net: nw,
-		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.7, sl.WriteRPS),
+		state:    state.New(nw.Dial, cfg.Services.State, sl.RPS*0.6, sl.WriteRPS),
 		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
 		workers:  worker.New(nw.Dial),
 		users:    make(chan struct{}, max(32, cfg.Cluster.Limits.Sockets/8)),
@@ -88,7 +97,9 @@
 			log.Info("an aim of a kind that this program does not know", "kind", o.Kind, "class", o.Class)
 		}
 	}
-	n.reader = ledger.NewReader(n.state)
+	forUsers := n.state.Sharing(sl.RPS*0.7, sl.WriteRPS, usersShare/float64(max(1, cfg.Cluster.Size)))
+	n.reader = ledger.NewReader(forUsers)
+	n.reader.Gap = func() time.Duration { return config.Seconds(min(barrierShare/max(forUsers.Rate(), 1), 0.6)) }
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
 	}
@@ -178,10 +189,15 @@
 // operator who gave a wrong address, or whose service is out, is told so once.
 func (n *Node) watchHealth(ctx context.Context) {
 	served := true
+	// All nodes' probes together are a twentieth of what the service takes.
+	every := config.Seconds(max(1, float64(n.cfg.Cluster.Size)/(0.05*n.cfg.Cluster.State.RPS)))
 	for {
 		pctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
 		_, err := n.state.Get(pctx, election.Key)
 		cancel()
+		if errors.Is(err, state.ErrBusy) {
+			err = nil // it is there, and busy
+		}
 		if ctx.Err() == nil && served != (err == nil) {
 			served = err == nil
 			if served {
@@ -197,7 +213,11 @@
 		} else {
 			n.askPeers(ctx)
 		}
-		if !call.Pause(ctx, time.Second) {
+		wait := time.Second
+		if err == nil {
+			wait = every
+		}
+		if !call.Pause(ctx, wait) {
 			return
 		}
 	}
--- a/controller/users.go
+++ b/controller/users.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -105,15 +106,14 @@
 			return a
 		}
 		n.log.Debug("user request", "op", r.Op, "id", r.ID, "err", err)
-	}
-	for _, p := range n.peers {
-		if ctx.Err() != nil {
-			break
-		}
-		if a, err := p.User(ctx, r); err == nil && a.Status != http.StatusServiceUnavailable {
-			return a
+		if errors.Is(err, state.ErrBusy) {
+			// The others are as busy, and asking them would make it worse.
+			return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is busy"}, busyFor)
 		}
 	}
+	if a, ok := n.askOthers(ctx, r); ok {
+		return a
+	}
 	if !local {
 		if a, err := n.localUser(ctx, r); err == nil {
 			return a
@@ -122,6 +122,35 @@
 	return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is not reached"}, 1)
 }
 
+const (
+	// busyFor is after how many seconds a user is to come back to a service
+	// that is asked for too much.
+	busyFor = 2
+	// askEach is how long one other node is waited for: one that stands still
+	// takes connections and answers nothing, and there are others to be asked
+	// within the user's time.
+	askEach = 700 * time.Millisecond
+)
+
+// askOthers passes a user's request to the other nodes, those that answered last
+// time first. A submission that is passed on twice is one all the same.
+func (n *Node) askOthers(ctx context.Context, r mesh.Request) (mesh.Answer, bool) {
+	peers := slices.Clone(n.peers)
+	slices.SortStableFunc(peers, func(a, b *mesh.Peer) int { return a.Missed().Compare(b.Missed()) })
+	for _, p := range peers {
+		if ctx.Err() != nil {
+			break
+		}
+		pctx, cancel := context.WithTimeout(ctx, askEach)
+		a, err := p.User(pctx, r)
+		cancel()
+		if err == nil && a.Status != http.StatusServiceUnavailable {
+			return a, true
+		}
+	}
+	return mesh.Answer{}, false
+}
+
 // User implements mesh.Handler: it serves a request another node received.
 func (n *Node) User(ctx context.Context, r mesh.Request) mesh.Answer {
 	if n.stateOK() {
@@ -148,7 +177,7 @@
 func retryRefused(ctx context.Context, f func() error) error {
 	for try := 0; ; try++ {
 		err := f()
-		if !errors.Is(err, state.ErrRefused) || try >= 3 || !call.Pause(ctx, time.Duration(80+60*try)*time.Millisecond) {
+		if !errors.Is(err, state.ErrRefused) || try >= 3 || try >= 1 && errors.Is(err, state.ErrBusy) || !call.Pause(ctx, time.Duration(80+60*try)*time.Millisecond) {
 			return err
 		}
 	}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -53,6 +54,10 @@
 // themselves: lookups that come together share one barrier. Only final states
 // are cached beyond it.
 type Reader struct {
+	// Gap is for how long at the least a barrier follows another. It is for the
+	// owner to set before Run.
+	Gap func() time.Duration
+
 	store Store
 	asks  chan chan error
 
@@ -90,10 +95,17 @@
 				break drain
 			}
 		}
+		begun := time.Now()
 		err := r.refresh(ctx)
 		for _, w := range waiting {
 			w <- err
 		}
+		// Lookups that come meanwhile share the next barrier: with hundreds of
+		// users who poll, one barrier after another on every node is more than
+		// the state service takes.
+		if r.Gap != nil {
+			call.Pause(ctx, r.Gap()-time.Since(begun))
+		}
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -123,9 +123,26 @@
 
 	dialing chan struct{} // held by the one caller that dials
 
-	mu  sync.Mutex
-	c   *rpc.Client
-	bad time.Time // no dialling before this
+	mu     sync.Mutex
+	c      *rpc.Client
+	bad    time.Time // no dialling before this
+	missed time.Time // when it last did not answer, unless it has since
+}
+
+// Missed says when the node last did not answer; zero if it has since.
+func (p *Peer) Missed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.missed
+}
+
+func (p *Peer) note(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.missed = time.Time{}
+	if err != nil {
+		p.missed = time.Now()
+	}
 }
 
 // NewPeer makes a peer.
@@ -175,6 +192,7 @@
 func (p *Peer) call(ctx context.Context, method string, in, out any) error {
 	c, err := p.client(ctx)
 	if err != nil {
+		p.note(err)
 		return err
 	}
 	done := c.Go("Mesh."+method, in, out, make(chan *rpc.Call, 1))
@@ -185,6 +203,11 @@
 		err = ctx.Err()
 	}
 	var said rpc.ServerError
+	if errors.As(err, &said) {
+		p.note(nil)
+	} else {
+		p.note(err)
+	}
 	if err != nil && !errors.As(err, &said) {
 		// The connection may be dead without an error: begin anew.
 		p.mu.Lock()
--- a/state/state.go
+++ b/state/state.go
@@ -22,6 +22,9 @@
 var (
 	// ErrRefused: the request was not executed (503 or 429).
 	ErrRefused = errors.New("state service refused the request")
+	// ErrBusy is an ErrRefused for too many requests: another node would be
+	// refused as well.
+	ErrBusy = fmt.Errorf("%w: too many requests", ErrRefused)
 	// ErrUnknown: the request may have been executed, or may yet be.
 	ErrUnknown = errors.New("no answer from the state service")
 	// ErrNoLease: the lease has ended.
@@ -49,48 +52,88 @@
 type Client struct {
 	base    string
 	hc      *http.Client
-	reqs    *rate.Limiter
-	writes  *rate.Limiter
+	reqs    limit
+	writes  limit
 	timeout time.Duration
+	served  *served
+}
+
+// served is shared by a node's clients.
+type served struct {
 	lastOK  atomic.Int64 // unix nanoseconds of the last request that was served
 	lastBad atomic.Int64
 }
 
+// limit paces what a client asks for.
+type limit interface {
+	WaitN(ctx context.Context, n int) error
+	busy() // the service has refused for too many requests
+}
+
+// fixed is a limit that stays as it is.
+type fixed struct{ *rate.Limiter }
+
+func (fixed) busy() {}
+
+func newFixed(per float64) limit {
+	return fixed{rate.NewLimiter(rate.Limit(per), max(1, int(per)))}
+}
+
 // New makes a client that asks for at most rps requests and wps changes a
 // second.
 func New(dial call.DialFunc, addr string, rps, wps float64) *Client {
 	return &Client{
 		base:    "http://" + addr,
 		hc:      call.NewClient(dial, 16),
-		reqs:    rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
-		writes:  rate.NewLimiter(rate.Limit(wps), max(1, int(wps))),
+		reqs:    newFixed(rps),
+		writes:  newFixed(wps),
 		timeout: 2 * time.Second,
+		served:  &served{},
 	}
 }
 
+// Sharing is a client for what all nodes do at once, users' requests above
+// all: the service counts the nodes' requests together. It begins with the most
+// that it may ask for and, told that there are too many, goes down towards its
+// share, from which it climbs again slowly.
+func (c *Client) Sharing(rps, wps, share float64) *Client {
+	s := *c
+	s.reqs, s.writes = newYielding(rps, rps*share), newYielding(wps, wps*share)
+	return &s
+}
+
+// Rate is how many requests a second this client may send now.
+func (c *Client) Rate() float64 {
+	if y, ok := c.reqs.(*yielding); ok {
+		return y.now()
+	}
+	return float64(c.reqs.(fixed).Limit())
+}
+
 // Served says when a request was last served, and when one last failed.
 func (c *Client) Served() (ok, bad time.Time) {
-	return time.Unix(0, c.lastOK.Load()), time.Unix(0, c.lastBad.Load())
+	return time.Unix(0, c.served.lastOK.Load()), time.Unix(0, c.served.lastBad.Load())
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in any, max int64, timeout time.Duration) (int, []byte, error) {
-	if err := c.reqs.Wait(ctx); err != nil {
-		return 0, nil, fmt.Errorf("%w: %v", ErrRefused, err)
+	if err := c.reqs.WaitN(ctx, 1); err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrBusy, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, body, err := call.Do(ctx, c.hc, method, c.base+path, in, max)
 	if err != nil {
-		c.lastBad.Store(time.Now().UnixNano())
+		c.served.lastBad.Store(time.Now().UnixNano())
 		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
 	if status == http.StatusServiceUnavailable {
-		c.lastBad.Store(time.Now().UnixNano())
+		c.served.lastBad.Store(time.Now().UnixNano())
 		return status, nil, fmt.Errorf("%w: status 503", ErrRefused)
 	}
-	c.lastOK.Store(time.Now().UnixNano())
+	c.served.lastOK.Store(time.Now().UnixNano())
 	if status == http.StatusTooManyRequests {
-		return status, nil, fmt.Errorf("%w: status 429", ErrRefused)
+		c.reqs.busy()
+		return status, nil, fmt.Errorf("%w: status 429", ErrBusy)
 	}
 	return status, body, nil
 }
@@ -154,11 +197,14 @@
 func (c *Client) Commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
 	if n := len(ops); n > 0 {
 		if err := c.writes.WaitN(ctx, n); err != nil {
-			return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+			return 0, fmt.Errorf("%w: %v", ErrBusy, err)
 		}
 	}
 	status, body, err := c.do(ctx, http.MethodPost, "/commit", wire.Txn{If: guards, Then: ops}, answerMax, c.timeout)
 	if err != nil {
+		if status == http.StatusTooManyRequests && len(ops) > 0 {
+			c.writes.busy()
+		}
 		return 0, err
 	}
 	var a wire.TxnAnswer
