--- a/cluster/model.go
+++ b/cluster/model.go
@@ -122,14 +122,13 @@
 	due       time.Time // by the last triage
 	Started   bool      // gang: the current attempt was seen running
 	Ending    bool      // gang: the current attempt is coming to its end
-	NotBefore time.Time
+	NotBefore time.Time // a job that fails everywhere is not tried before
 	FirstRun  time.Time
 
-	cursor     int
-	dirty      bool
-	avoid      map[int32]time.Time
-	errorHosts map[int32]bool
-	errors     int
+	cursor int
+	dirty  bool
+	avoid  map[int32]time.Time
+	record *record // of its failures
 }
 
 // Gang says whether all tasks run at the same time or none does.
@@ -160,7 +159,6 @@
 	Tasks      map[Ref]bool
 	Used       placement.Res
 	IdleSince  time.Time
-	Suspect    time.Time
 
 	orphans placement.Res // what tasks not in the model take
 	images  []int32       // most recently used last
@@ -181,7 +179,7 @@
 }
 
 type errorAt struct {
-	job int32
+	job *record
 	at  time.Time
 }
 
@@ -352,7 +350,7 @@
 		Priority: priorities[s.Priority], Need: placement.Res{CPU: s.CPUs, GPU: s.GPUs, Mem: s.MemoryGB},
 		Types: m.allowedTypes(&s), Zone: -1, Image: m.image(s.Image, s.ImageGB),
 		Tasks: make([]Task, s.Tasks), Chunks: make([]Chunk, (s.Tasks+ledger.ChunkSize-1)/ledger.ChunkSize),
-		ZoneUsed: make([]int, len(m.Zones)),
+		ZoneUsed: make([]int, len(m.Zones)), record: &record{},
 	}
 	if t, ok := m.teamIdx[s.Team]; ok {
 		j.Team = t
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -114,11 +114,14 @@
 	case wire.TaskRunning:
 		if p.Seen != seenRunning {
 			p.Seen, p.Since = seenRunning, now
-			if !p.Inherited {
+			if !p.Inherited && !j.record.atFault() {
 				m.spreadOf(j).began(now.Sub(p.At).Seconds())
 			}
 			m.log.Debug("running", "task", t.Task, "attempt", t.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
+		if now.Sub(p.Since).Seconds() >= lasts {
+			m.lasted(j)
+		}
 		if j.FirstRun.IsZero() {
 			j.FirstRun = now
 			m.log.Info("job runs", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
@@ -168,6 +171,7 @@
 	ref := Ref{Job: j.Idx, Task: task}
 	if t.Why == wire.WhyDone {
 		m.hasImage(mc, j)
+		m.lasted(j)
 		m.measureSpeed(j, mc, p, now)
 		m.completed(j, task, p, now)
 		if j.Gang() {
@@ -186,16 +190,7 @@
 	failed := ""
 	switch t.Why {
 	case wire.WhyError:
-		j.errors++
-		if j.errorHosts == nil {
-			j.errorHosts = map[int32]bool{}
-		}
-		j.errorHosts[mc.Idx] = true
-		tk := &j.Tasks[task]
-		tk.Fails = min(tk.Fails+1, 10)
-		wait = min(500*time.Millisecond<<tk.Fails, 60*time.Second)
-		m.avoid(j, mc, now.Add(10*time.Minute))
-		m.suspect(j, mc, now)
+		wait = m.failed(j, task, mc, now)
 		failed = "error"
 	case wire.WhyNoRoom, wire.WhyBusy:
 		wait = time.Second
@@ -258,7 +253,9 @@
 			stopping = true
 		}
 	}
-	if stopping || !j.Started && !j.Ending {
+	// What is left of a gang that fails everywhere would hold its places until
+	// it has waited for the others in vain.
+	if stopping || !j.Started && !j.Ending && !j.record.atFault() {
 		return
 	}
 	m.stopAll(j, 0, "its gang lost a task", now)
@@ -271,25 +268,6 @@
 	j.avoid[mc.Idx] = until
 }
 
-// suspect remembers an error on a machine; errors of several jobs that do not
-// fail everywhere speak against the machine.
-func (m *Model) suspect(j *Job, mc *Machine, now time.Time) {
-	mc.errors = append(mc.errors, errorAt{j.Idx, now})
-	if len(mc.errors) > 20 {
-		mc.errors = mc.errors[1:]
-	}
-	jobs := map[int32]bool{}
-	for _, e := range mc.errors {
-		if o := m.Jobs[e.job]; now.Sub(e.at) < 5*time.Minute && (o == nil || len(o.errorHosts) < 3) {
-			jobs[e.job] = true
-		}
-	}
-	if len(jobs) >= 2 {
-		mc.Suspect = now.Add(10 * time.Minute)
-		m.log.Info("machine suspected", "machine", mc.Name, "failingJobs", len(jobs))
-	}
-}
-
 // launchable says whether every record that a launch of this task rests on is
 // committed; a gang launches as a whole.
 func launchable(j *Job, task int32) bool {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -186,9 +186,9 @@
 	for _, c := range m.classes {
 		c.open = 0
 	}
-	var out []*ranked
+	var out, last []*ranked
 	for _, j := range jobs {
-		if c := m.classes[j.Spec.Class]; c != nil {
+		if c := m.classes[j.Spec.Class]; c != nil && !j.record.atFault() {
 			c.open += len(j.Tasks) - j.Done
 		}
 		r, ok := m.request(j, now)
@@ -196,6 +196,14 @@
 			continue
 		}
 		k := &ranked{j: j, within: in[j.Idx], req: r}
+		if j.record.atFault() {
+			// Free room and nothing else: no place is kept, made or rented for
+			// it, and no image fetched before those of healthy work.
+			k.within, k.missed, k.req.Spare = false, true, true
+			k.next(now)
+			last = append(last, k)
+			continue
+		}
 		est := m.expected(j)
 		for _, t := range r.Tasks {
 			k.left = max(k.left, rest(est, &j.Tasks[t]))
@@ -221,6 +229,66 @@
 	if len(out) > maxRequests {
 		out = out[:maxRequests]
 	}
+	m.keepOffGPUs(out, jobs)
+	return append(out, last...)
+}
+
+// keepOffGPUs keeps work that needs no GPU away from machines that have them
+// while other work waits for GPUs: jobs that no aim speaks of altogether, and
+// the others as long as stopping such jobs elsewhere makes room for them.
+// Otherwise a guest's tasks take the machines without GPUs for minutes, and
+// everybody else's those with GPUs.
+func (m *Model) keepOffGPUs(out []*ranked, jobs []*Job) {
+	gpus := slices.ContainsFunc(out, func(k *ranked) bool { return k.j.Need.GPU > 0 })
+	plain := make([]bool, len(m.Types))
+	for i := range m.Types {
+		plain[i] = m.Types[i].Cap.GPU == 0
+	}
+	if !gpus || !slices.Contains(plain, true) {
+		return
+	}
+	aimless := slices.ContainsFunc(jobs, func(j *Job) bool { return j.Placed > 0 && j.Need.GPU == 0 && !m.aimed(j) })
+	for _, k := range out {
+		if k.j.Need.GPU > 0 || !slices.ContainsFunc(m.typesFor(k.j), func(ti int) bool { return plain[ti] }) {
+			continue
+		}
+		switch {
+		case !m.aimed(k.j) && !k.within:
+			k.req.Types = both(k.req.Types, plain)
+		case aimless:
+			k.req.First = both(k.req.Types, plain)
+		}
+	}
+}
+
+// typesFor lists the types on which a task of the job fits.
+func (m *Model) typesFor(j *Job) (out []int) {
+	for i := range m.Types {
+		if j.Types[i] && j.Need.Fits(m.Types[i].Cap) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// aimed says whether any aim speaks of the job.
+func (m *Model) aimed(j *Job) bool {
+	for _, o := range m.cfg.Cluster.Objectives {
+		switch o.Kind {
+		case "wait", "finished", "deadline":
+			if o.Class == j.Spec.Class {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func both(a, b []bool) []bool {
+	out := make([]bool, len(a))
+	for i := range a {
+		out[i] = a[i] && b[i]
+	}
 	return out
 }
 
@@ -233,14 +301,17 @@
 	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
 		return r, false
 	}
-	ms := now.UnixMilli()
-	for j.cursor < len(j.Tasks) && j.Tasks[j.cursor].Phase != Idle {
-		j.cursor++
-	}
 	limit := maxRequestTasks
 	if j.Gang() {
 		limit = len(j.Tasks)
 	}
+	if limit = j.held(limit, now); limit == 0 {
+		return r, false
+	}
+	ms := now.UnixMilli()
+	for j.cursor < len(j.Tasks) && j.Tasks[j.cursor].Phase != Idle {
+		j.cursor++
+	}
 	for i := j.cursor; i < len(j.Tasks) && len(r.Tasks) < limit; i++ {
 		t := &j.Tasks[i]
 		if t.Phase != Idle {
@@ -417,7 +488,7 @@
 	}
 	v.Free = t.Cap.Add(mc.Used, -1).Add(mc.orphans, -1)
 	images := len(m.imageBuf)
-	if now.Before(mc.Suspect) {
+	if mc.suspected(now) {
 		v.Slow = 300
 	}
 	if mc.speed > 1.5 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -94,9 +94,11 @@
 	Spot      bool
 	Avoid     map[int]bool // machines this job stays away from for now
 	Prefer    map[int32]int
-	Phantom   bool // no job's: room to be kept free
-	Reserve   bool // a phantom for which room is kept from later requests, and nothing rented
-	Hold      bool // machines are kept from later requests until they have room for this one
+	Phantom   bool   // no job's: room to be kept free
+	Reserve   bool   // a phantom for which room is kept from later requests, and nothing rented
+	Hold      bool   // machines are kept from later requests until they have room for this one
+	Spare     bool   // takes free room only: nothing is kept, stopped or rented for it
+	First     []bool // types to be tried first, also by stopping others there
 }
 
 // Offer is a kind of machine that may be rented.
@@ -181,18 +183,15 @@
 	if n == 0 || r.All && n < len(r.Tasks) {
 		return
 	}
-	tasks := r.Tasks[:n]
-	placed := p.try(r, tasks, readyNow)
-	for _, s := range placed {
-		s.Request = i
-		p.plan.Starts = append(p.plan.Starts, s)
+	rest := r.Tasks[:n]
+	if r.First != nil {
+		first := *r // searches in vain are remembered with the types they were for
+		first.Types = r.First
+		rest = p.start(&first, i, rest)
+		rest = p.preempt(&first, rest)
 	}
-	if r.Team >= 0 {
-		t := &p.in.Teams[r.Team]
-		t.Used = t.Used.Add(r.Need, float64(len(placed)))
-	}
-	rest := tasks[len(placed):]
-	if len(rest) == 0 {
+	rest = p.start(r, i, rest)
+	if len(rest) == 0 || r.Spare {
 		return
 	}
 	if r.Reserve {
@@ -225,6 +224,20 @@
 	}
 }
 
+// start places what fits now and returns what is left.
+func (p *planner) start(r *Request, i int, tasks []int32) []int32 {
+	placed := p.try(r, tasks, readyNow)
+	for _, s := range placed {
+		s.Request = i
+		p.plan.Starts = append(p.plan.Starts, s)
+	}
+	if r.Team >= 0 {
+		t := &p.in.Teams[r.Team]
+		t.Used = t.Used.Add(r.Need, float64(len(placed)))
+	}
+	return tasks[len(placed):]
+}
+
 // holdWithin is how soon a machine must have room for it to be kept from
 // smaller tasks until then.
 const holdWithin = 45
@@ -560,6 +573,9 @@
 // preempt stops the tasks whose loss is least to make room, all of the
 // request's tasks or none for a gang. It returns the tasks left.
 func (p *planner) preempt(r *Request, tasks []int32) []int32 {
+	if len(tasks) == 0 {
+		return nil
+	}
 	zone := r.Zone
 	if r.OneZone && zone < 0 {
 		bestN, bestLoss := 0, 0.0
