A leader that stands still or is gone: followers doubt it, reports wait for the next one

A resumed leader counted the time in which it could not listen as the workers' silence, and resigned; on an empty cluster leaders resigned in turn every 6 s because the list still showed returned machines. The process notices that it stood still, says so, and reads what waits before it calls machines silent, returns any or resigns. The names of machines to be returned are committed before the cloud is asked. Machines that only the list shows are expected 2 lags after takeover.

--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -8,6 +8,17 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
+// returnAtOnce is how many machines one request returns at most.
+const returnAtOnce = 50
+
+// Returned takes in the names of a deletion that an earlier leader asked for:
+// it may yet be carried out.
+func (m *Model) Returned(names []string, now time.Time) {
+	for _, n := range names {
+		m.machine(n, now).Returning = true
+	}
+}
+
 const failedState = wire.MachineFailed
 
 // SetList takes the cloud's machine list in. It lags and may be older than the
@@ -44,15 +55,21 @@
 		idle = min(idle, 20*time.Second)
 	}
 	var out []string
+	// Those that were asked for before and not confirmed come first: the record
+	// of what goes holds one request's names.
 	for _, mc := range m.Machines {
-		if len(out) >= 50 {
-			break
+		if mc.Returning && !mc.Gone && len(out) < returnAtOnce {
+			out = append(out, mc.Name)
 		}
-		if mc.Gone {
-			continue
+	}
+	if m.settling(now) {
+		return out
+	}
+	for _, mc := range m.Machines {
+		if len(out) >= returnAtOnce {
+			break
 		}
-		if mc.Returning {
-			out = append(out, mc.Name)
+		if mc.Gone || mc.Returning {
 			continue
 		}
 		why := ""
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -196,6 +196,9 @@
 	Headroom float64
 	Freed    uint64 // counts the places that have become free
 
+	resumed time.Time     // when the leader last went on after standing still
+	stood   time.Duration // for how long it had stood
+
 	cfg        *config.Settings
 	log        *slog.Logger
 	drift      float64
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -404,13 +404,35 @@
 	return last.Add(config.Seconds(lease*(1+4*m.drift)) + 300*time.Millisecond)
 }
 
+// StoodStill takes in that the leader's process stood still for so long, until
+// then, while its clocks ran on.
+func (m *Model) StoodStill(resumed time.Time, stood time.Duration) {
+	m.resumed, m.stood = resumed, stood
+}
+
+// settling says whether the leader has just gone on after standing still: what
+// workers have reported meanwhile is read before any of them is called silent.
+func (m *Model) settling(now time.Time) bool {
+	return !m.resumed.IsZero() && now.Sub(m.resumed) < config.Seconds(m.cfg.Cluster.Workers.ReportS)+time.Second
+}
+
+// silentFor is how long nothing has been heard of a machine, not counting the
+// time in which the leader could not listen.
+func (m *Model) silentFor(mc *Machine, now time.Time) time.Duration {
+	d := now.Sub(mc.LastSeen)
+	if mc.LastSeen.Before(m.resumed) {
+		d -= m.stood
+	}
+	return d
+}
+
 // Tick takes the passing of time in: leases that are over, notices.
 func (m *Model) Tick(now time.Time) {
 	for _, mc := range m.Machines {
 		if mc.Gone {
 			continue
 		}
-		if (mc.Up || len(mc.Tasks) > 0) && now.After(m.leaseOver(mc)) {
+		if (mc.Up || len(mc.Tasks) > 0) && now.After(m.leaseOver(mc)) && !m.settling(now) {
 			if mc.Up {
 				m.log.Info("machine silent past its lease", "machine", mc.Name, "tasks", len(mc.Tasks))
 			}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -370,14 +370,18 @@
 	w := m.cfg.Cluster.Workers
 	quiet := config.Seconds(min(w.ReportS*2.5+2, w.LeaseS/2))
 	return mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() && mc.Type >= 0 && mc.Zone >= 0 &&
-		now.Sub(mc.LastSeen) < quiet
+		m.silentFor(mc, now) < quiet
 }
 
-// Expecting is how many machines should be reporting.
-func (m *Model) Expecting() int {
+// Expecting is how many machines should be reporting. The list lags: of machines
+// that were returned a while ago it shows nothing. Leaders that expected those
+// gave leadership up in turn, every few seconds, when a day's work was over.
+func (m *Model) Expecting(now time.Time) int {
 	n := 0
+	lag := config.Seconds(2*m.cfg.Cluster.Cloud.ListLagS + 10)
 	for _, mc := range m.Machines {
-		if !mc.Gone && (mc.Up || len(mc.Tasks) > 0 || mc.Listed == wire.MachineRunning) {
+		listed := mc.Listed == wire.MachineRunning && now.Sub(m.Takeover) > lag && now.Sub(mc.ListedAt) < lag
+		if !mc.Gone && !mc.Returning && (mc.Up || len(mc.Tasks) > 0 || listed) {
 			n++
 		}
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -85,6 +85,7 @@
 		n.mu.Unlock()
 	}()
 	ready()
+	n.tell()
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud} {
 		wg.Add(1)
@@ -109,6 +110,10 @@
 	if err != nil {
 		return err
 	}
+	returns, err := st.Get(ctx, ledger.ReturnsKey)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
@@ -164,6 +169,10 @@
 			m.Rented(cluster.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, rec.Machines, time.UnixMilli(rec.AtMs))
 		}
 	}
+	var going ledger.ReturnRecord
+	if returns.Version != 0 && wire.Unmarshal(returns.Value, &going) == nil {
+		m.Returned(going.Machines, now)
+	}
 	m.Loaded(now)
 	l.mu.Lock()
 	l.m, l.rev = m, rev
@@ -495,6 +504,8 @@
 		if l.term.Valid() {
 			l.mu.Lock()
 			now := time.Now()
+			l.n.pulse.beat(now)
+			l.m.StoodStill(l.n.pulse.lastStop())
 			if l.unreached(now) {
 				l.mu.Unlock()
 				l.log.Info("no worker reaches this leader: giving leadership up")
@@ -551,7 +562,11 @@
 	if since.Before(l.m.Takeover) {
 		since = l.m.Takeover
 	}
-	return len(l.n.peers) > 0 && l.m.Expecting() >= 2 && now.Sub(since) > quiet
+	// After a stop, the workers' reports are there and have not been read yet.
+	if resumed, _ := l.n.pulse.lastStop(); since.Before(resumed) {
+		since = resumed
+	}
+	return len(l.n.peers) > 0 && l.m.Expecting(now) >= 2 && now.Sub(since) > quiet
 }
 
 // beginMoves commits a cycle's record, so that a new leader knows of the
@@ -582,6 +597,8 @@
 		}
 		l.rent(ctx)
 		l.mu.Lock()
+		l.n.pulse.beat(time.Now())
+		l.m.StoodStill(l.n.pulse.lastStop())
 		back := l.m.Returnable(time.Now(), config.Seconds(l.n.tuning.Renting.IdleS))
 		l.mu.Unlock()
 		if len(back) > 0 {
@@ -615,7 +632,15 @@
 	return err == nil
 }
 
+// giveBack returns machines. Their names are committed first: between the look
+// at the lease and the cloud's act may lie a minute, in which another leader has
+// begun and placed tasks on them, unless it reads here that they go.
 func (l *leadership) giveBack(ctx context.Context, names []string) {
+	op := wire.Op{Put: ledger.ReturnsKey, Value: ledger.ReturnRecord{Machines: names}}
+	if _, err := l.n.state.Commit(ctx, []wire.Guard{l.guard()}, []wire.Op{op}); err != nil {
+		l.log.Debug("return record", "err", err)
+		return
+	}
 	if err := l.n.cloud.Delete(ctx, names); err != nil {
 		l.log.Info("machines not returned, retrying", "count", len(names), "err", err)
 		call.Pause(ctx, time.Second)
--- a/controller/node.go
+++ b/controller/node.go
@@ -53,6 +53,8 @@
 	peers   []*mesh.Peer
 	users   chan struct{} // bounds the users' requests under way
 	reports chan struct{}
+	pulse   pulse
+	doubts  doubts
 
 	mu       sync.Mutex
 	lead     *leadership // nil unless this node leads
@@ -60,6 +62,7 @@
 	sentAway map[string]sentAway // workers told to go to the leader
 	meshOK   time.Time           // when another node was last reached
 	begun    bool                // the state service or another node has answered once
+	news     chan struct{}       // closed and replaced when there is news of the leader
 }
 
 const (
@@ -87,7 +90,7 @@
 		workers:  worker.New(nw.Dial),
 		users:    make(chan struct{}, max(32, cfg.Cluster.Limits.Sockets/8)),
 		reports:  make(chan struct{}, max(64, cfg.Cluster.Limits.Sockets/2)),
-		sentAway: map[string]sentAway{},
+		sentAway: map[string]sentAway{}, news: make(chan struct{}),
 	}
 	for _, o := range cfg.Cluster.Objectives {
 		switch o.Kind {
@@ -106,7 +109,7 @@
 	w := cfg.Cluster.Workers
 	n.elector = &election.Elector{
 		Store: n.state, Self: cfg.Node, TTL: config.Seconds(leaderTTL(w)), Drift: drift, Log: log,
-		Lead: n.runLeader, CatchUp: n.catchUp,
+		Lead: n.runLeader, CatchUp: n.catchUp, Seen: n.tell,
 	}
 	return n
 }
@@ -162,6 +165,8 @@
 	})
 	duty(n.reader.Run)
 	duty(n.watchHealth)
+	duty(n.watchPulse)
+	duty(n.watchLeader)
 	duty(n.keepTypes)
 	duty(n.elector.Run)
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "bind", n.cfg.Bind)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -49,9 +49,12 @@
 	if err := wire.Unmarshal(body, &who); err != nil || who.Machine == "" {
 		return answer(http.StatusBadRequest, wire.Error{Error: "malformed report"}, 0)
 	}
-	leader := n.elector.Leader()
+	leader := n.awaitLeader(ctx)
+	if l := n.leadership(); l != nil {
+		return l.report(body, true)
+	}
 	if leader == "" || leader == n.cfg.Node {
-		return answer(http.StatusServiceUnavailable, wire.Error{Error: "no leader known"}, 1)
+		return redirect(n.elsewhere(who.Machine))
 	}
 	now := time.Now()
 	n.mu.Lock()
@@ -68,10 +71,7 @@
 	if !back {
 		return redirect(leader)
 	}
-	for _, p := range n.peers {
-		if p.Name != leader {
-			continue
-		}
+	if p := n.peer(leader); p != nil {
 		if a, err := p.Report(ctx, body); err == nil {
 			if a.Status != http.StatusOK {
 				return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader does not answer"}, 1)
--- a/election/election.go
+++ b/election/election.go
@@ -74,6 +74,8 @@
 	// leader's knowledge up to date; the lease counts as sure only after it.
 	Lead    func(ctx context.Context, t *Term, ready func()) error
 	CatchUp func(ctx context.Context, t *Term) error
+	// Seen, if set, is called when another leader is seen, or none.
+	Seen func()
 
 	mu     sync.Mutex
 	leader string
@@ -94,6 +96,9 @@
 	e.mu.Unlock()
 	if changed {
 		e.Log.Info("leader seen", "leader", name)
+		if e.Seen != nil {
+			e.Seen()
+		}
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,6 +20,8 @@
 	Rentals  = "r/"
 	Cycles   = "x/"
 	TypesKey = "c/types"
+	// ReturnsKey names the machines that the last deletion asked for.
+	ReturnsKey = "c/returns"
 )
 
 // ChunkSize is how many tasks of a job share one placement record. The records
@@ -98,6 +100,12 @@
 	Machines []string `msgpack:"m,omitempty"`
 }
 
+// ReturnRecord is written before machines are returned, so that a later leader
+// places nothing on them and returns them in its turn.
+type ReturnRecord struct {
+	Machines []string `msgpack:"m"`
+}
+
 // CycleRecord is what a rebalancing cycle leaves for the next leader. Times
 // are Unix milliseconds.
 type CycleRecord struct {
