--- a/controller/node.go
+++ b/controller/node.go
@@ -115,7 +115,7 @@
 }
 
 // outlast is how long an outage of the state service workers should survive.
-const outlast = 24
+const outlast = 19
 
 // leaderTTL is the time of the leader's lease. At most, it leaves the tasks of
 // a cancelled job to end in time; below that, it is as short as lets workers
