Boot times are learnt; late machines are not counted on, lost ones ordered elsewhere

Change: the slowest recent boot of a type (bounded by 3 times the catalogue's) says when a machine is late (another may be ordered) and when it is given up; after one that never came, others are ordered elsewhere for 15 s.

--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -8,6 +8,8 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
+const neverUp = "never came up"
+
 // returnAtOnce is how many machines one request returns at most.
 const returnAtOnce = 50
 
@@ -79,7 +81,7 @@
 		case mc.Listed == failedState && listed && !mc.Up:
 			why = "failed"
 		case !mc.Up && mc.Session == 0 && mc.Type >= 0 && now.Sub(mc.Created) > m.bootLimit(mc) && (listed || mc.Ours) && now.Sub(m.Takeover) > 20*time.Second:
-			why = "never came up"
+			why = neverUp
 		case !mc.Up && mc.Session > 0 && listed && now.Sub(m.leaseOver(mc)) > 40*time.Second:
 			why = "silent"
 		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second:
@@ -88,6 +90,9 @@
 		if why != "" {
 			mc.Returning = true
 			m.log.Info("returning", "machine", mc.Name, "why", why)
+			if why == neverUp {
+				m.givenUp(mc, now)
+			}
 			out = append(out, mc.Name)
 		}
 	}
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -24,6 +24,8 @@
 	Spot  float64
 	Boot  time.Duration
 	Zones []bool
+
+	boots boots
 }
 
 // Ref names a task by indices.
@@ -152,10 +154,12 @@
 	LastSeen   time.Time
 	Notice     time.Time // when the cloud takes it away, if it said so
 	Created    time.Time // when it was rented, as far as known
+	Ordered    bool      // Created is known, and from then on the machine boots
 	Listed     string
 	ListedAt   time.Time
 	Ours       bool // rented by a request of ours whose answer named it
 	Returning  bool
+	late       bool // the operator has been told
 	Tasks      map[Ref]bool
 	Used       placement.Res
 	IdleSince  time.Time
@@ -271,6 +275,7 @@
 		m.Types[idx] = Type{
 			Name: t.Name, Cap: placement.Res{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemoryGB}, Cache: t.CacheGB,
 			Fetch: t.FetchGBPS, Price: t.Price, Spot: t.SpotPrice, Boot: config.Seconds(t.BootS), Zones: zones,
+			boots: m.Types[idx].boots,
 		}
 	}
 	for _, mc := range m.Machines {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -23,6 +23,9 @@
 	if r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.Seq {
 		return nil
 	}
+	if mc.Session == 0 {
+		m.cameUp(mc, now)
+	}
 	if !mc.Up {
 		m.log.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
 		mc.IdleSince = now
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -388,24 +388,6 @@
 	return n
 }
 
-// booting says how long until a machine that is not up yet should be.
-func (m *Model) booting(mc *Machine, now time.Time) (float64, bool) {
-	if mc.Up || mc.Gone || mc.Returning || mc.Session > 0 || mc.Type < 0 || mc.Zone < 0 {
-		return 0, false
-	}
-	age := now.Sub(mc.Created)
-	lag := config.Seconds(2*m.cfg.Cluster.Cloud.ListLagS + 10)
-	if mc.Listed == "" && age > lag || mc.Listed == failedState || age > m.bootLimit(mc) {
-		return 0, false
-	}
-	return max(3, (m.Types[mc.Type].Boot - age).Seconds()), true
-}
-
-// bootLimit is after how long a machine that has not come up is given up.
-func (m *Model) bootLimit(mc *Machine) time.Duration {
-	return m.Types[mc.Type].Boot*5/2 + 15*time.Second
-}
-
 // over marks the tasks that run beyond their teams' guarantees, the last
 // started first. Tasks of jobs that are within the guarantee are never among
 // them: two teams that each have work within and beyond theirs would otherwise
@@ -813,6 +795,9 @@
 	for _, n := range names {
 		mc := m.machine(n, now)
 		mc.Ours = true
+		if !mc.Up && mc.Session == 0 {
+			mc.Ordered = true
+		}
 		m.describe(mc, o.Type, o.Zone, o.Spot)
 		m.log.Info("rented", "machine", n, "type", o.Type, "zone", o.Zone, "spot", o.Spot)
 	}
