Fakes stop controllers while their clocks run on; stories of stops, boots, mistakes; three finds of theirs

The fakes learn to stop a process (its connections take data and nobody reads), to boot machines late, never or at once before the rental is answered, and to refuse requests over a rate; connections buffer as sockets do. (2) A node just elected answered the reports that had waited for it with 503, before its first renewal, and sent workers on to a node that stood still (24 starts of 16 tasks); they wait until it is sure. (3) A new leader called machines late that it had not heard from yet.

--- a/cluster/boot.go
+++ b/cluster/boot.go
@@ -65,7 +65,8 @@
 		return 0, false
 	}
 	if age > m.bootLate(mc) {
-		if !mc.late {
+		// A new leader has yet to hear from machines that are up.
+		if !mc.late && len(mc.Tasks) == 0 && mc.Listed != wire.MachineRunning {
 			mc.late = true
 			m.log.Info("machine late", "machine", mc.Name, "type", mc.TypeName, "zone", m.Zones[mc.Zone], "spot", mc.Spot, "orderedS", age.Seconds())
 		}
--- a/controller/doubt.go
+++ b/controller/doubt.go
@@ -105,8 +105,10 @@
 		n.mu.Lock()
 		news := n.news
 		n.mu.Unlock()
-		// This node, once elected, still has to read the records.
-		if name := n.elector.Leader(); name != "" && !n.doubts.of(name) && (name != n.cfg.Node || n.leadership() != nil) {
+		// This node, once elected, still has to read the records and to be sure
+		// of its lease; sent on from here, a worker may well come upon a node
+		// that stands still.
+		if name := n.elector.Leader(); name != "" && !n.doubts.of(name) && (name != n.cfg.Node || n.leads()) {
 			return name
 		}
 		select {
@@ -117,6 +119,12 @@
 	}
 }
 
+// leads says whether this node leads and is sure of it.
+func (n *Node) leads() bool {
+	l := n.leadership()
+	return l != nil && l.term.Valid()
+}
+
 // elsewhere names a node that is there, for a worker to wait at.
 func (n *Node) elsewhere(machine string) string {
 	var there []string
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -85,7 +85,6 @@
 		n.mu.Unlock()
 	}()
 	ready()
-	n.tell()
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud} {
 		wg.Add(1)
--- /dev/null
+++ b/controller/pulse_test.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// After a stop, what has come of age says nothing of others: a leader that took
+// its workers' silence for a cut resigned, although their reports were waiting.
+func TestAStopIsNoticedOnceAndOnlyIfThereWasOne(t *testing.T) {
+	var p pulse
+	at := time.Unix(1000, 0)
+	for range 20 {
+		if d := p.beat(at); d != 0 {
+			t.Fatalf("a stop of %v was noticed where there was none", d)
+		}
+		at = at.Add(pulseEvery)
+	}
+	at = at.Add(6 * time.Second)
+	if d := p.beat(at); d < 6*time.Second {
+		t.Errorf("a stop of 6 s was noticed as %v", d)
+	}
+	if d := p.beat(at); d != 0 {
+		t.Errorf("noticed twice")
+	}
+	if resumed, stood := p.lastStop(); !resumed.Equal(at) || stood < 6*time.Second {
+		t.Errorf("last stop at %v for %v", resumed, stood)
+	}
+}
+
+// A refused connection is no sign that the leader is gone: a packet filter may
+// stand between the nodes while workers reach it.
+func TestALeaderIsDoubtedForSilenceNotForARefusal(t *testing.T) {
+	var d doubts
+	refused := &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	for range 5 {
+		d.note("n-1", refused)
+	}
+	if d.of("n-1") {
+		t.Error("doubted although it was refused only")
+	}
+	for range doubtAfter {
+		d.note("n-1", context.DeadlineExceeded)
+	}
+	if !d.of("n-1") || d.of("n-2") {
+		t.Error("a silent leader is not doubted, or another one is")
+	}
+	d.note("n-1", nil)
+	if d.of("n-1") {
+		t.Error("doubted although it has answered")
+	}
+}
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -45,10 +45,14 @@
 	defer w.Close()
 	time.Sleep(3 * time.Second)
 	var ids []string
-	cancelled := map[string]bool{}
+	cancelled, broken := map[string]bool{}, map[string]bool{}
 	for step := range 40 {
 		if rnd.IntN(3) > 0 {
 			j := randomJob(rnd, step+1, size)
+			if rnd.IntN(8) == 0 {
+				j.Class = fake.BrokenClass
+				broken[j.ID] = true
+			}
 			if w.Submit(j) {
 				ids = append(ids, j.ID)
 			}
@@ -69,7 +73,10 @@
 	}
 	w.State.SetOutage(false)
 	w.Cloud.SetOutage(false)
+	w.Cloud.SetBoots(nil)
+	w.Cloud.SetSlow(0)
 	for i := range 3 {
+		w.Stop(i, false)
 		w.State.Refuse(fmt.Sprintf("n-%d", i), false)
 		w.CutNode(i, false, everything...)
 		w.StartNode(i)
@@ -78,6 +85,10 @@
 		w.Hang(m, false)
 	}
 	for _, id := range ids {
+		if broken[id] && !cancelled[id] {
+			// It stays as it is until its user has had enough.
+			cancelled[id] = w.Cancel(id) == wire.JobCancelled
+		}
 		want := wire.JobDone
 		if cancelled[id] {
 			want = wire.JobCancelled
@@ -122,7 +133,7 @@
 	if ms := w.Cloud.Machines(); len(ms) > 0 {
 		machine = ms[rnd.IntN(len(ms))]
 	}
-	switch rnd.IntN(16) {
+	switch rnd.IntN(20) {
 	case 0:
 		w.KillNode(n)
 	case 1, 2, 3:
@@ -158,5 +169,16 @@
 		}
 	case 15:
 		w.Cloud.SetOutage(rnd.IntN(2) == 0)
+	case 16, 17:
+		w.Stop(n, true)
+	case 18:
+		for i := range 3 {
+			w.Stop(i, false)
+		}
+	case 19:
+		boots := []time.Duration{-1, 100 * time.Millisecond, 25 * time.Second, 10 * time.Second}
+		shift := rnd.IntN(4)
+		w.Cloud.SetBoots(func(n int) time.Duration { return boots[(n+shift)%4] })
+		w.Cloud.SetSlow(time.Duration(rnd.IntN(4)) * time.Second)
 	}
 }
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -40,7 +40,7 @@
 // naming the leader, or by passing the report on where the worker has come
 // back from there.
 func (n *Node) report(ctx context.Context, body []byte) mesh.Answer {
-	if l := n.leadership(); l != nil {
+	if l := n.leadership(); l != nil && l.term.Valid() {
 		return l.report(body, true)
 	}
 	var who struct {
--- /dev/null
+++ b/controller/still_test.go
@@ -0,0 +1,132 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// The longest and the shortest of what a stop can outlast: a user's poll (2 s),
+// a worker's wait (4 s), the leader's lease (7 s here), a worker's lease (12 s).
+var stops = []time.Duration{time.Second, 3900 * time.Millisecond, 4100 * time.Millisecond, 6900 * time.Millisecond,
+	7100 * time.Millisecond, 11900 * time.Millisecond, 12100 * time.Millisecond, 25 * time.Second, time.Minute}
+
+// A process that stands still while its clocks run on acts afterwards on what it
+// knew before. The checker watches the rules; no task may be lost that a leader
+// could have kept, and users are served by the other nodes meanwhile.
+func TestControllersStandStill(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		which func(leader int) []int
+	}{
+		{"the leader", func(l int) []int { return []int{l} }},
+		{"a follower", func(l int) []int { return []int{(l + 1) % 3} }},
+		{"the leader and a follower", func(l int) []int { return []int{l, (l + 1) % 3} }},
+		{"all", func(int) []int { return []int{0, 1, 2} }},
+	} {
+		for _, d := range stops {
+			t.Run(fmt.Sprint(c.name, " for ", d), func(t *testing.T) {
+				story(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World) {
+					mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 90 }),
+						job(2, func(j *wire.Job) { gang(j); j.Tasks = 3; j.EstimateS = 80 }))
+					mustReach(t, w, "wk-000002", wire.JobRunning, 20*time.Second)
+					time.Sleep(4 * time.Second)
+					which := c.which(w.Leader())
+					for _, i := range which {
+						w.Stop(i, true)
+					}
+					begun := time.Now()
+					if len(which) < 3 && d > 5*time.Second {
+						mustSubmit(t, w, job(3, nil))
+						if w.Cancel("wk-000001") != wire.JobCancelled {
+							t.Error("no node cancels")
+						}
+					}
+					time.Sleep(d - time.Since(begun))
+					for _, i := range which {
+						w.Stop(i, false)
+					}
+					mustSubmit(t, w, job(4, nil))
+					mustReach(t, w, "wk-000004", wire.JobDone, 2*time.Minute)
+					mustReach(t, w, "wk-000002", wire.JobDone, 4*time.Minute)
+					// Whoever stood still, a worker finds a leader within its lease
+					// as long as there can be one.
+					if n := w.Started(); n > 9 && (len(which) < 2 || d < 10*time.Second) {
+						t.Errorf("%d starts of 9 tasks", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A leader that has no power any more, or stands still, takes connections and
+// answers nothing: each follower that sent a worker there cost it 4 s of a lease
+// of 12 s, and with another node down as well most tasks were killed.
+func TestWorkersWaitForTheNextLeaderWhereTheyAreAnswered(t *testing.T) {
+	story(t, fake.Options{Machines: 8, Nodes: 5}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.EstimateS = 16, 90 }))
+		mustReach(t, w, "wk-000001", wire.JobRunning, 20*time.Second)
+		time.Sleep(5 * time.Second)
+		l := w.Leader()
+		w.Stop((l+2)%5, true)
+		time.Sleep(8 * time.Second)
+		w.Stop(l, true)
+		mustReach(t, w, "wk-000001", wire.JobDone, 3*time.Minute)
+		if n := w.Started(); n != 16 {
+			t.Errorf("%d starts of 16 tasks", n)
+		}
+	})
+}
+
+// The state service refuses one node while another stands still: a user's
+// request goes past both within its time.
+func TestARequestGoesPastANodeThatStandsStill(t *testing.T) {
+	story(t, fake.Options{Machines: 2, Nodes: 4}, func(t *testing.T, w *fake.World) {
+		a := (w.Leader() + 1) % 4
+		w.State.Refuse(fmt.Sprintf("n-%d", a), true)
+		for i := range 2 {
+			w.Stop((a+1+i)%4, true)
+		}
+		time.Sleep(2 * time.Second)
+		if status := w.Post(a, job(1, nil)); status != 201 {
+			t.Errorf("answered %d", status)
+		}
+	})
+}
+
+// Hundreds of users who poll made every node ask the state service as often as
+// it could; together that was several times what the service takes, and the
+// leader's renewals were refused along with the rest, for good.
+func TestACrowdOfPollsDoesNotEndLeadership(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Nodes: 5, StateRPS: 40}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
+		before := w.State.Value("ctl/leader")
+		end := time.Now().Add(40 * time.Second)
+		for i := range 100 {
+			go func() {
+				for time.Now().Before(end) {
+					w.Poll(w.Bind(i%5), "wk-000001")
+					time.Sleep(200 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(8 * time.Second)
+		busy := w.State.Busy
+		mustSubmit(t, w, job(2, nil))
+		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
+		if n := w.State.Busy - busy; n > 40*30/10 {
+			t.Errorf("%d requests were refused in half a minute", n)
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, 2*time.Minute)
+		if string(w.State.Value("ctl/leader")) != string(before) {
+			t.Error("the leader has changed")
+		}
+		if n := w.Started(); n != 4 {
+			t.Errorf("%d starts of 4 tasks", n)
+		}
+	})
+}
--- a/election/election.go
+++ b/election/election.go
@@ -74,7 +74,8 @@
 	// leader's knowledge up to date; the lease counts as sure only after it.
 	Lead    func(ctx context.Context, t *Term, ready func()) error
 	CatchUp func(ctx context.Context, t *Term) error
-	// Seen, if set, is called when another leader is seen, or none.
+	// Seen, if set, is called when another leader is seen, or none, and when this
+	// node becomes sure of leading.
 	Seen func()
 
 	mu     sync.Mutex
@@ -235,11 +236,15 @@
 			t.Resign()
 			continue
 		case err == nil && isReady:
-			if !t.Valid() && sure {
+			unsure := !t.Valid()
+			if unsure && sure {
 				e.Log.Info("sure of the lease again", "token", t.Token)
 			}
 			sent, sure = asked, true
 			t.Extend(sent.Add(lasts))
+			if unsure && e.Seen != nil {
+				e.Seen()
+			}
 		case err != nil:
 			e.Log.Debug("renewal", "err", err)
 		}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -73,6 +73,14 @@
 	return resp.StatusCode, out, nil
 }
 
+type gateKey struct{}
+
+// WithGate makes every Pause under ctx end only when the gate lets it: tests
+// stop a process with it while its clocks run on.
+func WithGate(ctx context.Context, gate func(context.Context)) context.Context {
+	return context.WithValue(ctx, gateKey{}, gate)
+}
+
 // Pause waits, and says whether it did so to the end.
 func Pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -81,6 +89,9 @@
 	case <-ctx.Done():
 		return false
 	case <-t.C:
-		return true
 	}
+	if gate, ok := ctx.Value(gateKey{}).(func(context.Context)); ok {
+		gate(ctx)
+	}
+	return ctx.Err() == nil
 }
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -25,6 +25,25 @@
 	outage   bool
 	silent   bool // what is asked is done, and not answered
 	Reused   []string
+	Rented   int                     // machines, ever
+	boots    func(int) time.Duration // of the machine of that number; negative: never up
+	slow     time.Duration           // until a rental is answered
+}
+
+// SetBoots says how long machines take to come up, by their number since the
+// beginning; below 0 means never. nil: as the catalogue says.
+func (c *Cloud) SetBoots(f func(n int) time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.boots = f
+}
+
+// SetSlow makes rentals take so long to be answered, after the machines have
+// been made.
+func (c *Cloud) SetSlow(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = d
 }
 
 // SetOutage begins or ends an outage of the cloud's interface.
@@ -124,6 +143,12 @@
 	if !ok {
 		for i := 0; i < q.Count && len(c.machines) < c.capacity; i++ {
 			boot := time.Duration(c.typ(q.Type).BootS * float64(time.Second))
+			if c.boots != nil {
+				if boot = c.boots(c.next); boot < 0 {
+					boot = 1000 * time.Hour
+				}
+			}
+			c.Rented++
 			names = append(names, c.rent(q.Type, q.Zone, q.Spot, boot))
 		}
 		if len(names) == 0 {
@@ -139,6 +164,12 @@
 		time.Sleep(20 * time.Second)
 		c.mu.Lock()
 	}
+	if c.slow > 0 {
+		d := c.slow
+		c.mu.Unlock()
+		time.Sleep(d)
+		c.mu.Lock()
+	}
 	reply(w, http.StatusOK, wire.Names{Machines: names})
 }
 
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -20,12 +20,13 @@
 	conns     map[*conn]bool
 	cuts      map[[2]string]bool
 	down      map[string]bool
+	still     map[string]chan struct{} // hosts that stand still, until closed
 }
 
 // NewNet makes an empty network.
 func NewNet() *Net {
 	return &Net{listeners: map[string]*listener{}, conns: map[*conn]bool{},
-		cuts: map[[2]string]bool{}, down: map[string]bool{}}
+		cuts: map[[2]string]bool{}, down: map[string]bool{}, still: map[string]chan struct{}{}}
 }
 
 func host(addr string) string { h, _, _ := strings.Cut(addr, ":"); return h }
@@ -54,7 +55,7 @@
 	}
 	n.mu.Unlock()
 	for _, c := range hit {
-		c.Close()
+		c.cut()
 	}
 }
 
@@ -76,13 +77,44 @@
 	}
 	n.mu.Unlock()
 	for _, c := range hit {
-		c.Close()
+		c.cut()
 	}
 	for _, l := range ls {
 		l.Close()
 	}
 }
 
+// SetStill makes a host's process stand still, or go on: it takes connections
+// and neither reads nor writes, nor sees what it has read.
+func (n *Net) SetStill(h string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.still[h]; c != nil {
+		close(c)
+		delete(n.still, h)
+	}
+	if on {
+		n.still[h] = make(chan struct{})
+	}
+}
+
+// await waits while a host's process stands still, or until stop.
+func (n *Net) await(h string, stop <-chan struct{}) {
+	for {
+		n.mu.Lock()
+		c := n.still[h]
+		n.mu.Unlock()
+		if c == nil {
+			return
+		}
+		select {
+		case <-c:
+		case <-stop:
+			return
+		}
+	}
+}
+
 func (n *Net) blocked(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -94,6 +126,7 @@
 // Dial opens a connection from a host.
 func (n *Net) Dial(from string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		n.await(from, ctx.Done())
 		if n.blocked(from, host(addr)) {
 			ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 			defer cancel()
@@ -107,8 +140,7 @@
 			return nil, fmt.Errorf("dial %s: %w", addr, errRefused)
 		}
 		a, b := net.Pipe()
-		ca := &conn{Conn: a, n: n, from: from, to: host(addr)}
-		cb := &conn{Conn: b, n: n, from: from, to: host(addr)}
+		ca, cb := n.end(a, from, host(addr), from), n.end(b, from, host(addr), host(addr))
 		n.mu.Lock()
 		n.conns[ca], n.conns[cb] = true, true
 		n.mu.Unlock()
@@ -176,11 +208,83 @@
 	net.Conn
 	n        *Net
 	from, to string
+	side     string // whose end it is
+	closed   chan struct{}
+	once     sync.Once
+	out      chan []byte
+}
+
+// socketBuffer is how many writes a connection takes that nobody has read yet.
+const socketBuffer = 4096
+
+// end makes an end of a connection. As with sockets, what is written waits in
+// the connection, and is there for a process that has stood still.
+func (n *Net) end(c net.Conn, from, to, side string) *conn {
+	e := &conn{Conn: c, n: n, from: from, to: to, side: side, closed: make(chan struct{}), out: make(chan []byte, socketBuffer)}
+	go e.pump()
+	return e
+}
+
+func (c *conn) pump() {
+	defer c.Conn.Close()
+	for {
+		select {
+		case b := <-c.out:
+			if _, err := c.Conn.Write(b); err != nil {
+				return
+			}
+			continue
+		default:
+		}
+		select {
+		case b := <-c.out:
+			if _, err := c.Conn.Write(b); err != nil {
+				return
+			}
+		case <-c.closed:
+			if len(c.out) == 0 {
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.n.await(c.side, c.closed)
+	k, err := c.Conn.Read(b)
+	c.n.await(c.side, c.closed)
+	return k, err
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.n.await(c.side, c.closed)
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	select {
+	case c.out <- append([]byte(nil), b...):
+		return len(b), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
 }
 
+// Close lets what was written arrive, and ends the reading here at once.
 func (c *conn) Close() error {
-	c.n.mu.Lock()
-	delete(c.n.conns, c)
-	c.n.mu.Unlock()
-	return c.Conn.Close()
+	c.once.Do(func() {
+		close(c.closed)
+		c.n.mu.Lock()
+		delete(c.n.conns, c)
+		c.n.mu.Unlock()
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only where the other end is closed
+	})
+	return nil
+}
+
+// cut ends the connection with all that is under way.
+func (c *conn) cut() {
+	_ = c.Close()
+	_ = c.Conn.Close()
 }
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -31,6 +31,16 @@
 	late    time.Duration   // the next transaction is applied this late
 	ops     int
 	writes  *rate.Limiter
+	reqs    *rate.Limiter
+	Busy    int // requests refused for being too many
+}
+
+// LimitRequests makes the service refuse what is more than so many requests a
+// second, of all nodes together.
+func (s *State) LimitRequests(rps float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reqs = rate.NewLimiter(rate.Limit(rps), int(rps))
 }
 
 type stateLease struct {
@@ -152,6 +162,11 @@
 		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
 		return
 	}
+	if s.reqs != nil && !s.reqs.Allow() {
+		s.Busy++
+		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many requests"})
+		return
+	}
 	s.expire()
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/kv/"):
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -81,7 +81,8 @@
 	Teams    []config.Team
 	Seed     uint64
 	Log      *slog.Logger
-	Outside  bool // the controllers are real processes: none is started
+	Outside  bool    // the controllers are real processes: none is started
+	StateRPS float64 // the state service's limit of requests a second; 0 means 200, unenforced
 }
 
 // Zones of every world.
@@ -134,6 +135,12 @@
 		}
 		w.nodes = append(w.nodes, &node{name: name, bind: cfg.Bind, cfg: cfg})
 	}
+	if o.StateRPS > 0 {
+		w.State.LimitRequests(o.StateRPS)
+		for _, n := range w.nodes {
+			n.cfg.Cluster.State.RPS = o.StateRPS
+		}
+	}
 	w.Settings = w.nodes[0].cfg
 	w.Cloud.mu.Lock()
 	for i := range o.Machines {
@@ -200,7 +207,8 @@
 		return
 	}
 	w.Net.SetDown(n.name, false)
-	ctx, end := context.WithCancel(w.ctx)
+	gated := call.WithGate(w.ctx, func(ctx context.Context) { w.Net.await(n.name, ctx.Done()) })
+	ctx, end := context.WithCancel(gated)
 	n.end, n.done = end, make(chan struct{})
 	c := controller.New(n.cfg, config.DefaultTuning(), w.log.With("node", n.name),
 		controller.Network{Dial: w.Net.Dial(n.name), Listen: w.Net.Listen})
@@ -224,11 +232,16 @@
 	}
 	n.dies.Store(true)
 	w.Net.SetDown(n.name, true)
+	w.Net.SetStill(n.name, false)
 	n.end()
 	<-n.done
 	n.end = nil
 }
 
+// Stop makes a controller's process stand still while its clocks run on, or lets
+// it go on.
+func (w *World) Stop(i int, on bool) { w.Net.SetStill(w.nodes[i].name, on) }
+
 // Leader is the index of the node whose key is in the state service, or -1.
 func (w *World) Leader() int {
 	w.State.mu.Lock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -122,6 +122,7 @@
 	dial call.DialFunc
 
 	dialing chan struct{} // held by the one caller that dials
+	sending chan struct{} // and by the one that writes a request
 
 	mu     sync.Mutex
 	c      *rpc.Client
@@ -147,7 +148,7 @@
 
 // NewPeer makes a peer.
 func NewPeer(name, addr string, dial call.DialFunc) *Peer {
-	return &Peer{Name: name, addr: addr, dial: dial, dialing: make(chan struct{}, 1)}
+	return &Peer{Name: name, addr: addr, dial: dial, dialing: make(chan struct{}, 1), sending: make(chan struct{}, 1)}
 }
 
 // open returns the connection there is, if any, and whether one may be dialled.
@@ -195,10 +196,21 @@
 		p.note(err)
 		return err
 	}
-	done := c.Go("Mesh."+method, in, out, make(chan *rpc.Call, 1))
+	// net/rpc writes the request before Go returns, and lets one caller write at
+	// a time: to a node that reads nothing any more that may take for ever.
 	select {
-	case <-done.Done:
-		err = done.Error
+	case p.sending <- struct{}{}:
+	case <-ctx.Done():
+		return fmt.Errorf("mesh: %s: %w", p.Name, ctx.Err())
+	}
+	done := make(chan *rpc.Call, 1)
+	go func() {
+		defer func() { <-p.sending }()
+		c.Go("Mesh."+method, in, out, done)
+	}()
+	select {
+	case said := <-done:
+		err = said.Error
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
