--- /dev/null
+++ b/cluster/offers.go
@@ -0,0 +1,68 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file is about what the cloud offers and what was rented.
+
+// Offer says what could be rented.
+type Offer struct {
+	Type string
+	Zone string
+	Spot bool
+	key  offerKey
+}
+
+const (
+	refusedFor = 15 * time.Second
+	// rentAtOnce bounds what a pass wants rented: a few of the cloud's largest
+	// requests.
+	rentAtOnce = 200
+)
+
+func (m *Model) offers(now time.Time) ([]placement.Offer, []Offer) {
+	var out []placement.Offer
+	var names []Offer
+	for ti := range m.Types {
+		t := &m.Types[ti]
+		for z := range m.Zones {
+			if !t.Zones[z] {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				key := offerKey{ti, z, spot}
+				if until, ok := m.refused[key]; ok && now.Before(until) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.Spot
+				}
+				out = append(out, placement.Offer{Type: ti, Zone: z, Spot: spot, Machine: placement.Machine{
+					Type: ti, Zone: z, Spot: spot, ETA: t.Boot.Seconds(), Cap: t.Cap, Price: price, FetchRate: t.Fetch,
+				}})
+				names = append(names, Offer{Type: t.Name, Zone: m.Zones[z], Spot: spot, key: key})
+			}
+		}
+	}
+	return out, names
+}
+
+// Refused takes in that the cloud had nothing to rent.
+func (m *Model) Refused(o Offer, now time.Time) { m.refused[o.key] = now.Add(refusedFor) }
+
+// Rented takes in machines that a rental named.
+func (m *Model) Rented(o Offer, names []string, now time.Time) {
+	for _, n := range names {
+		mc := m.machine(n, now)
+		mc.Ours = true
+		if !mc.Up && mc.Session == 0 {
+			mc.Ordered = true
+		}
+		m.describe(mc, o.Type, o.Zone, o.Spot)
+		m.log.Info("rented", "machine", n, "type", o.Type, "zone", o.Zone, "spot", o.Spot)
+	}
+}
--- /dev/null
+++ b/cluster/order.go
@@ -0,0 +1,334 @@
+package cluster
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file says what waits for room, and in which order it is served.
+
+const (
+	maxRequestTasks = 64  // of one job in one pass
+	maxRequests     = 400 // in one pass
+)
+
+// latestStarts is when a job must start at the latest to meet each of its
+// class's aims that it can still meet; urgent says that the first is on how
+// soon it starts, and missed that none is left of those there were.
+func (m *Model) latestStarts(j *Job, left float64, tasks int, within bool, now time.Time) (at []time.Time, missed, urgent bool) {
+	sp := m.spreadOf(j)
+	delay := config.Seconds(sp.delay())
+	est := config.Seconds(sp.last(left, tasks)) + delay
+	aims := 0
+	var wait time.Time
+	take := func(t time.Time) {
+		aims++
+		if !t.Before(now) {
+			at = append(at, t)
+		}
+	}
+	soon := func(o config.Objective) {
+		if j.FirstRun.IsZero() {
+			t := j.At.Add(config.Seconds(o.WithinS) - delay)
+			take(t)
+			if !t.Before(now) && (wait.IsZero() || t.Before(wait)) {
+				wait = t
+			}
+		}
+	}
+	for _, o := range m.cfg.Cluster.Objectives {
+		if o.Class != j.Spec.Class && o.Class != "" {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			soon(o)
+		case "guarantee":
+			// One that has waited for longer is no worse off for waiting on:
+			// those that have just come are served before it, until its next
+			// aim is near.
+			if within {
+				soon(o)
+			}
+		case "finished":
+			take(j.At.Add(config.Seconds(o.WithinS) - est))
+		case "deadline":
+			if j.Spec.DeadlineS != nil {
+				times := o.Times
+				if times <= 0 {
+					times = 1
+				}
+				take(j.At.Add(config.Seconds(*j.Spec.DeadlineS*times) - est))
+			}
+		}
+	}
+	sort.Slice(at, func(a, b int) bool { return at[a].Before(at[b]) })
+	return at, aims > 0 && len(at) == 0, len(at) > 0 && at[0].Equal(wait)
+}
+
+type ranked struct {
+	j      *Job
+	within bool
+	due    time.Time
+	later  []time.Time // what it is due for once it is put off
+	missed bool
+	putOff bool // from an aim it could still meet, for others' sake
+	urgent bool
+	left   float64 // seconds that the longest of its waiting tasks takes
+	work   float64
+	req    placement.Request
+}
+
+// next takes a job's next aim as what it is due for.
+func (r *ranked) next(now time.Time) {
+	if len(r.later) == 0 {
+		r.due = now.Add(time.Hour)
+		return
+	}
+	r.due, r.later = r.later[0], r.later[1:]
+}
+
+// within finds the jobs that fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (m *Model) within(jobs []*Job) map[int32]bool {
+	out := map[int32]bool{}
+	use := make([]placement.Res, len(m.teams))
+	for _, j := range jobs { // in order of arrival
+		if j.Team < 0 {
+			continue
+		}
+		use[j.Team] = use[j.Team].Add(j.Need, float64(len(j.Tasks)-j.Done))
+		g := m.guarantee[j.Team]
+		// A resource of which the team is guaranteed nothing does not count: a
+		// team with guaranteed CPUs and no word of GPUs may use both.
+		if g.CPU+g.GPU > 0 && (g.CPU == 0 || use[j.Team].CPU <= g.CPU+1e-6) &&
+			(g.GPU == 0 || use[j.Team].GPU <= g.GPU+1e-6) {
+			out[j.Idx] = true
+		}
+	}
+	return out
+}
+
+func (m *Model) openJobs() []*Job {
+	// A leader may see far more jobs over its time than are there at once: those
+	// that are out of the model are dropped here, not looked at for ever.
+	live := m.live[:0]
+	for _, idx := range m.live {
+		if m.Jobs[idx] != nil {
+			live = append(live, idx)
+		}
+	}
+	m.live = live
+	var jobs []*Job
+	for _, idx := range m.live {
+		if j := m.Jobs[idx]; !j.Cancelled && !j.Finished && j.Done < len(j.Tasks) {
+			jobs = append(jobs, j)
+		}
+	}
+	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].At.Before(jobs[b].At) })
+	return jobs
+}
+
+// requests lists what waits for room, in the order it is to be served.
+func (m *Model) requests(jobs []*Job, in map[int32]bool, now time.Time) []*ranked {
+	for _, c := range m.classes {
+		c.open = 0
+	}
+	var out, last []*ranked
+	for _, j := range jobs {
+		if c := m.classes[j.Spec.Class]; c != nil && !j.record.atFault() {
+			c.open += len(j.Tasks) - j.Done
+		}
+		r, ok := m.request(j, now)
+		if !ok {
+			continue
+		}
+		k := &ranked{j: j, within: in[j.Idx], req: r}
+		if j.record.atFault() {
+			// Free room and nothing else: no place is kept, made or rented for
+			// it, and no image fetched before those of healthy work.
+			k.within, k.missed, k.req.Spare = false, true, true
+			k.next(now)
+			last = append(last, k)
+			continue
+		}
+		est := m.expected(j)
+		for _, t := range r.Tasks {
+			k.left = max(k.left, rest(est, &j.Tasks[t]))
+		}
+		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
+		k.next(now)
+		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
+		out = append(out, k)
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		switch {
+		case x.within != y.within:
+			return x.within
+		case x.j.Priority != y.j.Priority:
+			return x.j.Priority < y.j.Priority
+		case x.missed != y.missed:
+			return y.missed
+		}
+		return x.due.Before(y.due)
+	})
+	m.triage(out, now)
+	if len(out) > maxRequests {
+		out = out[:maxRequests]
+	}
+	m.keepOffGPUs(out, jobs)
+	return append(out, last...)
+}
+
+// keepOffGPUs keeps work that needs no GPU away from machines that have them
+// while other work waits for GPUs: jobs that no aim speaks of altogether, and
+// the others as long as stopping such jobs elsewhere makes room for them.
+// Otherwise a guest's tasks take the machines without GPUs for minutes, and
+// everybody else's those with GPUs.
+func (m *Model) keepOffGPUs(out []*ranked, jobs []*Job) {
+	gpus := slices.ContainsFunc(out, func(k *ranked) bool { return k.j.Need.GPU > 0 })
+	plain := make([]bool, len(m.Types))
+	for i := range m.Types {
+		plain[i] = m.Types[i].Cap.GPU == 0
+	}
+	if !gpus || !slices.Contains(plain, true) {
+		return
+	}
+	aimless := slices.ContainsFunc(jobs, func(j *Job) bool { return j.Placed > 0 && j.Need.GPU == 0 && !m.aimed(j) })
+	for _, k := range out {
+		if k.j.Need.GPU > 0 || !slices.ContainsFunc(m.typesFor(k.j), func(ti int) bool { return plain[ti] }) {
+			continue
+		}
+		switch {
+		case !m.aimed(k.j) && !k.within:
+			k.req.Types = both(k.req.Types, plain)
+		case aimless:
+			k.req.First = both(k.req.Types, plain)
+		}
+	}
+}
+
+// typesFor lists the types on which a task of the job fits.
+func (m *Model) typesFor(j *Job) (out []int) {
+	for i := range m.Types {
+		if j.Types[i] && j.Need.Fits(m.Types[i].Cap) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// aimed says whether any aim speaks of the job.
+func (m *Model) aimed(j *Job) bool {
+	for _, o := range m.cfg.Cluster.Objectives {
+		switch o.Kind {
+		case "wait", "finished", "deadline":
+			if o.Class == j.Spec.Class {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func both(a, b []bool) []bool {
+	out := make([]bool, len(a))
+	for i := range a {
+		out[i] = a[i] && b[i]
+	}
+	return out
+}
+
+func (m *Model) request(j *Job, now time.Time) (placement.Request, bool) {
+	r := placement.Request{
+		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
+		Image: j.Image, ImageGB: j.Spec.ImageGB, Zone: j.Zone, OneZone: j.Spec.OneZone,
+		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot,
+	}
+	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
+		return r, false
+	}
+	limit := maxRequestTasks
+	if j.Gang() {
+		limit = len(j.Tasks)
+	}
+	if limit = j.held(limit, now); limit == 0 {
+		return r, false
+	}
+	ms := now.UnixMilli()
+	for j.cursor < len(j.Tasks) && j.Tasks[j.cursor].Phase != Idle {
+		j.cursor++
+	}
+	for i := j.cursor; i < len(j.Tasks) && len(r.Tasks) < limit; i++ {
+		t := &j.Tasks[i]
+		if t.Phase != Idle {
+			continue
+		}
+		if t.NotBefore > ms {
+			if j.Gang() {
+				return r, false
+			}
+			continue
+		}
+		r.Tasks = append(r.Tasks, int32(i))
+	}
+	if len(r.Tasks) == 0 {
+		return r, false
+	}
+	if !m.pin(j, &r) {
+		return r, false
+	}
+	r.Avoid = j.avoids(now)
+	return r, true
+}
+
+// pin says in which zones the request may be placed, given where the job's other
+// tasks may still be; false where that is not known yet.
+func (m *Model) pin(j *Job, r *placement.Request) bool {
+	if j.Spec.OneZone && r.Zone < 0 && j.Placed > 0 {
+		// Whatever may still be on a machine pins the others to its zone. A
+		// task recorded on a machine whose zone is not known yet pins them all.
+		known := 0
+		for z, n := range j.ZoneUsed {
+			known += n
+			if n > 0 {
+				r.Zone = z
+			}
+		}
+		if known < j.Placed {
+			return false
+		}
+	}
+	if j.Spec.Spread {
+		r.SpreadMax = (len(j.Tasks) + 1) / 2
+		known := 0
+		for _, n := range j.ZoneUsed {
+			known += n
+		}
+		if known < j.Placed {
+			return false
+		}
+	}
+	return true
+}
+
+// avoids lists the machines that the job stays away from.
+func (j *Job) avoids(now time.Time) map[int]bool {
+	var out map[int]bool
+	for idx, until := range j.avoid {
+		if now.After(until) {
+			delete(j.avoid, idx)
+			continue
+		}
+		if out == nil {
+			out = map[int]bool{}
+		}
+		out[int(idx)] = true
+	}
+	return out
+}
--- /dev/null
+++ b/cluster/schedule.go
@@ -0,0 +1,164 @@
+package cluster
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file is a scheduling pass: the model becomes a planner's input, and the
+// plan becomes records to be written.
+
+// Decisions is what a pass decided; starts and stops are in the model already.
+type Decisions struct {
+	Started int
+	Rent    map[Offer]int
+	Wanted  []placement.Request // requests that fit nowhere for want of room
+}
+
+// Schedule places what waits, stops what must make room and says what to rent.
+func (m *Model) Schedule(now time.Time, renting int) Decisions {
+	jobs := m.openJobs()
+	within := m.within(jobs)
+	reqs := m.requests(jobs, within, now)
+	over := m.over(within)
+	in := placement.Input{Machines: m.viewBuf[:0], Preempt: true, RentMax: max(0, rentAtOnce-renting)}
+	m.taskBuf, m.imageBuf = m.taskBuf[:0], m.imageBuf[:0]
+	back := make([]int32, 0, len(m.Machines))
+	fwd := make(map[int]int, len(m.Machines))
+	for _, mc := range m.Machines {
+		if v, ok := m.machineView(mc, over, now); ok {
+			fwd[int(mc.Idx)] = len(in.Machines)
+			in.Machines = append(in.Machines, v)
+			back = append(back, mc.Idx)
+		}
+	}
+	reserved := map[string]bool{}
+	job := make([]*Job, 0, len(reqs)+4)
+	for k := range reqs {
+		for _, r := range m.reserves(reqs[k], reserved, now) {
+			in.Requests = append(in.Requests, r)
+			job = append(job, nil)
+		}
+		job = append(job, reqs[k].j)
+		r := reqs[k].req
+		if len(r.Avoid) > 0 {
+			avoid := map[int]bool{}
+			for idx := range r.Avoid {
+				if i, ok := fwd[idx]; ok {
+					avoid[i] = true
+				}
+			}
+			r.Avoid = avoid
+		}
+		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
+		in.Requests = append(in.Requests, r)
+	}
+	for _, r := range m.phantoms(jobs, now) {
+		in.Requests = append(in.Requests, r)
+		job = append(job, nil)
+	}
+	in.Teams = append(in.Teams, m.teams...)
+	var offers []Offer
+	in.Offers, offers = m.offers(now)
+
+	plan := placement.Make(&in)
+	m.viewBuf = in.Machines
+
+	return m.carryOut(plan, in.Requests, job, back, offers, now)
+}
+
+// carryOut takes a plan into the model. job is whose each request is, nil for
+// room that is kept; back leads from the planner's machines to the model's.
+func (m *Model) carryOut(plan placement.Plan, reqs []placement.Request, job []*Job, back []int32, offers []Offer, now time.Time) Decisions {
+	d := Decisions{Rent: map[Offer]int{}}
+	attempts := map[int32]uint64{}
+	for _, s := range plan.Starts {
+		j := job[s.Request]
+		if j == nil {
+			continue
+		}
+		mc := m.Machines[back[s.Machine]]
+		a, ok := attempts[j.Idx]
+		if !ok {
+			if !j.Gang() || j.Placed == 0 {
+				j.Attempt++
+			}
+			a = j.Attempt
+			attempts[j.Idx] = a
+		}
+		m.place(j, s.Task, mc, a, now)
+		c := m.touch(j, s.Task)
+		c.PlaceGen = c.Gen
+		d.Started++
+		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
+	}
+	for _, ref := range plan.Stops {
+		m.StopTask(ref, "preempted", now)
+	}
+	for i, n := range plan.Rent {
+		d.Rent[offers[i]] += n
+	}
+	for _, i := range plan.Waiting {
+		if job[i] != nil {
+			d.Wanted = append(d.Wanted, reqs[i])
+		}
+	}
+	used := map[int]bool{}
+	for _, s := range plan.Starts {
+		if job[s.Request] == nil && s.Machine < len(back) {
+			used[s.Machine] = true
+		}
+	}
+	for v := range used {
+		// Kept as headroom: not idle in the sense of being returned.
+		if mc := m.Machines[back[v]]; len(mc.Tasks) == 0 {
+			mc.IdleSince = now
+		}
+	}
+	return d
+}
+
+// LogRoom says how the machines of each type are booked and what waits.
+func (m *Model) LogRoom(wanted []placement.Request, now time.Time) {
+	if !m.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	waiting := 0
+	for i := range wanted {
+		waiting += len(wanted[i].Tasks)
+	}
+	for ti := range m.Types {
+		var ready, booting, without int // machines
+		var cap, used, unsent placement.Res
+		for _, mc := range m.Machines {
+			if mc.Type != ti {
+				continue
+			}
+			if !m.ready(mc, now) {
+				if _, ok := m.booting(mc, now); ok {
+					booting++
+				}
+				continue
+			}
+			ready++
+			cap = cap.Add(m.Types[ti].Cap, 1)
+			used = used.Add(mc.Used, 1)
+			no := true
+			for ref := range mc.Tasks {
+				j := m.Jobs[ref.Job]
+				no = no && j.Need.GPU == 0
+				if j.Tasks[ref.Task].Place.Seen < seenRunning {
+					unsent = unsent.Add(j.Need, 1)
+				}
+			}
+			if no && len(mc.Tasks) > 0 {
+				without++
+			}
+		}
+		m.log.Debug("room", "type", m.Types[ti].Name, "ready", ready, "booting", booting, "cpus", cap.CPU, "cpusUsed", used.CPU,
+			"gpus", cap.GPU, "gpusUsed", used.GPU, "cpusNotRunning", unsent.CPU, "gpusNotRunning", unsent.GPU, "withoutGPUTasks", without, "waiting", waiting)
+	}
+}
--- /dev/null
+++ b/controller/answers.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file is what the leader says to workers.
+
+// report answers a worker.
+func (l *leadership) report(body []byte, own bool) mesh.Answer {
+	unsure := answer(http.StatusServiceUnavailable, wire.Error{Error: "not sure of leading"}, 1)
+	if !l.term.Valid() {
+		return unsure
+	}
+	var r wire.Report
+	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
+		l.log.Info("malformed report", "err", err)
+		return answer(http.StatusBadRequest, wire.Error{Error: "malformed report"}, 0)
+	}
+	l.mu.Lock()
+	now := time.Now()
+	if r.Token > l.m.Token {
+		l.mu.Unlock()
+		l.log.Info("a worker has seen a higher token", "machine", r.Machine, "token", r.Token)
+		l.term.Resign()
+		return redirect("")
+	}
+	if own {
+		l.lastAny = now
+	}
+	freed := l.m.Freed
+	mc := l.m.Observe(&r, now)
+	if mc != nil && l.m.Freed != freed {
+		l.awaitPass()
+	}
+	// The lease is looked at last: the answer counts from here. A worker that
+	// has sent another report meanwhile waits for this answer no more.
+	if mc == nil || mc.Seq != r.Seq || mc.Session != r.Session || !l.term.Valid() {
+		l.mu.Unlock()
+		return unsure
+	}
+	cmds := l.m.Answer(mc, &r, time.Now())
+	l.mu.Unlock()
+	kick(l.schedKick)
+	kick(l.flushKick)
+	if cmds == nil {
+		cmds = []wire.Command{}
+	}
+	return answer(http.StatusOK, wire.ReportAnswer{Token: l.term.Token, Commands: cmds}, 0)
+}
+
+// holdFor is how long an answer waits for what is to follow from its report.
+// It is worth the more the longer the worker's next report takes to come; a
+// worker gives an answer up after 4 s.
+func (l *leadership) holdFor() time.Duration {
+	return config.Seconds(min(max(0.4, l.n.cfg.Cluster.Workers.ReportS/4), 1.5))
+}
+
+// awaitPass holds an answer back until room that the report has freed is given
+// out and recorded, so that the launch goes with this answer and not with that
+// to the next report. The lock is held before and after, not meanwhile.
+func (l *leadership) awaitPass() {
+	target := l.passes + 1
+	timer := time.NewTimer(l.holdFor())
+	defer timer.Stop()
+	kick(l.schedKick)
+	for l.passes < target || l.writing || !l.m.Clean() {
+		turned := l.turned
+		l.mu.Unlock()
+		late := false
+		select {
+		case <-turned:
+		case <-timer.C:
+			late = true
+		}
+		l.mu.Lock()
+		if late {
+			return
+		}
+	}
+}
+
+// turn wakes those who wait for a pass or a batch; the lock is held.
+func (l *leadership) turn() {
+	close(l.turned)
+	l.turned = make(chan struct{})
+}
+
+// pushStops sends stops to the workers' own addresses: there they arrive at
+// once, and may safely be executed late.
+func (l *leadership) pushStops(ctx context.Context) {
+	if !l.term.Valid() {
+		return
+	}
+	l.mu.Lock()
+	batch := l.m.DirectStops(time.Now())
+	l.mu.Unlock()
+	for _, d := range batch {
+		select {
+		case l.direct <- struct{}{}:
+		default:
+			continue // the next answer to a report carries them
+		}
+		go func() {
+			defer func() { <-l.direct }()
+			r, done, err := l.n.workers.Command(ctx, d.Addr, d.Batch)
+			if err != nil {
+				l.log.Debug("direct stop", "machine", d.Machine, "err", err)
+				return
+			}
+			l.log.Debug("direct stop", "machine", d.Machine, "executed", done, "seq", r.Seq)
+		}()
+	}
+}
--- /dev/null
+++ b/placement/rent.go
@@ -0,0 +1,46 @@
+package placement
+
+// This file orders machines.
+
+// rent adds machines for the tasks that fit nowhere, the cheapest way first.
+func (p *planner) rent(r *Request, tasks []int32) {
+	for len(tasks) > 0 && len(p.rented) < p.in.RentMax {
+		best, bestCost := -1, 0.0
+		for i := range p.in.Offers {
+			o := &p.in.Offers[i]
+			if !r.Types[o.Type] || r.Zone >= 0 && r.Zone != o.Zone || o.Spot && !r.Spot || !r.Need.Fits(o.Machine.Cap) {
+				continue
+			}
+			if r.SpreadMax > 0 && r.ZoneUsed[o.Zone] >= r.SpreadMax {
+				continue
+			}
+			c := o.Machine.ETA + 2*o.Machine.Price
+			if o.Machine.Cap.GPU > 0 && r.Need.GPU == 0 {
+				c += 10
+			}
+			if best < 0 || c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+		if best < 0 {
+			return
+		}
+		o := &p.in.Offers[best]
+		m := o.Machine
+		m.Free = m.Cap
+		p.in.Machines = append(p.in.Machines, m)
+		p.rented = append(p.rented, best)
+		p.plan.Rent[best]++
+		idx := len(p.in.Machines) - 1
+		n := 0
+		for n < len(tasks) && r.Need.Fits(p.in.Machines[idx].Free) && !(r.SpreadMax > 0 && r.ZoneUsed[o.Zone] >= r.SpreadMax) {
+			p.book(r, idx, 1)
+			n++
+		}
+		if n == 0 {
+			return
+		}
+		tasks = tasks[n:]
+		p.vain[booting] = p.vain[booting][:0]
+	}
+}
--- /dev/null
+++ b/placement/search.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"container/heap"
+	"slices"
+)
+
+// This file searches the machines for room.
+
+// Modes of try: which machines count, and which of their room.
+type mode int
+
+const (
+	readyNow mode = iota
+	soon
+	booting
+	byStopping // not of try: room made by stopping others
+	modes
+)
+
+// entry is a machine and what it costs to use it next.
+type entry struct {
+	cost float64
+	idx  int
+}
+
+// queue has the cheapest machine first, and the first of those that cost the
+// same.
+type queue []entry
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(a, b int) bool {
+	return q[a].cost < q[b].cost || q[a].cost == q[b].cost && q[a].idx < q[b].idx
+}
+
+func (q queue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+
+func (q *queue) Push(x any) { *q = append(*q, x.(entry)) }
+
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// greedy takes the cheapest machine up to n times. Taking one changes what
+// that one costs and no other, so that each machine is judged once and then
+// again only when it is taken: with hundreds of machines, judging all of them
+// anew for each task was most of a leader's processor time. take says whether
+// the machine could be used. greedy returns how often one could.
+func (p *planner) greedy(n int, judge func(i int) (float64, bool), take func(i int) bool) int {
+	q := p.queue[:0]
+	for i := range p.in.Machines {
+		if c, ok := judge(i); ok {
+			q = append(q, entry{c, i})
+		}
+	}
+	p.queue = q
+	heap.Init(&q)
+	got := 0
+	for got < n && len(q) > 0 {
+		i := q[0].idx
+		if !take(i) {
+			heap.Pop(&q)
+			continue
+		}
+		got++
+		if c, ok := judge(i); ok {
+			q[0].cost = c
+			heap.Fix(&q, 0)
+		} else {
+			heap.Pop(&q)
+		}
+	}
+	return got
+}
+
+// vain is a search that found no room. As room only shrinks while planning,
+// whoever wants as much or more searches in vain too: among hundreds of
+// waiting jobs most are alike.
+type vain struct {
+	r    *Request
+	zone int
+	n    int
+}
+
+// inVain says whether a search for n tasks is known to be in vain.
+func (p *planner) inVain(md mode, r *Request, zone, n int) bool {
+	for i := range p.vain[md] {
+		v := &p.vain[md][i]
+		o := v.r
+		if v.n > n || v.zone >= 0 && v.zone != zone || r.Spot && !o.Spot || !o.Need.Fits(r.Need) {
+			continue
+		}
+		if md == byStopping && (o.Priority > r.Priority || r.Within && !(o.Within && o.Team == r.Team)) {
+			continue
+		}
+		if slices.Equal(o.Types, r.Types) {
+			return true
+		}
+	}
+	return false
+}
+
+// note remembers a search for n tasks that was in vain, unless it was for
+// reasons of that request alone.
+func (p *planner) note(md mode, r *Request, zone, n int) {
+	if len(r.Avoid) > 0 || r.SpreadMax > 0 || len(p.vain[md]) >= 64 {
+		return
+	}
+	p.vain[md] = append(p.vain[md], vain{r, zone, n})
+}
+
+func (p *planner) usable(m *Machine, idx int, r *Request, md mode) bool {
+	if (md == booting) == m.Ready {
+		return false
+	}
+	return r.Types[m.Type] && (r.Zone < 0 || r.Zone == m.Zone) && (!m.Spot || r.Spot) && !r.Avoid[idx]
+}
+
+func room(m *Machine, md mode) Res {
+	if md == readyNow {
+		return m.Free
+	}
+	return m.Free.Add(m.Coming, 1)
+}
+
+// cost ranks the machines that fit, in seconds: what the start is delayed by,
+// and what it takes away from others.
+func cost(m *Machine, r *Request, free Res) float64 {
+	c := m.Slow + m.ETA
+	if left, ok := m.Image(r.Image); ok {
+		c += left
+	} else if m.FetchRate > 0 {
+		c += m.Backlog + r.ImageGB/m.FetchRate
+	}
+	if m.Cap.GPU > 0 && r.Need.GPU == 0 {
+		// A machine with GPUs is taken for other work only where nothing else
+		// is free; then the one whose GPUs are taken least useful.
+		c += 30
+	}
+	if m.Spot {
+		c -= 3
+	}
+	c += 0.5 * m.Price / max(1, m.Cap.CPU)
+	// Fullest first, as the rebalancer would have it.
+	left := free.Add(r.Need, -1)
+	frac := 0.0
+	if m.Cap.CPU > 0 {
+		frac += left.CPU / m.Cap.CPU
+	}
+	if m.Cap.GPU > 0 {
+		frac += left.GPU / m.Cap.GPU
+	}
+	c += 2 * frac
+	return c
+}
+
+// try books as many of the tasks as fit, all or none for a gang.
+func (p *planner) try(r *Request, tasks []int32, md mode) []Start {
+	if !r.OneZone || r.Zone >= 0 {
+		got, _ := p.fill(r, tasks, md, r.Zone)
+		return got
+	}
+	best, bestN, bestCost := -1, 0, 0.0
+	for z := 0; z < p.zones; z++ {
+		got, c := p.fill(r, tasks, md, z)
+		p.undo(r, got)
+		if n := len(got); n > bestN || n == bestN && n > 0 && c < bestCost {
+			best, bestN, bestCost = z, n, c
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	got, _ := p.fill(r, tasks, md, best)
+	return got
+}
+
+func (p *planner) fill(r *Request, tasks []int32, md mode, zone int) ([]Start, float64) {
+	need := 1
+	if r.All {
+		need = len(tasks)
+	}
+	if p.inVain(md, r, zone, need) {
+		return nil, 0
+	}
+	var got []Start
+	total := 0.0
+	judge := func(i int) (float64, bool) {
+		m := &p.in.Machines[i]
+		if !r.Need.Fits(room(m, md)) || !p.usable(m, i, r, md) || zone >= 0 && m.Zone != zone {
+			return 0, false
+		}
+		return cost(m, r, room(m, md)), !(r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax)
+	}
+	take := func(i int, t int32, c float64) {
+		p.book(r, i, 1)
+		total += c
+		got = append(got, Start{Task: t, Machine: i})
+	}
+	rest := tasks
+	if len(r.Prefer) > 0 {
+		// Moved tasks go where the move was to bring them.
+		rest = make([]int32, 0, len(tasks))
+		for _, t := range tasks {
+			to, ok := r.Prefer[t]
+			if ok && to < len(p.in.Machines) {
+				if c, ok := judge(to); ok {
+					take(to, t, c)
+					continue
+				}
+			}
+			rest = append(rest, t)
+		}
+	}
+	p.greedy(len(rest), judge, func(i int) bool {
+		c, ok := judge(i) // the zone may be full by now
+		if ok {
+			take(i, rest[0], c)
+			rest = rest[1:]
+		}
+		return ok
+	})
+	if len(rest) > 0 && (r.All || len(got) == 0) {
+		p.note(md, r, zone, need)
+	}
+	if r.All && len(rest) > 0 {
+		p.undo(r, got)
+		return nil, 0
+	}
+	return got, total
+}
+
+func (p *planner) book(r *Request, machine int, sign float64) {
+	m := &p.in.Machines[machine]
+	m.Free = m.Free.Add(r.Need, -sign)
+	if r.ZoneUsed != nil {
+		r.ZoneUsed[m.Zone] += int(sign)
+	}
+}
+
+func (p *planner) undo(r *Request, got []Start) {
+	for _, s := range got {
+		p.book(r, s.Machine, -1)
+	}
+}
