--- a/docs/analysis/bound.py
+++ b/docs/analysis/bound.py
@@ -63,6 +63,10 @@
         for t, wall, f in lines(log):
             self.end = max(self.end, t)
             msg = f.get('msg')
+            if msg == 'job' and f['class'] not in self.classes:
+                continue  # a guest's: the bound is what could be had without guests
+            if msg in ('job done', 'job runs') and f['id'] not in self.jobs:
+                continue
             if msg == 'job' and f['id'] not in self.jobs:
                 late = wall - stamp(f['at'])
                 self.jobs[f['id']] = dict(
