--- a/cluster/model.go
+++ b/cluster/model.go
@@ -54,6 +54,7 @@
 	At        time.Time
 	Inherited bool // recorded by an earlier leader, which may have sent it
 	Sent      bool // this leader has sent the launch
+	SentAt    time.Time
 	Session   uint64
 	Seq       uint64 // the report that the launch answered
 	Seen      uint8
@@ -199,6 +200,7 @@
 	Tuning   config.Rebalance
 	Headroom float64
 	Freed    uint64 // counts the places that have become free
+	Timings  Timings
 
 	resumed time.Time     // when the leader last went on after standing still
 	stood   time.Duration // for how long it had stood
@@ -245,6 +247,7 @@
 		zoneIdx: map[string]int{}, teamIdx: map[string]int{}, typeIdx: map[string]int{},
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, imageIdx: map[string]int32{},
 		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{},
+		Timings: untimed{},
 	}
 	for i, z := range cfg.Cluster.Zones {
 		m.zoneIdx[z] = i
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -117,6 +117,9 @@
 	case wire.TaskRunning:
 		if p.Seen != seenRunning {
 			p.Seen, p.Since = seenRunning, now
+			if !p.SentAt.IsZero() {
+				m.Timings.Running(now.Sub(p.SentAt).Seconds())
+			}
 			if !p.Inherited && !j.record.atFault() {
 				m.spreadOf(j).began(now.Sub(p.At).Seconds())
 			}
@@ -292,6 +295,7 @@
 // Answer makes the commands that answer a report just observed. Launches are
 // noted as sent with it.
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
+	m.Timings.LeaseLeft(m.leaseOver(mc).Sub(now).Seconds())
 	mc.LastAnswer = now
 	var out []wire.Command
 	stop := func(name string, attempt uint64, grace float64) {
@@ -345,7 +349,8 @@
 				stop(name, p.Attempt, p.Stop.Grace)
 			}
 		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero():
-			p.Sent, p.Session, p.Seq = true, r.Session, r.Seq
+			p.Sent, p.SentAt, p.Session, p.Seq = true, now, r.Session, r.Seq
+			m.Timings.Launched(now.Sub(p.At).Seconds())
 			out = append(out, wire.Command{Op: wire.OpStart, Task: name, Attempt: p.Attempt})
 			m.log.Debug("launch", "task", name, "attempt", p.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -93,6 +93,7 @@
 		c := m.touch(j, s.Task)
 		c.PlaceGen = c.Gen
 		d.Started++
+		m.Timings.Placed(now.Sub(j.At).Seconds())
 		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
 	}
 	for _, ref := range plan.Stops {
--- /dev/null
+++ b/cluster/summary.go
@@ -0,0 +1,89 @@
+package cluster
+
+import "time"
+
+// Summary is the model in numbers, for those who watch it.
+type Summary struct {
+	Machines  map[string]int // by state
+	Tasks     map[string]int // by state
+	Jobs      int            // that are not over
+	Late      int            // of those, past their deadline
+	Longest   map[string]float64
+	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
+}
+
+// Summary counts what is there; its cost grows with machines and open tasks.
+func (m *Model) Summary(now time.Time) Summary {
+	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}}
+	least := -1.0
+	for _, mc := range m.Machines {
+		switch {
+		case mc.Gone:
+			continue
+		case mc.Returning:
+			s.Machines["returning"]++
+		case mc.Up && !mc.Notice.IsZero():
+			s.Machines["noticed"]++
+		case mc.Up && m.ready(mc, now):
+			s.Machines["up"]++
+		case mc.Up || len(mc.Tasks) > 0:
+			s.Machines["silent"]++
+		case mc.Ordered:
+			s.Machines["booting"]++
+		default:
+			s.Machines["not heard of"]++
+		}
+		if left := m.leaseOver(mc).Sub(now).Seconds(); mc.Up && (least < 0 || left < least) {
+			least = max(left, 0)
+		}
+	}
+	s.LeaseLeft = max(least, 0)
+	for _, j := range m.Jobs {
+		if j == nil || j.Finished {
+			continue
+		}
+		if !j.Cancelled {
+			s.Jobs++
+			if d := j.Spec.DeadlineS; d != nil && now.Sub(j.At).Seconds() > *d {
+				s.Late++
+			}
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			switch p := t.Place; {
+			case t.Phase == Done:
+			case p == nil && j.Cancelled:
+			case p == nil:
+				s.Tasks["waiting"]++
+				if wait := now.Sub(j.At).Seconds(); wait > s.Longest[j.Spec.Class] {
+					s.Longest[j.Spec.Class] = wait
+				}
+			case p.Stop != nil:
+				s.Tasks["stopping"]++
+			case p.Seen >= seenRunning:
+				s.Tasks["running"]++
+			case p.Sent || p.Inherited:
+				s.Tasks["starting"]++
+			default:
+				s.Tasks["placed"]++
+			}
+		}
+	}
+	return s
+}
+
+// Timings takes in how long the steps of tasks take, in seconds.
+type Timings interface {
+	Placed(seconds float64)    // since the job was accepted
+	Launched(seconds float64)  // since the placement
+	Running(seconds float64)   // since the launch
+	LeaseLeft(seconds float64) // of the machine that is answered
+}
+
+// untimed is what a model has that nobody watches.
+type untimed struct{}
+
+func (untimed) Placed(float64)    {}
+func (untimed) Launched(float64)  {}
+func (untimed) Running(float64)   {}
+func (untimed) LeaseLeft(float64) {}
--- a/cmd/umberdeal/main.go
+++ b/cmd/umberdeal/main.go
@@ -32,6 +32,7 @@
 	Check   checkCmd   `cmd:"" help:"Check settings without starting."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Job     jobCmd     `cmd:"" help:"Submit, show or cancel a job on a running node."`
+	Status  statusCmd  `cmd:"" help:"Show what a running node and its leader know, now."`
 }
 
 type settingsFlags struct {
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"os"
 
 	"github.com/BurntSushi/toml"
@@ -13,6 +14,12 @@
 type Tuning struct {
 	Rebalance Rebalance `toml:"rebalance"`
 	Renting   Renting   `toml:"renting"`
+	Metrics   Metrics   `toml:"metrics"`
+}
+
+// Metrics says where the operators watch a node.
+type Metrics struct {
+	Listen string `toml:"listen"` // host:port; empty: nowhere
 }
 
 // Rebalance tunes the rebalancer.
@@ -129,6 +136,11 @@
 	if !(t.Renting.Headroom >= 0 && t.Renting.Headroom <= 5) {
 		bad("renting.headroom must be from 0 to 5")
 	}
+	if l := t.Metrics.Listen; l != "" {
+		if _, _, err := net.SplitHostPort(l); err != nil {
+			bad("metrics.listen must be a host and a port: %v", err)
+		}
+	}
 	if len(errs) > 0 {
 		return Tuning{}, errors.Join(errs...)
 	}
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -12,8 +12,10 @@
 
 // This file is what the leader says to workers.
 
-// report answers a worker.
-func (l *leadership) report(body []byte, own bool) mesh.Answer {
+// report answers a worker. agoS is how long ago the node that passes the report
+// on last had an answer for it, negative if that is not known; own says that it
+// came to this node itself.
+func (l *leadership) report(ctx context.Context, body []byte, agoS float64, own bool) mesh.Answer {
 	unsure := answer(http.StatusServiceUnavailable, wire.Error{Error: "not sure of leading"}, 1)
 	if !l.term.Valid() {
 		return unsure
@@ -23,10 +25,14 @@
 		l.log.Info("malformed report", "err", err)
 		return answer(http.StatusBadRequest, wire.Error{Error: "malformed report"}, 0)
 	}
+	if err := l.gate.Enter(ctx, l.n.leaseLeft(r.Machine, agoS)); err != nil {
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "too many reports under way"}, 1)
+	}
 	l.mu.Lock()
 	now := time.Now()
 	if r.Token > l.m.Token {
 		l.mu.Unlock()
+		l.gate.Leave()
 		l.log.Info("a worker has seen a higher token", "machine", r.Machine, "token", r.Token)
 		l.term.Resign()
 		return redirect("")
@@ -36,6 +42,7 @@
 	}
 	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
+	l.gate.Leave()
 	if mc != nil && l.m.Freed != freed {
 		l.awaitPass()
 	}
--- a/controller/doubt.go
+++ b/controller/doubt.go
@@ -65,11 +65,14 @@
 			continue
 		}
 		actx, cancel := context.WithTimeout(ctx, askLeaderFor)
-		_, err := p.Status(actx)
+		said, err := p.Status(actx, n.ask())
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && said.Plan != nil && said.Plan.Leader == name {
+			n.learn(*said.Plan, time.Now())
+		}
 		switch began, ended := n.doubts.note(name, err); {
 		case began:
 			n.log.Info("the leader does not answer this node", "leader", name, "err", err)
@@ -111,6 +114,9 @@
 		if name := n.elector.Leader(); name != "" && !n.doubts.of(name) && (name != n.cfg.Node || n.leads()) {
 			return name
 		}
+		if n.crowded() {
+			return ""
+		}
 		select {
 		case <-news:
 		case <-ctx.Done():
--- /dev/null
+++ b/controller/fleet_test.go
@@ -0,0 +1,208 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories of a fleet that has more workers than its leader keeps connections,
+// with sockets that run out. What is counted is workers' leases that end: each
+// costs all that runs on its machine.
+
+// fleet begins a story in which every machine runs one long task.
+func fleet(t *testing.T, o fake.Options, tell func(t *testing.T, w *fake.World)) {
+	t.Helper()
+	o.Capacity = o.Machines
+	if o.Sockets == 0 {
+		o.Sockets = fleetSockets
+	}
+	o.Gap, o.Lease = 4, 22
+	story(t, o, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = o.Machines, 8, 400 }))
+		for range 60 {
+			if time.Sleep(time.Second); w.Started() == o.Machines {
+				break
+			}
+		}
+		if n := w.Started(); n != o.Machines || w.Expired() != 0 {
+			t.Fatalf("%d of %d tasks run, %d leases have ended", n, o.Machines, w.Expired())
+		}
+		time.Sleep(20 * time.Second) // moved to where they belong
+		tell(t, w)
+		for i := range len(w.Nodes()) {
+			if n := w.Net.Peak(w.Nodes()[i]); n > o.Sockets {
+				t.Errorf("node %d had %d sockets of %d", i, n, o.Sockets)
+			}
+		}
+	})
+}
+
+// allAnswered fails unless every living worker has an answer by then.
+func allAnswered(t *testing.T, w *fake.World, since time.Time, within time.Duration) {
+	t.Helper()
+	time.Sleep(within - time.Since(since))
+	if n := w.Unanswered(since); n > 0 {
+		t.Errorf("%d workers had no answer within %v", n, within)
+	}
+}
+
+func noneLost(t *testing.T, w *fake.World, tasks int) {
+	t.Helper()
+	if n := w.Started(); w.Expired() != 0 || n != tasks {
+		t.Errorf("%d leases ended, %d starts of %d tasks", w.Expired(), n, tasks)
+	}
+}
+
+// The leader keeps its part of the workers, and the rest are answered by way of
+// the other nodes.
+func TestTheLeaderDoesNotHoldTheWholeFleet(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+		at := time.Now()
+		allAnswered(t, w, at, 10*time.Second)
+		if n := w.Net.Open(w.Nodes()[w.Leader()]); n > fleetSockets*6/10 {
+			t.Errorf("the leader holds %d of its %d sockets", n, fleetSockets)
+		}
+		if w.Cancel("wk-000001") != wire.JobCancelled {
+			t.Error("not cancelled")
+		}
+		time.Sleep(15 * time.Second)
+		if on := w.On("wk-000001/0"); len(on) > 0 {
+			t.Errorf("still on %v", on)
+		}
+		noneLost(t, w, fleetMachines)
+	})
+}
+
+func TestAllNodesRestartWhileTheFleetReports(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+		for i := range w.Nodes() {
+			w.KillNode(i)
+		}
+		time.Sleep(6 * time.Second)
+		at := time.Now()
+		for i := range w.Nodes() {
+			w.StartNode(i)
+		}
+		allAnswered(t, w, at, 13*time.Second)
+		noneLost(t, w, fleetMachines)
+		mustSubmit(t, w, job(2, nil))
+	})
+}
+
+func TestHalfTheFleetReturnsWithinASecond(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+		half := w.Cloud.Machines()[:fleetMachines/2]
+		for _, m := range half {
+			w.Hang(m, true)
+		}
+		time.Sleep(14 * time.Second)
+		at := time.Now()
+		for _, m := range half {
+			w.Hang(m, false)
+		}
+		allAnswered(t, w, at, 9*time.Second)
+		noneLost(t, w, fleetMachines)
+	})
+}
+
+// A zone that comes back after its leases have ended starts anew, at once and
+// nothing twice, while the cloud gives nothing.
+func TestAZoneReturnsAfterItsLeasesWhileTheCloudGivesNothing(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+		w.Cloud.SetOutage(true)
+		w.CutZone("b", true)
+		time.Sleep(40 * time.Second)
+		if n := w.Expired(); n != fleetMachines/2 {
+			t.Errorf("%d leases ended of the zone's %d", n, fleetMachines/2)
+		}
+		w.CutZone("b", false)
+		at := time.Now()
+		allAnswered(t, w, at, 12*time.Second)
+		for range 40 {
+			if time.Sleep(time.Second); w.Started() >= fleetMachines*3/2 {
+				break
+			}
+		}
+		if n := w.Started(); n != fleetMachines*3/2 {
+			t.Errorf("%d starts, wanted each task of the zone once more: %d", n, fleetMachines*3/2)
+		}
+		time.Sleep(2 * time.Minute)
+		w.Cloud.SetOutage(false)
+		if n := w.Expired(); n != fleetMachines/2 {
+			t.Errorf("%d leases ended in all", n)
+		}
+	})
+}
+
+// A node that passes reports on stands still, is cut from the leader, or dies:
+// its workers go elsewhere in time.
+func TestANodeThatPassesReportsOnIsGone(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		begin, end func(w *fake.World, relay int)
+	}{
+		{"stands still", func(w *fake.World, r int) { w.Stop(r, true) }, func(w *fake.World, r int) { w.Stop(r, false) }},
+		{"is cut from the others", func(w *fake.World, r int) { w.CutNode(r, true, "nodes") }, func(w *fake.World, r int) { w.CutNode(r, false, "nodes") }},
+		{"dies", func(w *fake.World, r int) { w.KillNode(r) }, func(w *fake.World, r int) { w.StartNode(r) }},
+		{"and the leader with it", func(w *fake.World, r int) { w.KillNode(w.Leader()); w.Stop(r, true) },
+			func(w *fake.World, r int) { w.Stop(r, false) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+				relay := (w.Leader() + 1) % len(w.Nodes())
+				at := time.Now()
+				c.begin(w, relay)
+				allAnswered(t, w, at.Add(4*time.Second), 16*time.Second)
+				time.Sleep(10 * time.Second)
+				c.end(w, relay)
+				time.Sleep(25 * time.Second)
+				noneLost(t, w, fleetMachines)
+			})
+		})
+	}
+}
+
+// More workers than all nodes have sockets: each needs one only while it
+// reports.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines, Sockets: fleetMachines / 4}, func(t *testing.T, w *fake.World) {
+		at := time.Now()
+		allAnswered(t, w, at, 15*time.Second)
+		// The node's own calls find a socket all the same.
+		for i := range 5 {
+			mustSubmit(t, w, job(10+i, func(j *wire.Job) { j.CPUs = 8 }))
+		}
+		w.KillNode(w.Leader())
+		at = time.Now()
+		allAnswered(t, w, at.Add(8*time.Second), 22*time.Second)
+		noneLost(t, w, fleetMachines)
+	})
+}
+
+// The leader is gone without a word: workers that others answer stay where they
+// are, and only the leader's own have to look for a node.
+func TestAFleetGoesOnUnderTheNextLeader(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(w *fake.World, l int)
+	}{
+		{"dies", func(w *fake.World, l int) { w.KillNode(l) }},
+		{"stands still", func(w *fake.World, l int) { w.Stop(l, true) }},
+		{"is cut from the workers", func(w *fake.World, l int) { w.CutNode(l, true, "workers") }},
+		{"is refused by the state service", func(w *fake.World, l int) { w.State.Refuse(fmt.Sprintf("n-%d", l), true) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fleet(t, fake.Options{Machines: fleetMachines, Nodes: 4}, func(t *testing.T, w *fake.World) {
+				at := time.Now()
+				c.end(w, w.Leader())
+				allAnswered(t, w, at.Add(6*time.Second), 20*time.Second)
+				time.Sleep(20 * time.Second)
+				noneLost(t, w, fleetMachines)
+			})
+		})
+	}
+}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/umberdeal/umberdeal/admission"
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/election"
 	"github.com/umberdeal/umberdeal/internal/call"
@@ -25,6 +26,7 @@
 	schedKick chan struct{}
 	flushKick chan struct{}
 	direct    chan struct{} // bounds direct commands under way
+	gate      *admission.Gate
 
 	syncing chan struct{} // held by the one barrier under way
 
@@ -41,6 +43,10 @@
 	lastAny time.Time   // when a worker last reported here itself
 }
 
+// reportsAtOnce is how many reports a leader works on at once: they take turns
+// at the model anyway, and those beyond wait in the order of their leases.
+const reportsAtOnce = 4
+
 func kick(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -53,6 +59,7 @@
 	l := &leadership{
 		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
 		direct: make(chan struct{}, 16), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
+		gate: admission.NewGate(reportsAtOnce, 2*n.cfg.Cluster.Limits.Sockets),
 	}
 	for {
 		err := l.load(ctx)
--- a/controller/load.go
+++ b/controller/load.go
@@ -34,6 +34,9 @@
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
+	if l.n.metrics != nil {
+		m.Timings = timings{l.n.metrics}
+	}
 	if types := l.n.knownTypes(); types != nil {
 		m.SetTypes(types)
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -12,14 +12,16 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
+	"golang.org/x/time/rate"
 
+	"github.com/umberdeal/umberdeal/admission"
 	"github.com/umberdeal/umberdeal/cloud"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/election"
 	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/metrics"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 	"github.com/umberdeal/umberdeal/worker"
@@ -51,18 +53,29 @@
 	reader  *ledger.Reader
 	elector *election.Elector
 	peers   []*mesh.Peer
-	users   chan struct{} // bounds the users' requests under way
-	reports chan struct{}
+	lanes   []*mesh.Lane
+	users   chan struct{}   // bounds the users' requests under way
+	reports *admission.Gate // and the workers' reports
+	door    *admission.Door // of users and workers; set before anybody is served
 	pulse   pulse
 	doubts  doubts
 
-	mu       sync.Mutex
-	lead     *leadership // nil unless this node leads
-	types    []wire.MachineType
-	sentAway map[string]sentAway // workers told to go to the leader
-	meshOK   time.Time           // when another node was last reached
-	begun    bool                // the state service or another node has answered once
-	news     chan struct{}       // closed and replaced when there is news of the leader
+	answered *admission.Answered // when workers were last answered here
+	plan     planBox             // where workers report
+	moves    *rate.Limiter       // paces workers' moves to other nodes
+	metrics  *metrics.Set        // nil unless the operators watch
+	troubles *metrics.Troubles
+
+	mu         sync.Mutex
+	lead       *leadership // nil unless this node leads
+	types      []wire.MachineType
+	sent       map[string]guest // workers told to go elsewhere
+	askers     map[string]asker // nodes that have asked this one
+	counts     counts
+	lastLeader string
+	meshOK     time.Time     // when another node was last reached
+	begun      bool          // the state service or another node has answered once
+	news       chan struct{} // closed and replaced when there is news of the leader
 }
 
 const (
@@ -74,12 +87,6 @@
 	barrierShare = 2.0
 )
 
-type sentAway struct {
-	leader  string
-	at      time.Time
-	relayed bool
-}
-
 // New makes a node.
 func New(cfg *config.Settings, tuning config.Tuning, log *slog.Logger, nw Network) *Node {
 	sl := cfg.Cluster.State
@@ -89,9 +96,12 @@
 		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
 		workers:  worker.New(nw.Dial),
 		users:    make(chan struct{}, max(32, cfg.Cluster.Limits.Sockets/8)),
-		reports:  make(chan struct{}, max(64, cfg.Cluster.Limits.Sockets/2)),
-		sentAway: map[string]sentAway{}, news: make(chan struct{}),
+		reports:  admission.NewGate(max(64, cfg.Cluster.Limits.Sockets/2), cfg.Cluster.Limits.Sockets/8),
+		answered: admission.NewAnswered(guestsMost), moves: newMoves(),
+		sent: map[string]guest{}, askers: map[string]asker{}, news: make(chan struct{}),
 	}
+	n.watched()
+	log = n.log
 	for _, o := range cfg.Cluster.Objectives {
 		switch o.Kind {
 		case "wait", "finished", "deadline", "guarantee", "price", "cost":
@@ -105,11 +115,12 @@
 	n.reader.Gap = func() time.Duration { return config.Seconds(min(barrierShare/max(forUsers.Rate(), 1), 0.6)) }
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
+		n.lanes = append(n.lanes, mesh.NewLane(s.Name, s.Addr, nw.Dial, max(64, cfg.Cluster.Limits.Sockets/2)))
 	}
 	w := cfg.Cluster.Workers
 	n.elector = &election.Elector{
 		Store: n.state, Self: cfg.Node, TTL: config.Seconds(leaderTTL(w)), Drift: drift, Log: log,
-		Lead: n.runLeader, CatchUp: n.catchUp, Seen: n.tell,
+		Lead: n.runLeader, CatchUp: n.catchUp, Seen: n.seen,
 	}
 	return n
 }
@@ -146,20 +157,29 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       admission.With,
 	}
+	n.door = admission.NewDoor(l, max(16, int(doorShare*float64(n.cfg.Cluster.Limits.Sockets))))
 	var wg sync.WaitGroup
 	duty := func(f func(context.Context)) {
 		wg.Add(1)
 		go func() { defer wg.Done(); f(ctx) }()
 	}
-	errs := make(chan error, 2)
+	errs := make(chan error, 3)
+	if n.tuning.Metrics.Listen != "" {
+		duty(func(ctx context.Context) {
+			if err := n.serveOperators(ctx); err != nil {
+				errs <- err
+			}
+		})
+	}
 	duty(func(context.Context) {
-		if err := srv.Serve(netutil.LimitListener(l, max(16, n.cfg.Cluster.Limits.Sockets*6/10))); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(n.door); !errors.Is(err, http.ErrServerClosed) {
 			errs <- fmt.Errorf("bind: %w", err)
 		}
 	})
 	duty(func(ctx context.Context) {
-		if err := mesh.Serve(ctx, ml, n); err != nil {
+		if err := mesh.Serve(ctx, ml, n, max(64, n.cfg.Cluster.Limits.Sockets/2)); err != nil {
 			errs <- err
 		}
 	})
@@ -167,6 +187,7 @@
 	duty(n.watchHealth)
 	duty(n.watchPulse)
 	duty(n.watchLeader)
+	duty(n.keepPlan)
 	duty(n.keepTypes)
 	duty(n.elector.Run)
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "bind", n.cfg.Bind)
@@ -181,6 +202,9 @@
 	_ = srv.Shutdown(sctx) // what is still open is closed next
 	_ = srv.Close()
 	wg.Wait()
+	for _, lane := range n.lanes {
+		lane.Close()
+	}
 	return err
 }
 
@@ -234,7 +258,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if _, err := p.Status(ctx); err == nil {
+			if _, err := p.Status(ctx, n.ask()); err == nil {
 				n.mu.Lock()
 				n.meshOK, n.begun = time.Now(), true
 				n.mu.Unlock()
@@ -298,8 +322,3 @@
 	defer n.mu.Unlock()
 	return n.lead
 }
-
-// Status implements mesh.Handler.
-func (n *Node) Status() mesh.Status {
-	return mesh.Status{Node: n.cfg.Node, Leader: n.elector.Leader(), StateOK: n.stateOK()}
-}
--- a/controller/passes.go
+++ b/controller/passes.go
@@ -58,7 +58,9 @@
 			}
 			// The larger the cluster, the longer a pass: reports, renewals and
 			// users get most of the processor even so.
-			pause = max(pause, passShare*time.Since(now))
+			took := time.Since(now)
+			l.n.metrics.Pass(took.Seconds())
+			pause = max(pause, passShare*took)
 			l.mu.Unlock()
 			for g, rec := range moves {
 				l.beginMoves(ctx, g, rec)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -6,30 +6,64 @@
 	"net/http"
 	"time"
 
+	"github.com/umberdeal/umberdeal/admission"
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/mesh"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// sentAwayFor is for how long a worker that comes back is taken not to reach
-// the leader it was sent to.
-const sentAwayFor = 20 * time.Second
+// This file is the workers' door; where each of them belongs is decided in
+// package routing, and what a leader answers in answers.go.
 
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
-	select {
-	case n.reports <- struct{}{}:
-		defer func() { <-n.reports }()
-	default:
-		writeError(w, http.StatusServiceUnavailable, "too many reports under way", 1)
-		return
+	conn := admission.Of(r.Context())
+	if conn != nil {
+		conn.Is(admission.Worker)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "unreadable", 0)
 		return
 	}
+	var who struct {
+		Machine string `msgpack:"poste"`
+	}
+	if err := wire.Unmarshal(body, &who); err != nil || who.Machine == "" {
+		writeError(w, http.StatusBadRequest, "malformed report", 0)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), 3500*time.Millisecond)
 	defer cancel()
-	write(w, n.report(ctx, body))
+	if err := n.reports.Enter(ctx, n.leaseLeft(who.Machine, -1)); err != nil {
+		n.metrics.Refused("too many reports")
+		w.Header().Set("Connection", "close")
+		writeError(w, http.StatusServiceUnavailable, "too many reports under way", 1)
+		return
+	}
+	defer n.reports.Leave()
+	a := n.report(ctx, who.Machine, body)
+	if a.Status == http.StatusOK {
+		n.answered.Note(who.Machine, time.Now())
+	}
+	if n.workersFull() {
+		// It needs a connection for its report only. Sockets that workers keep
+		// are missed by this node's own calls.
+		w.Header().Set("Connection", "close")
+	}
+	write(w, a)
+}
+
+// leaseLeft is how many seconds a worker's lease has left, as far as is known
+// here; agoS is what another node knows of its last answer, negative for
+// nothing. Of one that nobody knows the worst is assumed.
+func (n *Node) leaseLeft(machine string, agoS float64) float64 {
+	if ago, ok := n.answered.Ago(machine, time.Now()); ok && (agoS < 0 || ago.Seconds() < agoS) {
+		agoS = ago.Seconds()
+	}
+	if agoS < 0 {
+		return 0
+	}
+	return n.cfg.Cluster.Workers.LeaseS - agoS
 }
 
 func redirect(leader string) mesh.Answer {
@@ -37,63 +71,77 @@
 }
 
 // report serves a worker's report: here if this node leads, and otherwise by
-// naming the leader, or by passing the report on where the worker has come
-// back from there.
-func (n *Node) report(ctx context.Context, body []byte) mesh.Answer {
+// passing it on to the leader, or by naming the node where the worker belongs.
+func (n *Node) report(ctx context.Context, machine string, body []byte) mesh.Answer {
 	if l := n.leadership(); l != nil && l.term.Valid() {
-		return l.report(body, true)
-	}
-	var who struct {
-		Machine string `msgpack:"poste"`
-	}
-	if err := wire.Unmarshal(body, &who); err != nil || who.Machine == "" {
-		return answer(http.StatusBadRequest, wire.Error{Error: "malformed report"}, 0)
+		if to := n.moveAway(machine); to != "" {
+			n.noteSent(machine, to)
+			return redirect(to)
+		}
+		return l.report(ctx, body, -1, true)
 	}
 	leader := n.awaitLeader(ctx)
 	if l := n.leadership(); l != nil {
-		return l.report(body, true)
+		return l.report(ctx, body, -1, true)
 	}
 	if leader == "" || leader == n.cfg.Node {
-		return redirect(n.elsewhere(who.Machine))
-	}
-	now := time.Now()
-	n.mu.Lock()
-	away, back := n.sentAway[who.Machine]
-	// One that was sent to an earlier leader has not tried this one yet.
-	back = back && away.leader == leader && now.Sub(away.at) < sentAwayFor
-	if !back {
-		if len(n.sentAway) > 5000 {
-			clear(n.sentAway)
-		}
-		n.sentAway[who.Machine] = sentAway{leader: leader, at: now}
-	}
-	n.mu.Unlock()
-	if !back {
-		return redirect(leader)
-	}
-	if p := n.peer(leader); p != nil {
-		if a, err := p.Report(ctx, body); err == nil {
-			if a.Status != http.StatusOK {
-				return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader does not answer"}, 1)
-			}
-			// Sent away again after a while, in case it reaches the leader by
-			// then.
-			n.mu.Lock()
-			if !away.relayed {
-				n.sentAway[who.Machine] = sentAway{leader: leader, at: now, relayed: true}
-				n.log.Info("passing reports on", "machine", who.Machine, "leader", leader)
-			}
-			n.mu.Unlock()
-			return a
+		return redirect(n.elsewhere(machine))
+	}
+	to, pass := n.route(machine, leader)
+	if !pass {
+		n.noteSent(machine, to)
+		return redirect(to)
+	}
+	return n.passOn(ctx, machine, leader, body)
+}
+
+// passOn passes a report on to the leader. What comes back is the leader's own
+// answer with its token: a 200 is the leader's, given while it was sure of its
+// lease, and everything else is a 503 here.
+func (n *Node) passOn(ctx context.Context, machine, leader string, body []byte) mesh.Answer {
+	lane := n.lane(leader)
+	if lane == nil {
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "no such leader"}, 1)
+	}
+	r := mesh.Request{From: n.cfg.Node, Body: body, AgoS: -1}
+	if ago, ok := n.answered.Ago(machine, time.Now()); ok {
+		r.AgoS = ago.Seconds()
+	}
+	a, err := lane.Report(ctx, r)
+	if err != nil {
+		n.log.Debug("report not passed on", "machine", machine, "leader", leader, "err", err)
+		n.count(func(c *counts) { c.passFailed++ })
+		if !lane.Reach() && ctx.Err() == nil && !n.guest(machine).CameBack(leader) {
+			n.noteSent(machine, leader)
+			return redirect(leader)
 		}
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader is not reached"}, 1)
+	}
+	if a.Status != http.StatusOK {
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader does not answer"}, 1)
 	}
-	return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader is not reached"}, 1)
+	n.count(func(c *counts) { c.passed++ })
+	return a
 }
 
-// Report implements mesh.Handler.
-func (n *Node) Report(_ context.Context, body []byte) mesh.Answer {
-	if l := n.leadership(); l != nil {
-		return l.report(body, false)
+// Report implements mesh.Handler: a report that another node received.
+func (n *Node) Report(ctx context.Context, r mesh.Request) mesh.Answer {
+	l := n.leadership()
+	if l == nil {
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "not the leader"}, 1)
+	}
+	if !l.term.Valid() {
+		// Sent away, the worker would come back in a second, by way of another
+		// node, and so would all others.
+		n.awaitLeader(ctx)
 	}
-	return answer(http.StatusServiceUnavailable, wire.Error{Error: "not the leader"}, 1)
+	return l.report(ctx, r.Body, r.AgoS, false)
+}
+
+// fresh says whether a worker was answered here so lately that a move which
+// fails does not bring its lease near its end.
+func (n *Node) fresh(machine string) bool {
+	w := n.cfg.Cluster.Workers
+	ago, ok := n.answered.Ago(machine, time.Now())
+	return ok && ago < config.Seconds(min(2*w.ReportS+0.5, w.LeaseS/2))
 }
--- /dev/null
+++ b/controller/status.go
@@ -0,0 +1,183 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/umberdeal/umberdeal/admission"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/metrics"
+	"github.com/umberdeal/umberdeal/routing"
+)
+
+// This file is the operators' door. It has an address of its own, and without
+// one nothing is measured.
+
+// Paths of the operators' door.
+const (
+	PathMetrics = "/metrics"
+	PathStatus  = "/status"
+)
+
+// operatorsMost bounds the operators' connections.
+const operatorsMost = 8
+
+// watched sets up what the operators watch, if they do.
+func (n *Node) watched() {
+	if n.tuning.Metrics.Listen == "" {
+		return
+	}
+	n.troubles = metrics.NewTroubles(n.log.Handler())
+	n.log = slog.New(n.troubles)
+	n.metrics = metrics.New(n.cfg.Node)
+	m := n.metrics
+	for name, k := range map[string]admission.Kind{"connections_users": admission.User,
+		"connections_workers": admission.Worker, "connections_other": admission.Unknown} {
+		m.Gauge(name, "Open connections.", func() float64 { return float64(n.door.Open(k)) })
+	}
+	m.Counter("connections_closed_total", "Connections closed for want of room.", func() float64 { return float64(n.door.Shed()) })
+	m.Counter("reports_shed_total", "Reports turned away for want of room.", func() float64 { return float64(n.reports.Shed()) })
+	m.Gauge("reports_waiting", "Reports that wait for their turn.", func() float64 { return float64(n.reports.Waiting()) })
+	for name, read := range map[string]func(counts) uint64{
+		"reports_passed_total":      func(c counts) uint64 { return c.passed },
+		"reports_pass_failed_total": func(c counts) uint64 { return c.passFailed },
+		"workers_moved_total":       func(c counts) uint64 { return c.moved },
+	} {
+		m.Counter(name, "Of workers that report here while another node leads.", func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(read(n.counts))
+		})
+	}
+	m.Gauge("leading", "1 while this node leads and is sure of it.", func() float64 {
+		if n.leads() {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("least_lease_left_seconds", "Of the worker whose lease is nearest its end; the leader's.", func() float64 {
+		if f := n.fleet(time.Now()); f != nil {
+			return f.LeaseLeftS
+		}
+		return 0
+	})
+}
+
+// serveOperators serves metrics and overviews until ctx ends.
+func (n *Node) serveOperators(ctx context.Context) error {
+	l, err := n.net.Listen("tcp", n.tuning.Metrics.Listen)
+	if err != nil {
+		return fmt.Errorf("metrics.listen: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathMetrics, n.metrics.Handler())
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.overview(r.Context())) // whoever asked may be gone
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(netutil.LimitListener(l, operatorsMost)); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("metrics.listen: %w", err)
+	}
+	return nil
+}
+
+// overview is this node's, with the leader's view of the fleet where a leader
+// answers.
+func (n *Node) overview(ctx context.Context) metrics.Overview {
+	now := time.Now()
+	o := n.ownOverview(now)
+	if o.Fleet != nil {
+		return o
+	}
+	p := n.peer(n.elector.Leader())
+	if p == nil {
+		return o
+	}
+	said, err := p.Overview(ctx)
+	var theirs metrics.Overview
+	if err == nil && json.Unmarshal(said, &theirs) == nil {
+		o.Fleet, o.Plan = theirs.Fleet, theirs.Plan
+	}
+	return o
+}
+
+func (n *Node) ownOverview(now time.Time) metrics.Overview {
+	o := metrics.Overview{At: now, Node: n.cfg.Node, Zone: n.cfg.Zone, Ready: n.ready(), StateServed: n.stateOK(),
+		Leader: n.elector.Leader(), Troubles: n.troubles.Last(), Fleet: n.fleet(now)}
+	if d := n.door; d != nil {
+		o.Connections = metrics.Connections{Users: d.Open(admission.User), Workers: d.Open(admission.Worker),
+			Other: d.Open(admission.Unknown), Most: n.cfg.Cluster.Limits.Sockets, Closed: d.Shed()}
+	}
+	n.mu.Lock()
+	c := n.counts
+	n.mu.Unlock()
+	o.Reports = metrics.Reports{Passed: c.passed, Failed: c.passFailed, Moved: c.moved, Waiting: n.reports.Waiting(),
+		Refused: n.reports.Shed(), Served: n.answered.Recent(now, config.Seconds(n.cfg.Cluster.Workers.LeaseS))}
+	if p := n.currentPlan(o.Leader); p != nil {
+		o.Plan = planOf(&p.Plan)
+	}
+	return o
+}
+
+func planOf(p *routing.Plan) *metrics.Plan {
+	out := &metrics.Plan{Workers: p.Workers, Direct: p.Direct}
+	for _, r := range p.Relays {
+		out.Relays = append(out.Relays, r.Name)
+	}
+	return out
+}
+
+// fleet is the leader's view, nil unless this node leads.
+func (n *Node) fleet(now time.Time) *metrics.Fleet {
+	l := n.leadership()
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	s := l.m.Summary(now)
+	l.mu.Unlock()
+	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
+		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
+}
+
+// Overview implements mesh.Handler.
+func (n *Node) Overview() []byte {
+	b, err := json.Marshal(n.ownOverview(time.Now()))
+	if err != nil {
+		return nil // whoever asked shows no fleet
+	}
+	return b
+}
+
+// timings hands the model's times to the instruments.
+type timings struct{ *metrics.Set }
+
+func (t timings) Placed(s float64)   { t.Took(metrics.Placed, s) }
+func (t timings) Launched(s float64) { t.Took(metrics.Launched, s) }
+func (t timings) Running(s float64)  { t.Took(metrics.Running, s) }
+
+// seen takes in that another leader is seen, or none, or that this node has
+// become sure of leading.
+func (n *Node) seen() {
+	leader := n.elector.Leader()
+	n.mu.Lock()
+	changed := leader != n.lastLeader
+	n.lastLeader = leader
+	n.mu.Unlock()
+	if changed {
+		n.metrics.LeaderChanged()
+	}
+	n.tell()
+}
--- a/controller/users.go
+++ b/controller/users.go
@@ -14,6 +14,7 @@
 	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/metrics"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -65,10 +66,12 @@
 }
 
 func (n *Node) serveUser(w http.ResponseWriter, r *http.Request, op string) {
+	n.asUser(w, r)
 	select {
 	case n.users <- struct{}{}:
 		defer func() { <-n.users }()
 	default:
+		n.metrics.Refused("too many users' requests")
 		writeError(w, http.StatusTooManyRequests, "too many requests under way", 1)
 		return
 	}
@@ -93,7 +96,15 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
-	write(w, n.user(ctx, req))
+	at := time.Now()
+	a := n.user(ctx, req)
+	switch {
+	case op == opSubmit && a.Status == http.StatusCreated:
+		n.metrics.Took(metrics.Accepted, time.Since(at).Seconds())
+	case a.Status >= http.StatusBadRequest && a.Status != http.StatusNotFound:
+		n.metrics.Refused(op + " " + strconv.Itoa(a.Status))
+	}
+	write(w, a)
 }
 
 // user serves a user's request here, or asks another node where the state
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -145,6 +145,9 @@
 	if now.Sub(m.renewed) <= secs(m.w.Settings.Cluster.Workers.LeaseS) {
 		return false
 	}
+	if len(m.order) > 0 {
+		m.w.expired++
+	}
 	m.clear()
 	m.session++
 	m.renewed = now
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -21,12 +21,16 @@
 	cuts      map[[2]string]bool
 	down      map[string]bool
 	still     map[string]chan struct{} // hosts that stand still, until closed
+	most      map[string]int           // sockets that a host has, if limited
+	open      map[string]int           // sockets that it has open
+	peak      map[string]int           // and had at once
 }
 
 // NewNet makes an empty network.
 func NewNet() *Net {
 	return &Net{listeners: map[string]*listener{}, conns: map[*conn]bool{},
-		cuts: map[[2]string]bool{}, down: map[string]bool{}, still: map[string]chan struct{}{}}
+		cuts: map[[2]string]bool{}, down: map[string]bool{}, still: map[string]chan struct{}{},
+		most: map[string]int{}, open: map[string]int{}, peak: map[string]int{}}
 }
 
 func host(addr string) string { h, _, _ := strings.Cut(addr, ":"); return h }
@@ -141,9 +145,11 @@
 		}
 		a, b := net.Pipe()
 		ca, cb := n.end(a, from, host(addr), from), n.end(b, from, host(addr), host(addr))
-		n.mu.Lock()
-		n.conns[ca], n.conns[cb] = true, true
-		n.mu.Unlock()
+		if !n.take(from, host(addr), ca, cb) {
+			ca.Close()
+			cb.Close()
+			return nil, fmt.Errorf("dial %s: %w", addr, errRefused)
+		}
 		select {
 		case l.accept <- cb:
 			return ca, nil
@@ -156,6 +162,46 @@
 	}
 }
 
+// LimitSockets gives a host so many sockets.
+func (n *Net) LimitSockets(h string, most int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.most[h] = most
+}
+
+// Open is how many sockets a host has open.
+func (n *Net) Open(h string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open[h]
+}
+
+// Peak is how many sockets a limited host has had open at once.
+func (n *Net) Peak(h string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peak[h]
+}
+
+// take gives a connection's ends their sockets, if both hosts have one left.
+func (n *Net) take(from, to string, a, b *conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range []string{from, to} {
+		if n.most[h] == 0 {
+			continue
+		}
+		if n.open[h] >= n.most[h] {
+			return false
+		}
+		n.peak[h] = max(n.peak[h], n.open[h]+1)
+	}
+	n.conns[a], n.conns[b] = true, true
+	n.open[from]++
+	n.open[to]++
+	return true
+}
+
 // Listen opens a listener on an address.
 func (n *Net) Listen(_, addr string) (net.Listener, error) {
 	n.mu.Lock()
@@ -276,6 +322,9 @@
 	c.once.Do(func() {
 		close(c.closed)
 		c.n.mu.Lock()
+		if c.n.conns[c] {
+			c.n.open[c.side]--
+		}
 		delete(c.n.conns, c)
 		c.n.mu.Unlock()
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only where the other end is closed
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,7 @@
 	gangs    map[taskKey]*gang
 	progress map[string]float64 // saved, by task, or by job for gangs
 	started  int
+	expired  int // workers' leases that ended, with tasks
 	broken   []string
 }
 
@@ -82,6 +83,9 @@
 	Seed     uint64
 	Log      *slog.Logger
 	Outside  bool    // the controllers are real processes: none is started
+	Sockets  int     // of each node; 0 means 800, unenforced
+	Gap      float64 // seconds between reports; 0 means 1.5
+	Lease    float64 // seconds of a worker's lease; 0 means 12
 	StateRPS float64 // the state service's limit of requests a second; 0 means 200, unenforced
 }
 
@@ -135,6 +139,19 @@
 		}
 		w.nodes = append(w.nodes, &node{name: name, bind: cfg.Bind, cfg: cfg})
 	}
+	for _, n := range w.nodes {
+		c := &n.cfg.Cluster
+		if o.Sockets > 0 {
+			c.Limits.Sockets = o.Sockets
+			w.Net.LimitSockets(n.name, o.Sockets)
+		}
+		if o.Gap > 0 {
+			c.Workers.ReportS = o.Gap
+		}
+		if o.Lease > 0 {
+			c.Workers.LeaseS, c.Workers.CancelS = o.Lease, o.Lease+20
+		}
+	}
 	if o.StateRPS > 0 {
 		w.State.LimitRequests(o.StateRPS)
 		for _, n := range w.nodes {
@@ -242,6 +259,15 @@
 // it go on.
 func (w *World) Stop(i int, on bool) { w.Net.SetStill(w.nodes[i].name, on) }
 
+// Nodes are the controllers' names.
+func (w *World) Nodes() []string {
+	var out []string
+	for _, n := range w.nodes {
+		out = append(out, n.name)
+	}
+	return out
+}
+
 // Leader is the index of the node whose key is in the state service, or -1.
 func (w *World) Leader() int {
 	w.State.mu.Lock()
@@ -406,6 +432,42 @@
 	return w.started
 }
 
+// Expired is how many workers' leases have ended so far while they had tasks.
+func (w *World) Expired() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.expired
+}
+
+// Unanswered is how many living machines have had no answer since then.
+func (w *World) Unanswered(since time.Time) int {
+	var all []*machine
+	for _, name := range w.Cloud.Machines() {
+		all = append(all, w.Cloud.machine(name))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, m := range all {
+		if !m.dead && !m.hung && m.renewed.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// CutZone cuts the machines of a zone off from every node, or heals that.
+func (w *World) CutZone(zone string, on bool) {
+	for _, name := range w.Cloud.Machines() {
+		if w.Cloud.machine(name).zone != zone {
+			continue
+		}
+		for _, n := range w.nodes {
+			w.Net.setCut(n.name, name, on)
+		}
+	}
+}
+
 // arrive takes in that a task has its image: from now on it is on its machine,
 // and the rules are checked. The lock is held.
 func (w *World) arrive(t *task, now time.Time) {
--- /dev/null
+++ b/mesh/lane_test.go
@@ -0,0 +1,175 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// far is a node that answers reports as a test says.
+type far struct {
+	answer func(r Request) Answer
+	conns  chan net.Conn
+	dials  atomic.Int32
+	writes atomic.Int32 // of the lane's
+	down   atomic.Bool
+}
+
+func (f *far) Report(_ context.Context, r Request) Answer { return f.answer(r) }
+func (f *far) User(context.Context, Request) Answer       { return Answer{} }
+func (f *far) Status(Request) Status                      { return Status{} }
+func (f *far) Overview() []byte                           { return nil }
+
+func (f *far) Accept() (net.Conn, error) {
+	c, ok := <-f.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (f *far) Close() error   { return nil }
+func (f *far) Addr() net.Addr { return nil }
+
+type counted struct {
+	net.Conn
+	n *atomic.Int32
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	c.n.Add(1)
+	return c.Conn.Write(b)
+}
+
+func (f *far) dial(context.Context, string, string) (net.Conn, error) {
+	if f.down.Load() {
+		return nil, errors.New("connection refused")
+	}
+	f.dials.Add(1)
+	a, b := net.Pipe()
+	f.conns <- b
+	return counted{a, &f.writes}, nil
+}
+
+func lane(t *testing.T, tell func(t *testing.T, l *Lane, f *far)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &far{conns: make(chan net.Conn)}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = Serve(ctx, f, f, 1000) }()
+		l := NewLane("n-1", "n-1:81", f.dial, 500)
+		tell(t, l, f)
+		l.Close()
+		cancel()
+		close(f.conns)
+		<-done
+	})
+}
+
+// Hundreds of reports go over one connection in few packets; one whose answer
+// is held back holds up no other, and each gets the answer to its own.
+func TestReportsGoTogetherAndComeBackAlone(t *testing.T) {
+	lane(t, func(t *testing.T, l *Lane, f *far) {
+		f.answer = func(r Request) Answer {
+			if string(r.Body) == "host-7" {
+				time.Sleep(time.Second)
+			}
+			return Answer{Status: 200, Body: append([]byte("for "), r.Body...)}
+		}
+		begun := time.Now()
+		var soon, wrong atomic.Int32
+		for i := range 300 {
+			go func() {
+				name := fmt.Sprintf("host-%d", i)
+				a, err := l.Report(t.Context(), Request{Body: []byte(name)})
+				if err != nil || string(a.Body) != "for "+name {
+					wrong.Add(1)
+				}
+				if time.Since(begun) < 100*time.Millisecond {
+					soon.Add(1)
+				}
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		if wrong.Load() != 0 || soon.Load() != 299 {
+			t.Errorf("%d wrong, %d of 300 at once", wrong.Load(), soon.Load())
+		}
+		if f.dials.Load() != 1 || f.writes.Load() > 10 {
+			t.Errorf("%d connections, %d packets for 300 reports", f.dials.Load(), f.writes.Load())
+		}
+	})
+}
+
+// A late answer says nothing of the connection while others come; a connection
+// that brings nothing at all is given up, and the next report opens another.
+func TestALaneIsGivenUpWhenItBringsNothing(t *testing.T) {
+	lane(t, func(t *testing.T, l *Lane, f *far) {
+		var still atomic.Bool
+		wait := make(chan struct{})
+		f.answer = func(r Request) Answer {
+			if still.Load() || string(r.Body) == "late" {
+				<-wait
+			}
+			return Answer{Status: 200}
+		}
+		late := make(chan error, 1)
+		go func() { _, err := l.Report(t.Context(), Request{Body: []byte("late")}); late <- err }()
+		for range 8 {
+			if _, err := l.Report(t.Context(), Request{}); err != nil {
+				t.Errorf("held up by another's answer: %v", err)
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		if err := <-late; err == nil || f.dials.Load() != 1 || !l.Reach() {
+			t.Errorf("late: %v; %d connections", err, f.dials.Load())
+		}
+		still.Store(true)
+		if _, err := l.Report(t.Context(), Request{}); err == nil || l.Reach() {
+			t.Errorf("nothing came, and the connection is kept (%v)", err)
+		}
+		still.Store(false)
+		close(wait)
+		time.Sleep(2 * time.Second)
+		if _, err := l.Report(t.Context(), Request{}); err != nil || f.dials.Load() != 2 {
+			t.Errorf("not opened again: %v, %d connections", err, f.dials.Load())
+		}
+	})
+}
+
+// What is not reached is not tried by each of a thousand workers, and what is
+// under way is bounded.
+func TestALaneIsBounded(t *testing.T) {
+	lane(t, func(t *testing.T, l *Lane, f *far) {
+		wait := make(chan struct{})
+		f.answer = func(Request) Answer { <-wait; return Answer{Status: 200} }
+		var busy atomic.Int32
+		for range 700 {
+			go func() {
+				if _, err := l.Report(t.Context(), Request{}); errors.Is(err, ErrBusy) {
+					busy.Add(1)
+				}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		if busy.Load() != 200 || l.Under() != 500 {
+			t.Errorf("%d turned away, %d under way, of 700 with room for 500", busy.Load(), l.Under())
+		}
+		close(wait)
+		time.Sleep(5 * time.Second)
+		l.Close()
+		f.down.Store(true)
+		time.Sleep(2 * time.Second)
+		if _, err := l.Report(t.Context(), Request{}); err == nil || l.Reach() {
+			t.Error("a node that is not reached counts as reached")
+		}
+		begun := time.Now()
+		if _, err := l.Report(t.Context(), Request{}); err == nil || time.Since(begun) > 0 {
+			t.Errorf("%v after %v", err, time.Since(begun))
+		}
+	})
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/routing"
 )
 
 // Request is a report or a user's request, passed on as it came.
@@ -20,6 +21,10 @@
 	Op   string // of a user's request
 	ID   string
 	Body []byte
+
+	From string  // the node that asks
+	Room int     // how many workers' connections it keeps
+	AgoS float64 // of a report: seconds since the worker's last answer there; negative if not known
 }
 
 // Answer is what came of it.
@@ -34,31 +39,35 @@
 	Node    string
 	Leader  string
 	StateOK bool
+	Plan    *routing.Plan // of the leader: where workers report
 }
 
 // Handler serves the other nodes.
 type Handler interface {
-	Report(ctx context.Context, body []byte) Answer
+	Report(ctx context.Context, r Request) Answer
 	User(ctx context.Context, r Request) Answer
-	Status() Status
+	Status(asks Request) Status
+	Overview() []byte
 }
 
 // Mesh is the service as net/rpc sees it.
 type Mesh struct {
 	h   Handler
 	ctx context.Context
-	sem chan struct{}
+	sem chan struct{} // users' requests under way
+	rep chan struct{} // reports under way
 }
 
-var errBusy = errors.New("busy")
+// ErrBusy says that too much is under way already.
+var ErrBusy = errors.New("busy")
 
 // serve runs a request of another node, as long as not too many are under way.
-func (m *Mesh) serve(f func(ctx context.Context)) error {
+func (m *Mesh) serve(sem chan struct{}, f func(ctx context.Context)) error {
 	select {
-	case m.sem <- struct{}{}:
-		defer func() { <-m.sem }()
+	case sem <- struct{}{}:
+		defer func() { <-sem }()
 	default:
-		return errBusy
+		return ErrBusy
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
 	defer cancel()
@@ -68,24 +77,32 @@
 
 // Report handles a worker's report that another node received.
 func (m *Mesh) Report(r Request, a *Answer) error {
-	return m.serve(func(ctx context.Context) { *a = m.h.Report(ctx, r.Body) })
+	return m.serve(m.rep, func(ctx context.Context) { *a = m.h.Report(ctx, r) })
 }
 
 // User handles a user's request that another node could not serve.
 func (m *Mesh) User(r Request, a *Answer) error {
-	return m.serve(func(ctx context.Context) { *a = m.h.User(ctx, r) })
+	return m.serve(m.sem, func(ctx context.Context) { *a = m.h.User(ctx, r) })
 }
 
 // Status says how this node is.
-func (m *Mesh) Status(_ Request, s *Status) error {
-	*s = m.h.Status()
+func (m *Mesh) Status(r Request, s *Status) error {
+	*s = m.h.Status(r)
+	return nil
+}
+
+// Overview says what an operator would ask of this node, as JSON.
+func (m *Mesh) Overview(_ Request, out *[]byte) error {
+	*out = m.h.Overview()
 	return nil
 }
 
-// Serve answers other nodes until ctx ends.
-func Serve(ctx context.Context, l net.Listener, h Handler) error {
+// Serve answers other nodes until ctx ends, with at most so many workers'
+// reports under way.
+func Serve(ctx context.Context, l net.Listener, h Handler, reports int) error {
 	srv := rpc.NewServer()
-	if err := srv.Register(&Mesh{h: h, ctx: ctx, sem: make(chan struct{}, 64)}); err != nil {
+	m := &Mesh{h: h, ctx: ctx, sem: make(chan struct{}, 64), rep: make(chan struct{}, max(64, reports))}
+	if err := srv.Register(m); err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
 	l = netutil.LimitListener(l, 64)
@@ -108,9 +125,11 @@
 			continue
 		}
 		go func() {
-			end := context.AfterFunc(ctx, func() { conn.Close() })
+			g := gather(conn)
+			end := context.AfterFunc(ctx, func() { g.Close() })
 			defer end()
-			srv.ServeConn(conn)
+			defer g.Close()
+			srv.ServeConn(g)
 		}()
 	}
 }
@@ -236,14 +255,6 @@
 	return nil
 }
 
-// Report passes a report on.
-func (p *Peer) Report(ctx context.Context, body []byte) (a Answer, err error) {
-	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
-	defer cancel()
-	err = p.call(ctx, "Report", Request{Body: body}, &a)
-	return a, err
-}
-
 // User passes a user's request on.
 func (p *Peer) User(ctx context.Context, r Request) (a Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
@@ -253,9 +264,17 @@
 }
 
 // Status asks how the node is.
-func (p *Peer) Status(ctx context.Context) (s Status, err error) {
+func (p *Peer) Status(ctx context.Context, asks Request) (s Status, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	err = p.call(ctx, "Status", Request{}, &s)
+	err = p.call(ctx, "Status", asks, &s)
 	return s, err
 }
+
+// Overview asks for what an operator would.
+func (p *Peer) Overview(ctx context.Context) (out []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err = p.call(ctx, "Overview", Request{}, &out)
+	return out, err
+}
--- /dev/null
+++ b/metrics/overview.go
@@ -0,0 +1,119 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Overview is what an operator asks of a node. Everything in it is of the moment
+// At; Fleet is the leader's, and missing where no leader answers: nothing old is
+// shown as if it were current.
+type Overview struct {
+	At          time.Time   `json:"at"`
+	Node        string      `json:"node"`
+	Zone        string      `json:"zone"`
+	Ready       bool        `json:"ready"`
+	StateServed bool        `json:"state_served"`
+	Leader      string      `json:"leader"`
+	Connections Connections `json:"connections"`
+	Reports     Reports     `json:"reports"`
+	Plan        *Plan       `json:"plan,omitempty"`
+	Fleet       *Fleet      `json:"fleet,omitempty"`
+	Troubles    []Trouble   `json:"troubles,omitempty"`
+}
+
+// Connections are those open at a node, and how many were closed for want of
+// room since its start.
+type Connections struct {
+	Users   int    `json:"users"`
+	Workers int    `json:"workers"`
+	Other   int    `json:"other"`
+	Most    int    `json:"most"`
+	Closed  uint64 `json:"closed"`
+}
+
+// Reports counts what a node has done with workers' reports since its start.
+type Reports struct {
+	Passed  uint64 `json:"passed"`   // to the leader, and answered
+	Failed  uint64 `json:"failed"`   // passed on in vain
+	Moved   uint64 `json:"moved"`    // workers told to report elsewhere for balance
+	Waiting int    `json:"waiting"`  // now
+	Refused uint64 `json:"refused"`  // for want of room
+	Served  int    `json:"answered"` // workers answered here within a lease
+}
+
+// Plan is where workers report.
+type Plan struct {
+	Workers int      `json:"workers"`
+	Direct  int      `json:"direct"`
+	Relays  []string `json:"relays"`
+}
+
+// Fleet is the leader's view.
+type Fleet struct {
+	Node       string             `json:"node"`
+	Token      uint64             `json:"token"`
+	Since      time.Time          `json:"since"`
+	Sure       bool               `json:"sure"` // of its lease
+	Machines   map[string]int     `json:"machines"`
+	Tasks      map[string]int     `json:"tasks"`
+	Jobs       int                `json:"jobs"`
+	Late       int                `json:"late"` // past their deadline and not over
+	LongestS   map[string]float64 `json:"longest_wait_s"`
+	LeaseLeftS float64            `json:"least_lease_left_s"`
+}
+
+// Print writes an overview as a table.
+func (o *Overview) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	row := func(name, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
+	leader := o.Leader
+	if leader == "" {
+		leader = "none is known"
+	}
+	row("node", "%s (%s), %s", o.Node, o.Zone, o.At.Format(time.RFC3339))
+	row("ready", "%v, state service served %v", o.Ready, o.StateServed)
+	row("leader", "%s", leader)
+	if f := o.Fleet; f == nil {
+		row("fleet", "not known: no leader has answered")
+	} else {
+		row("leads", "%s since %s, token %d, sure of its lease %v", f.Node, f.Since.Format(time.RFC3339), f.Token, f.Sure)
+		row("machines", "%s", list(f.Machines))
+		row("tasks", "%s", list(f.Tasks))
+		row("jobs", "%d not over, %d past their deadline", f.Jobs, f.Late)
+		var waits []string
+		for _, k := range slices.Sorted(maps.Keys(f.LongestS)) {
+			waits = append(waits, fmt.Sprintf("%s %.1f s", k, f.LongestS[k]))
+		}
+		row("longest waits", "%s", strings.Join(waits, ", "))
+		row("least lease left", "%.1f s", f.LeaseLeftS)
+	}
+	if p := o.Plan; p != nil {
+		row("workers report", "%d, %d of them to the leader, the rest by way of %s", p.Workers, p.Direct, strings.Join(p.Relays, ", "))
+	}
+	c := o.Connections
+	row("connections", "users %d, workers %d, other %d, at most %d; %d closed for want of room", c.Users, c.Workers, c.Other, c.Most, c.Closed)
+	r := o.Reports
+	row("reports", "%d passed on, %d in vain, %d workers moved, %d wait, %d refused; %d workers answered here", r.Passed, r.Failed, r.Moved, r.Waiting, r.Refused, r.Served)
+	for i, t := range o.Troubles {
+		name := ""
+		if i == 0 {
+			name = "last troubles"
+		}
+		row(name, "%s %s", t.At.Format("15:04:05"), t.Text)
+	}
+	return w.Flush()
+}
+
+func list(counts map[string]int) string {
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%s %d", k, counts[k]))
+	}
+	return strings.Join(out, ", ")
+}
