Each worker is answered where it is through a change of leader; leader's lease by what workers outlast

Change: the lease follows from how long an outage workers should outlast (32 s), their report interval, and the time that a worker needs to find the next leader: 10 s at both fleet sites, 7 s at the 12 s leases as before. While no plan is known, followers pass reports on.

--- a/controller/node.go
+++ b/controller/node.go
@@ -125,14 +125,23 @@
 	return n
 }
 
-// outlast is how long an outage of the state service workers should survive.
-const outlast = 19
+// outlast is how long an outage of the state service workers should survive, in
+// seconds; findNext is how long a worker that loses its leader looks for the
+// next one: a node that answers nothing costs it 4 s of its lease.
+const (
+	outlast  = 32
+	findNext = 3.5
+)
 
-// leaderTTL is the time of the leader's lease. At most, it leaves the tasks of
-// a cancelled job to end in time; below that, it is as short as lets workers
-// outlast an outage, since it is what a change of leader costs.
+// leaderTTL is the time of the leader's lease, in seconds. At most, it leaves the
+// tasks of a cancelled job to end in time. Below that it is as long as lets
+// workers outlast an outage (their last answer comes when it ends, their last
+// answered report up to an interval before), but not so long that a worker whose
+// leader is gone without a word loses its own lease meanwhile; and else as short
+// as can be, since it is what a change of leader costs.
 func leaderTTL(w config.Workers) float64 {
-	return min((w.CancelS-w.LeaseS)/2, max(outlast-w.LeaseS, 5))
+	most := min((w.CancelS-w.LeaseS)/2, w.LeaseS-w.ReportS-findNext)
+	return min((w.CancelS-w.LeaseS)/2, max(5, min(most, outlast+w.ReportS-w.LeaseS)))
 }
 
 // Run serves until ctx ends.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -135,9 +135,9 @@
 	case !reach:
 		return leader, false
 	case p == nil || p.Leader != leader:
-		// Workers that have been here for a while stay through a change of
-		// leader: nothing is gained by a crowd at the new one.
-		return leader, g.Kept
+		// Through a change of leader each is answered where it is: nothing is
+		// gained by a crowd at the new one, which has everything to do.
+		return "", true
 	}
 	home := p.Home(worker)
 	if home == self || home == leader && g.Kept && p.Spread() {
