What a mesh connection gathers is no longer written over while it is on its way

Cause: after a wake-up that found nothing to write, both buffers of a gathering connection were the same memory; a slow connection then carried later bytes in the place of earlier ones. The race detector saw it in a story (a leader that stands still).

Change: the buffers change places and neither is kept twice. A story with a slow reader fails without it.

--- a/mesh/lane.go
+++ b/mesh/lane.go
@@ -97,23 +97,24 @@
 			return
 		case <-timer.C:
 		}
+		// The two buffers change places, and neither may be in both: what is
+		// written next would go over what is on its way.
 		g.mu.Lock()
 		out := g.buf
-		g.buf = spare[:0]
+		g.buf, spare = spare[:0], nil
 		g.mu.Unlock()
-		if len(out) == 0 {
-			continue
+		if len(out) > 0 {
+			_ = g.Conn.SetWriteDeadline(time.Now().Add(answerFor)) // fails only where the connection is closed
+			if _, err := g.Conn.Write(out); err != nil {
+				g.mu.Lock()
+				g.err = err
+				g.mu.Unlock()
+				g.Close()
+				return
+			}
 		}
-		_ = g.Conn.SetWriteDeadline(time.Now().Add(answerFor)) // fails only where the connection is closed
-		if _, err := g.Conn.Write(out); err != nil {
-			g.mu.Lock()
-			g.err = err
-			g.mu.Unlock()
-			g.Close()
-			return
-		}
-		if spare = out; cap(spare) > 256<<10 {
-			spare = nil
+		if cap(out) <= 256<<10 {
+			spare = out
 		}
 	}
 }
--- a/mesh/lane_test.go
+++ b/mesh/lane_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -173,3 +174,48 @@
 		}
 	})
 }
+
+// What is written while the connection is slow must not go over what is on its
+// way; it did after a wake-up that found nothing to write.
+func TestWhatIsGatheredArrivesAsItWasWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		g := gather(a)
+		var want, got []byte
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			buf := make([]byte, 100)
+			for {
+				time.Sleep(time.Millisecond)
+				n, err := b.Read(buf)
+				if got = append(got, buf[:n]...); err != nil {
+					return
+				}
+			}
+		}()
+		write := func(n int, what string) {
+			line := []byte(strings.Repeat(what, n))
+			want = append(want, line...)
+			if _, err := g.Write(line); err != nil {
+				t.Error(err)
+			}
+		}
+		for i := range 20 {
+			write(10, "a") // taken by one wake-up, with the next,
+			time.Sleep(2 * time.Millisecond)
+			write(10, "b") // which leaves a wake-up for nothing
+			time.Sleep(20 * time.Millisecond)
+			write(9000, "c") // 90 ms under way
+			time.Sleep(8 * time.Millisecond)
+			write(8000+i, "d")
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		g.Close()
+		<-done
+		if string(got) != string(want) {
+			t.Errorf("%d bytes were written and %d arrived, or others", len(want), len(got))
+		}
+	})
+}
