Stories of fleets and of YARN in test processes of their own; both doors compared; locality, blacklists

Duplicates in tests and commands made one. New stories: the same work through both doors is placed and refused alike; strict names, labels, blacklists.

--- a/cmd/umberdeal/json.go
+++ b/cmd/umberdeal/json.go
@@ -1,11 +1,37 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net/http"
 	"strings"
+	"time"
 )
 
+// answerMost bounds what is read of an answer.
+const answerMost = 64 << 20
+
+// getJSON asks an operators' address. The answer is read whatever the status.
+func getJSON(at, path string, out any) (status int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, answerMost)).Decode(out); err != nil {
+		return resp.StatusCode, fmt.Errorf("status %s, unreadable answer: %w", resp.Status, err)
+	}
+	return resp.StatusCode, nil
+}
+
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -477,6 +477,22 @@
 	return n
 }
 
+// Load is how many tasks are on each machine that has any.
+func (w *World) Load() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]int{}
+	for _, on := range w.here {
+		for m := range on {
+			out[m.name]++
+		}
+	}
+	return out
+}
+
+// ZoneOf is a machine's zone.
+func (w *World) ZoneOf(name string) string { return w.Cloud.machine(name).zone }
+
 // Running is how many tasks are on machines.
 func (w *World) Running() int {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/tell/tell.go
@@ -0,0 +1,66 @@
+// Package tell is how stories are told: a world in simulated time, jobs, and
+// what must come of them. Each package that tells stories has a test process of
+// its own, since the race detector's runtime bears only so many goroutines in one.
+package tell
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Story runs a world in simulated time and checks the rules at its end.
+func Story(t *testing.T, o fake.Options, tell func(t *testing.T, w *fake.World)) {
+	t.Helper()
+	if os.Getenv("STORY_LOG") != "" {
+		o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(o)
+		defer w.Close()
+		time.Sleep(5 * time.Second)
+		tell(t, w)
+		for _, b := range w.Broken() {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+}
+
+// Job is the n-th job, changed as a story needs it.
+func Job(n int, change func(j *wire.Job)) wire.Job {
+	j := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "c", Team: "core", Kind: wire.KindArray,
+		Priority: wire.PriorityNormal, Tasks: 2, CPUs: 2, MemoryGB: 4, Image: "img-1", ImageGB: 1, EstimateS: 20}
+	if change != nil {
+		change(&j)
+	}
+	return j
+}
+
+// Gang makes a gang of a job.
+func Gang(j *wire.Job) {
+	j.Kind, j.CheckpointS, j.SaveS = wire.KindGang, 10, 2
+}
+
+// MustSubmit submits jobs, each of which must be accepted.
+func MustSubmit(t *testing.T, w *fake.World, jobs ...wire.Job) {
+	t.Helper()
+	for _, j := range jobs {
+		if !w.Submit(j) {
+			t.Fatalf("%s was not accepted", j.ID)
+		}
+	}
+}
+
+// MustReach waits until a job is in a state.
+func MustReach(t *testing.T, w *fake.World, id, state string, within time.Duration) {
+	t.Helper()
+	if !w.Await(id, state, within) {
+		t.Fatalf("%s was not %s within %v", id, state, within)
+	}
+}
--- /dev/null
+++ b/routing/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package routing_test
+
+const fleetMachines, fleetSockets = 700, 1100
--- a/yarn/client/master.go
+++ b/yarn/client/master.go
@@ -56,6 +56,7 @@
 	wants    map[Ask]int // still wanted
 	say      map[Ask]bool
 	release  []*pb.ContainerIdProto
+	shun     *pb.ResourceBlacklistRequestProto
 	has      map[int64]*pb.ContainerProto
 	ended    map[int64]bool
 }
@@ -145,6 +146,13 @@
 	m.release = append(m.release, id)
 }
 
+// Shun changes the blacklist: no container is wanted on nodes that are added.
+func (m *Master) Shun(add, remove []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.shun = &pb.ResourceBlacklistRequestProto{BlacklistAdditions: add, BlacklistRemovals: remove}
+}
+
 // Has lists the containers that are had.
 func (m *Master) Has() []*pb.ContainerProto {
 	m.mu.Lock()
@@ -193,6 +201,7 @@
 		asked = append(asked, a)
 	}
 	in.Release = append(in.Release, m.release...)
+	in.BlacklistRequest = m.shun
 	return in, asked
 }
 
@@ -208,6 +217,9 @@
 		delete(m.say, a)
 	}
 	m.release = m.release[len(in.Release):]
+	if m.shun == in.BlacklistRequest {
+		m.shun = nil
+	}
 	if t := out.GetAmRmToken(); t != nil {
 		m.rm.use(t)
 	}
