Containers that share a launch context are started at two changes a job

Cause: a change for each container's context at 90 changes a second would take four minutes for 20,000 containers.

Change: contexts alike are one key, to which the job's record leads.

--- a/ledger/reserve.go
+++ b/ledger/reserve.go
@@ -27,6 +27,25 @@
 	Drop  []int    `msgpack:"d,omitempty"` // ranges of tasks that are given back
 	Only  []string `msgpack:"n,omitempty"` // the only machines, if any are named
 	Avoid []string `msgpack:"v,omitempty"` // machines to stay away from
+	Refs  []Ref    `msgpack:"x,omitempty"` // what several tasks share, for the door
+}
+
+// Ref leads from tasks to a key of their door's.
+type Ref struct {
+	Key   string `msgpack:"k"`
+	Tasks []int  `msgpack:"t"` // ranges
+}
+
+// RefOf finds the key that a task shares with others.
+func (r *Reserve) RefOf(task int) (string, bool) {
+	for _, f := range r.Refs {
+		for i := 0; i+1 < len(f.Tasks); i += 2 {
+			if f.Tasks[i] <= task && task <= f.Tasks[i+1] {
+				return f.Key, true
+			}
+		}
+	}
+	return "", false
 }
 
 // How a reserved task ended.
--- a/yarn/duty.go
+++ b/yarn/duty.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a, _, _, over, err := d.read(ctx, &pb.ApplicationIdProto{Id: &num, ClusterTimestamp: proto.Int64(k.Stamp)})
+	a, _, jobs, over, err := d.read(ctx, &pb.ApplicationIdProto{Id: &num, ClusterTimestamp: proto.Int64(k.Stamp)})
 	if err != nil {
 		return nil, err
 	}
@@ -246,6 +246,11 @@
 	if id == a.MasterJob {
 		key = a.Context
 	}
+	for i := range jobs {
+		if shared, ok := jobs[i].Record.Reserve.RefOf(n); ok && jobs[i].ID == id {
+			key = shared
+		}
+	}
 	e, err := d.store.Get(ctx, key)
 	if err != nil {
 		return nil, err
--- a/yarn/manager.go
+++ b/yarn/manager.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -46,6 +48,48 @@
 	return fmt.Sprintf("%s%s/%d/%d", ctxKey, a.name(), jobSeq(job), task)
 }
 
+// sharedMost bounds the contexts that a job's record leads to; others stand under
+// their tasks' own keys.
+const sharedMost = 64
+
+// share puts contexts that several containers have in common under one key: a
+// start then costs two changes for a whole job, not one for each container. It
+// returns the changes, and the references that are new.
+func (a *app) share(list []start, refs []ledger.Ref, tasks int) ([]nwire.Op, []ledger.Ref) {
+	byKey := map[string][]int{}
+	var order []string
+	content := map[string]nwire.Op{}
+	for i := range list {
+		key := ctxKey + a.name() + "/s/" + list[i].content()
+		if byKey[key] == nil {
+			order = append(order, key)
+		}
+		byKey[key] = append(byKey[key], i)
+		content[key] = nwire.Op{Put: key, Value: list[i].op.Value}
+	}
+	var ops []nwire.Op
+	for _, key := range order {
+		at := slices.IndexFunc(refs, func(r ledger.Ref) bool { return r.Key == key })
+		if at < 0 && (len(byKey[key]) == 1 || len(refs) >= sharedMost) {
+			for _, i := range byKey[key] {
+				ops = append(ops, list[i].op)
+			}
+			continue
+		}
+		if at < 0 {
+			refs = append(refs, ledger.Ref{Key: key})
+			at = len(refs) - 1
+			ops = append(ops, content[key])
+		}
+		set := ledger.Set(refs[at].Tasks, tasks)
+		for _, i := range byKey[key] {
+			set.Set(uint(list[i].task))
+		}
+		refs[at].Tasks = ledger.Ranges(set)
+	}
+	return ops, refs
+}
+
 func failed(id *pb.ContainerIdProto, err error) *pb.ContainerExceptionMapProto {
 	var e *wire.Error
 	if !errors.As(err, &e) {
@@ -90,6 +134,9 @@
 	for _, id := range order {
 		for list := byJob[id]; len(list) > 0; {
 			n := min(len(list), d.ops-1)
+			if alike(list) {
+				n = len(list)
+			}
 			d.startSome(ctx, a, id, list[:n], out)
 			list = list[n:]
 		}
@@ -114,6 +161,21 @@
 	return s, err
 }
 
+// alike says whether all of a list have the same context.
+func alike(list []start) bool {
+	first := list[0].content()
+	return !slices.ContainsFunc(list, func(s start) bool { return s.content() != first })
+}
+
+// content tells contexts apart, whatever order their environments come in.
+func (s *start) content() string {
+	b, err := json.Marshal(s.op.Value) // sorts keys
+	if err != nil {
+		return fmt.Sprint(s.job, "/", s.task) // like no other
+	}
+	return fmt.Sprintf("%x", sha256.Sum256(b))
+}
+
 // startSome starts containers of one job in one transaction.
 func (d *Door) startSome(ctx context.Context, a *app, id string, list []start, out *pb.StartContainersResponseProto) {
 	var good []start
@@ -129,7 +191,7 @@
 		}
 		j := &jobs[i]
 		goes, drops := ledger.Set(j.Record.Reserve.Go, j.Record.Job.Tasks), ledger.Set(j.Record.Reserve.Drop, j.Record.Job.Tasks)
-		var ops []nwire.Op
+		var fresh []start
 		for _, s := range list {
 			if _, placed := j.Placed[s.task]; !placed || drops.Test(uint(s.task)) {
 				continue
@@ -137,13 +199,14 @@
 			good = append(good, s)
 			if !goes.Test(uint(s.task)) { // a repeated start changes nothing
 				goes.Set(uint(s.task))
-				ops = append(ops, s.op)
+				fresh = append(fresh, s)
 			}
 		}
-		if len(ops) == 0 {
+		if len(fresh) == 0 {
 			return nil
 		}
-		return d.led.Mark(ctx, j, func(r *ledger.Reserve) { r.Go = ledger.Ranges(goes) }, ops...)
+		ops, refs := a.share(fresh, slices.Clone(j.Record.Reserve.Refs), j.Record.Job.Tasks)
+		return d.led.Mark(ctx, j, func(r *ledger.Reserve) { r.Go, r.Refs = ledger.Ranges(goes), refs }, ops...)
 	})
 	for _, s := range list {
 		switch {
