A token that can't be checked now is not called invalid

Cause: 500 masters that came at once asked the state service for more than it takes, and some were told that their token was invalid, upon which a master gives up for good (own trial).

Change: only what is known of the token is said of it; otherwise the class that clients retry. The trial gives its nodes the memory of a fleet site: under 100 MB the runtime collected garbage all the time.

--- a/internal/cmd/yarntrial/main.go
+++ b/internal/cmd/yarntrial/main.go
@@ -133,6 +133,7 @@
 	s.Bind, s.MeshListen = t.addr(i, 0), t.addr(i, 1)
 	s.Services.State, s.Services.Cloud = state, cloud
 	s.Cluster.State = config.StateLimits{RPS: 250, WriteRPS: 90, ValueKB: 16, TxnOps: 12}
+	s.Cluster.Limits.MemMB = 300
 	for k := range nodes {
 		if k != i {
 			s.Siblings = append(s.Siblings, config.Sibling{Name: fmt.Sprintf("n-%d", k), Zone: fake.Zones[k%2], Addr: t.addr(k, 1)})
@@ -318,7 +319,12 @@
 			}
 		}()
 	}
-	time.Sleep(t.Warm)
+	begun, full := time.Now(), time.Duration(0)
+	for time.Since(begun) < t.Warm {
+		if time.Sleep(100 * time.Millisecond); full == 0 && t.w.Running() >= t.Apps*t.Containers {
+			full = time.Since(begun)
+		}
+	}
 	t.beats.mu.Lock()
 	t.beats.d = nil
 	t.beats.mu.Unlock()
@@ -327,6 +333,7 @@
 	time.Sleep(t.For)
 	took := time.Since(began).Seconds()
 	running := t.w.Running()
+	fmt.Printf("all running after %.1f s (0: not yet)\n", full.Seconds())
 	fmt.Printf("machines %d, applications %d, containers running %d, allocated %.1f/s, heartbeats %v\n", t.Machines, t.Apps, running, float64(t.w.Started()-before)/took, &t.beats)
 	for i, u := range t.used() {
 		fmt.Printf("n-%d: %.3f of a core, %d MB\n", i, (u.cpu-cpu[i].cpu)/took, u.kb/1024)
--- a/yarn/master.go
+++ b/yarn/master.go
@@ -40,10 +40,10 @@
 func (d *Door) password(ctx context.Context, identifier []byte) ([]byte, error) {
 	t, err := parseToken(identifier)
 	if err != nil {
-		return nil, err
+		return nil, wire.Errorf(wire.ClassInvalidToken, "%v", err)
 	}
 	if t.kind != tokMaster && t.kind != tokNode {
-		return nil, errors.New("not a token for a connection")
+		return nil, wire.Errorf(wire.ClassInvalidToken, "not a token for a connection")
 	}
 	if _, _, err := d.current(ctx, t); err != nil {
 		return nil, err
@@ -52,7 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return k.sign(t.key, t.String())
+	pw, err := k.sign(t.key, t.String())
+	if err != nil {
+		return nil, wire.Errorf(wire.ClassInvalidToken, "%v", err)
+	}
+	return pw, nil
 }
 
 // current reads the application of a token, which must be of its current attempt
--- a/yarn/wire/sasl.go
+++ b/yarn/wire/sasl.go
@@ -121,6 +121,10 @@
 	}
 	pass, err := password(identifier)
 	if err != nil {
+		var e *Error
+		if !errors.As(err, &e) {
+			return nil, nil, err // not known yet: no word on the token
+		}
 		return nil, nil, fmt.Errorf("%w: %v", ErrAuth, err)
 	}
 	pw := base64.StdEncoding.EncodeToString(pass)
--- a/yarn/wire/server.go
+++ b/yarn/wire/server.go
@@ -101,8 +101,8 @@
 // bounded number of calls and a deadline, and nobody else notices.
 type Server struct {
 	Protocols map[string]Protocol
-	// Password finds the password of a token, or says why the token is not
-	// valid; it is asked at each connection.
+	// Password finds the password of a token; an *Error says why the token is not
+	// valid, any other that this is not known now. It is asked at each connection.
 	Password  func(ctx context.Context, identifier []byte) ([]byte, error)
 	Allow     func(net.Addr) bool
 	Log       *slog.Logger
@@ -287,12 +287,17 @@
 			}
 			id, proof, err := verify(m.GetToken(), n, func(id []byte) ([]byte, error) {
 				if c.s.Password == nil {
-					return nil, errors.New("no tokens here")
+					return nil, Errorf(ClassInvalidToken, "no tokens here")
 				}
 				pctx, cancel := context.WithTimeout(ctx, c.s.CallFor)
 				defer cancel()
 				return c.s.Password(pctx, id)
 			})
+			if err != nil && !errors.Is(err, ErrAuth) {
+				// A busy state service is no reason to call a token invalid: a
+				// master would give up for good.
+				return errors.Join(err, c.fail(callSasl, nil, pb.RpcResponseHeaderProto_FATAL, pb.RpcResponseHeaderProto_FATAL_UNKNOWN, ClassRetriable, err.Error()))
+			}
 			if err != nil {
 				return errors.Join(err, c.fail(callSasl, nil, pb.RpcResponseHeaderProto_FATAL, pb.RpcResponseHeaderProto_FATAL_UNAUTHORIZED, ClassInvalidToken, err.Error()))
 			}
--- a/yarn/wire/wire_test.go
+++ b/yarn/wire/wire_test.go
@@ -42,8 +42,11 @@
 			testProtocol: {Methods: map[string]Method{"echo": echo}},
 			"closed":     {Methods: map[string]Method{"echo": echo}, NeedToken: true},
 		}, Password: func(_ context.Context, id []byte) ([]byte, error) {
-			if string(id) == "over" {
-				return nil, errors.New("the application is over")
+			switch string(id) {
+			case "over":
+				return nil, Errorf(ClassNoAttempt, "the application is over")
+			case "busy":
+				return nil, errors.New("the state service is busy")
 			}
 			return append([]byte("pw of "), id...), nil
 		}}
@@ -122,6 +125,14 @@
 				t.Errorf("%s: let in", name)
 			}
 		}
+		// What can't be found out now is no word on the token: a master would
+		// give up for good.
+		if _, err := Dial(t.Context(), p.Dial, "", "closed", "ann", token("busy", "pw of busy")); !IsClass(err, ClassRetriable) {
+			t.Errorf("while the token can't be checked: %v", err)
+		}
+		if _, err := Dial(t.Context(), p.Dial, "", "closed", "ann", token("over", "pw of over")); !IsClass(err, ClassInvalidToken) {
+			t.Errorf("of an application that is over: %v", err)
+		}
 		c, err = Dial(t.Context(), p.Dial, "", "closed", "ann", nil)
 		if err != nil {
 			t.Fatal(err)
