An ask that comes again is served once, and what could not be told does not count as told

Change: containers with a place that their master has not been told of count towards its ask; a session changes only with an answer. A master's finish that finds its token refused takes the application for over.

--- a/yarn/client/master.go
+++ b/yarn/client/master.go
@@ -274,14 +274,20 @@
 	return out.GetStatus(), err
 }
 
-// Finish ends the application.
+// Finish ends the application. A token that was good and is refused now says that
+// the application is over: by an earlier try whose answer was lost, or for another
+// reason, which its report tells.
 func (m *Master) Finish(ctx context.Context, ok bool, why string) error {
 	st := pb.FinalApplicationStatusProto_APP_SUCCEEDED
 	if !ok {
 		st = pb.FinalApplicationStatusProto_APP_FAILED
 	}
 	var out pb.FinishApplicationMasterResponseProto
-	if err := m.rm.call(ctx, "finishApplicationMaster", &pb.FinishApplicationMasterRequestProto{Diagnostics: &why, FinalApplicationStatus: &st}, &out); err != nil {
+	err := m.rm.call(ctx, "finishApplicationMaster", &pb.FinishApplicationMasterRequestProto{Diagnostics: &why, FinalApplicationStatus: &st}, &out)
+	if wire.IsClass(err, wire.ClassInvalidToken) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	if !out.GetIsUnregistered() {
--- a/yarn/door_test.go
+++ b/yarn/door_test.go
@@ -115,11 +115,16 @@
 func (y *yarnUser) run(m *client.Master, for_ time.Duration) (ends map[int32]int, warned int) {
 	y.t.Helper()
 	ends = map[int32]int{}
+	var todo []*pb.ContainerProto
 	for end := time.Now().Add(for_); time.Now().Before(end); time.Sleep(time.Second) {
 		ctx, cancel := context.WithTimeout(y.ctx(), 90*time.Second)
 		news, err := m.Beat(ctx)
-		if err == nil && len(news.Allocated) > 0 {
-			_, err = m.Start(ctx, launch, news.Allocated...)
+		todo = append(todo, news.Allocated...)
+		if err == nil && len(todo) > 0 {
+			var failed map[int64]string
+			failed, err = m.Start(ctx, launch, todo...)
+			// What could not be started now is tried again.
+			todo = slices.DeleteFunc(todo, func(c *pb.ContainerProto) bool { return failed[c.GetId().GetId()] == "" })
 		}
 		cancel()
 		if err != nil {
@@ -730,3 +735,30 @@
 		}
 	})
 }
+
+// A heartbeat whose ask was taken and whose answer could not be made comes again:
+// it is served once, and what was placed meanwhile is told.
+func TestAnAskThatComesAgainIsServedOnce(t *testing.T) {
+	yarnWorld(t, fake.Options{Machines: 4}, func(t *testing.T, w *fake.World, y *yarnUser) {
+		_, m := y.app()
+		defer m.Close()
+		for i := range 6 {
+			m.Want(small(int32(i)), 2)
+			go func() {
+				time.Sleep(time.Duration(i) * 9 * time.Millisecond)
+				for k := range w.Nodes() {
+					w.State.Refuse(w.Nodes()[k], true)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				for k := range w.Nodes() {
+					w.State.Refuse(w.Nodes()[k], false)
+				}
+			}()
+			y.run(m, 8*time.Second)
+		}
+		y.run(m, 10*time.Second)
+		if n := len(m.Has()); n != 12 || w.Started() != 12 || m.Wanted() != 0 {
+			t.Errorf("%d had and %d started of 12, %d still wanted", n, w.Started(), m.Wanted())
+		}
+	})
+}
--- a/yarn/master.go
+++ b/yarn/master.go
@@ -275,8 +275,24 @@
 	s.beat = time.Now()
 }
 
-// answer collects what the master has not been told yet.
+// answer collects what the master has not been told yet. What it collects counts
+// as told only once there is an answer to tell it with: where one could not be made,
+// containers were held as told that the master never heard of.
 func (d *Door) answer(ctx context.Context, a *app, v *view, s *session) (*pb.AllocateResponseProto, error) {
+	next := *s.clone()
+	out, err := d.collect(ctx, a, v, &next)
+	if err != nil {
+		return nil, err
+	}
+	s.told, s.ended, s.jobs = next.told, next.ended, next.jobs
+	return out, nil
+}
+
+func (s *session) clone() *session {
+	return &session{response: s.response, told: maps.Clone(s.told), ended: maps.Clone(s.ended), jobs: maps.Clone(s.jobs)}
+}
+
+func (d *Door) collect(ctx context.Context, a *app, v *view, s *session) (*pb.AllocateResponseProto, error) {
 	out := &pb.AllocateResponseProto{Limit: d.maximum(), NumClusterNodes: proto.Int32(0)}
 	k, _, err := d.keys(ctx)
 	if err != nil {
@@ -573,7 +589,7 @@
 	for i := range v.jobs {
 		if j := &v.jobs[i]; j.ID != a.MasterJob && j.Record.Reserve.Tag == tag {
 			mine = append(mine, j)
-			have += len(waiting(j))
+			have += len(waiting(j)) + s.untold(j)
 		}
 	}
 	for have < w.n {
@@ -601,6 +617,19 @@
 	return nil
 }
 
+// untold is how many containers of a job have a place that their master has not
+// been told of. They are part of what it still asks for: an ask that came again,
+// because its answer could not be made, was served twice.
+func (s *session) untold(j *ledger.Reserved) int {
+	n := 0
+	for t := range j.Placed {
+		if _, ok := s.told[containerNum(jobSeq(j.ID), t)]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // finish ends an application as its master says.
 func (d *Door) finish(ctx context.Context, c *wire.Caller, in *pb.FinishApplicationMasterRequestProto) (*pb.FinishApplicationMasterResponseProto, error) {
 	t, err := parseToken(c.Identifier)
