--- a/internal/cmd/yarntrial/main.go
+++ b/internal/cmd/yarntrial/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -26,6 +27,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/wire"
 	"github.com/umberdeal/umberdeal/yarn/client"
@@ -330,11 +332,12 @@
 	t.beats.mu.Unlock()
 	before, began := t.w.Started(), time.Now()
 	cpu := t.used()
-	time.Sleep(t.For)
+	var polls beats
+	t.poll(mctx, &polls)
 	took := time.Since(began).Seconds()
 	running := t.w.Running()
 	fmt.Printf("all running after %.1f s (0: not yet)\n", full.Seconds())
-	fmt.Printf("machines %d, applications %d, containers running %d, allocated %.1f/s, heartbeats %v\n", t.Machines, t.Apps, running, float64(t.w.Started()-before)/took, &t.beats)
+	fmt.Printf("machines %d, applications %d, containers running %d, allocated %.1f/s, heartbeats %v; native polls %v; workers' leases that ended %d\n", t.Machines, t.Apps, running, float64(t.w.Started()-before)/took, &t.beats, &polls, t.w.Expired())
 	for i, u := range t.used() {
 		fmt.Printf("n-%d: %.3f of a core, %d MB\n", i, (u.cpu-cpu[i].cpu)/took, u.kb/1024)
 	}
@@ -344,6 +347,23 @@
 	return nil
 }
 
+// poll asks for a native job ten times a second for as long as is measured: native
+// users must not be held up by masters.
+func (t *trial) poll(ctx context.Context, took *beats) {
+	hc := call.NewClient(call.Dialer(), 4, 4)
+	for end := time.Now().Add(t.For); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		begun := time.Now()
+		pctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, _, err := call.Do(pctx, hc, http.MethodGet, "http://"+t.addr(rand.IntN(nodes), 0)+wire.PathJobs+"/wk-000001", nil, wire.MaxBody)
+		cancel()
+		if err != nil {
+			fmt.Println("native poll:", err)
+			continue
+		}
+		took.add(time.Since(begun))
+	}
+}
+
 type usage struct {
 	cpu float64 // seconds
 	kb  int
