Masters' heartbeats share barriers and ask for nothing else; native polls are not held up

Change: the keyring is read from the records that every node follows, as of the barrier that the call has behind it.

--- a/ledger/reserve.go
+++ b/ledger/reserve.go
@@ -253,6 +253,17 @@
 	return v, true, nil
 }
 
+// Known is a door's record as of the last barrier, which a caller has behind it;
+// version 0 where there is none.
+func (r *Reader) Known(key string) Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.detail == nil {
+		return Entry{}
+	}
+	return r.detail.apps[key]
+}
+
 // Apps reads all records of doors, as of a moment after the call.
 func (r *Reader) Apps(ctx context.Context) ([]Entry, error) {
 	if r.detail == nil {
--- a/yarn/client.go
+++ b/yarn/client.go
@@ -138,7 +138,7 @@
 	if a.Unmanaged && !over && a.Ending == "" {
 		// As published, the master of an unmanaged application takes its token
 		// from the report.
-		k, _, err := d.keys(ctx)
+		k, err := d.ring(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/yarn/door.go
+++ b/yarn/door.go
@@ -31,6 +31,7 @@
 	Owned(ctx context.Context, owner string) (ledger.Entry, []ledger.Reserved, error)
 	Over(ctx context.Context, id string) (ledger.Reserved, bool, error)
 	Apps(ctx context.Context) ([]ledger.Entry, error)
+	Known(key string) ledger.Entry
 	Reserve(ctx context.Context, j nwire.Job, atMs int64, res ledger.Reserve, owner ledger.Entry, value any) (uint64, bool, error)
 	Mark(ctx context.Context, v *ledger.Reserved, change func(*ledger.Reserve), more ...nwire.Op) error
 	Cancel(ctx context.Context, id string) (string, bool, error)
@@ -158,6 +159,18 @@
 	return keyring{}, 0, errAgain
 }
 
+// ring is the keyring as of the barrier that the caller has behind it. Masters'
+// heartbeats share barriers; a request of its own for each of them took the state
+// service's requests from native users.
+func (d *Door) ring(ctx context.Context) (keyring, error) {
+	if e := d.led.Known(keysKey); e.Version != 0 {
+		var k keyring
+		return k, nwire.Unmarshal(e.Value, &k)
+	}
+	k, _, err := d.keys(ctx)
+	return k, err
+}
+
 // newID takes an id that no node has given out or ever will.
 func (d *Door) newID(ctx context.Context) (int64, int32, error) {
 	d.mu.Lock()
--- a/yarn/manager.go
+++ b/yarn/manager.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k, _, err := d.keys(ctx)
+	k, err := d.ring(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/yarn/master.go
+++ b/yarn/master.go
@@ -48,7 +48,7 @@
 	if _, _, err := d.current(ctx, t); err != nil {
 		return nil, err
 	}
-	k, _, err := d.keys(ctx)
+	k, err := d.ring(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +123,7 @@
 		}
 	}
 	out := &pb.RegisterApplicationMasterResponseProto{MaximumCapability: d.maximum(), Queue: proto.String(leaf(a.Queue))}
-	k, _, err := d.keys(ctx)
+	k, err := d.ring(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -294,7 +294,7 @@
 
 func (d *Door) collect(ctx context.Context, a *app, v *view, s *session) (*pb.AllocateResponseProto, error) {
 	out := &pb.AllocateResponseProto{Limit: d.maximum(), NumClusterNodes: proto.Int32(0)}
-	k, _, err := d.keys(ctx)
+	k, err := d.ring(ctx)
 	if err != nil {
 		return nil, err
 	}
