The node's other HTTP doors are served by one piece of code

Cause: the operators' and YARN's REST doors were the same listen-and-serve twice; a type alias and half a comment said nothing.

Change: serveHTTP, with each door's own time-outs; the alias is gone. Behaviour is as it was.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -82,7 +82,7 @@
 	heap.Pop(&g.queue).(*waiter).turn <- nil
 }
 
-// Waiting is how many wait, and Shed how many were turned away so far.
+// Waiting is how many wait.
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/controller/node.go
+++ b/controller/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -61,10 +62,10 @@
 	pulse   pulse
 	doubts  doubts
 
-	answered *admission.Answered // when workers were last answered here
-	plan     planBox             // where workers report
-	moves    *rate.Limiter       // paces workers' moves to other nodes
-	metrics  *metrics.Set        // nil unless the operators watch
+	answered *admission.Answered       // when workers were last answered here
+	plan     atomic.Pointer[published] // where workers report
+	moves    *rate.Limiter             // paces workers' moves to other nodes
+	metrics  *metrics.Set              // nil unless the operators watch
 	troubles *metrics.Troubles
 
 	forUsers     *state.Client
--- a/controller/route.go
+++ b/controller/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -226,6 +225,3 @@
 	}
 	return s
 }
-
-// planBox holds the plan that is known.
-type planBox = atomic.Pointer[published]
--- a/controller/status.go
+++ b/controller/status.go
@@ -72,23 +72,29 @@
 
 // serveOperators serves metrics and overviews until ctx ends.
 func (n *Node) serveOperators(ctx context.Context) error {
-	l, err := n.net.Listen("tcp", n.tuning.Metrics.Listen)
-	if err != nil {
-		return fmt.Errorf("metrics.listen: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+PathMetrics, n.metrics.Handler())
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.overview(r.Context())) // whoever asked may be gone
 	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
-		WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	srv := &http.Server{Handler: mux, WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
+	return n.serveHTTP(ctx, srv, "metrics.listen", n.tuning.Metrics.Listen, operatorsMost)
+}
+
+// serveHTTP serves one of the node's other HTTP doors, on an address of its own,
+// until ctx ends; name is its setting's.
+func (n *Node) serveHTTP(ctx context.Context, srv *http.Server, name, addr string, most int) error {
+	l, err := n.net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	srv.ReadHeaderTimeout, srv.ReadTimeout, srv.MaxHeaderBytes = 5*time.Second, 10*time.Second, 16<<10
+	srv.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
-	if err := srv.Serve(netutil.LimitListener(l, operatorsMost)); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("metrics.listen: %w", err)
+	if err := srv.Serve(netutil.LimitListener(l, most)); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("%s: %w", name, err)
 	}
 	return nil
 }
--- a/controller/yarn.go
+++ b/controller/yarn.go
@@ -5,12 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/umberdeal/umberdeal/wire"
 	"github.com/umberdeal/umberdeal/yarn"
 )
@@ -37,18 +34,8 @@
 
 // serveYARNREST serves its REST interface until ctx ends.
 func (n *Node) serveYARNREST(ctx context.Context) error {
-	l, err := n.net.Listen("tcp", n.yarnSettings.REST)
-	if err != nil {
-		return fmt.Errorf("yarn: rest: %w", err)
-	}
-	srv := &http.Server{Handler: n.yarn.REST(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
-		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
-	if err := srv.Serve(netutil.LimitListener(l, n.yarnSettings.MaxConns)); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("yarn: rest: %w", err)
-	}
-	return nil
+	srv := &http.Server{Handler: n.yarn.REST(), WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute}
+	return n.serveHTTP(ctx, srv, "yarn: rest", n.yarnSettings.REST, n.yarnSettings.MaxConns)
 }
 
 // yarnCore is the node as the door sees it.
