Workers are summoned for launches that are ready; a model check of the leader's decisions

Change: once its record is committed, the leader sends the worker a direct launch of a task that no job has. It is refused, which changes the worker's list, which it reports at once; the answer to that report brings the launch. Executed late or twice it does nothing else.

--- /dev/null
+++ b/cluster/digest.go
@@ -0,0 +1,89 @@
+package cluster
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+)
+
+// Reference says against what a digest gives numbers that only ever grow.
+type Reference interface {
+	// Version is that of a key in the state service; 0 where there is none.
+	Version(key string) uint64
+	// Message is the worker's current session and the number of its last message.
+	Message(machine string) (session, seq uint64)
+}
+
+// longAgo is an age, in seconds, beyond which the exact one bears on nothing:
+// leases and the quiet after which a machine gets no tasks are shorter.
+const longAgo = 60
+
+// Digest writes what bears on which commands and records the model will hand
+// out, so that two models with the same digest allow the same. Times are given
+// as ages in whole seconds, versions as up to date or not, messages by how far
+// they lie back. What only bears on which of several machines is chosen is left
+// out (estimates, speeds, images, boots). The model check merges states by it.
+func (m *Model) Digest(w io.Writer, ref Reference, now time.Time) {
+	age := func(t time.Time) int {
+		if t.IsZero() {
+			return -1
+		}
+		return int(min(now.Sub(t).Seconds(), longAgo))
+	}
+	behind := func(name string, session, seq uint64) string {
+		s, q := ref.Message(name)
+		if session != s {
+			return fmt.Sprintf("s%d", int64(s-session))
+		}
+		return fmt.Sprintf("q%d", int64(q-seq))
+	}
+	fmt.Fprintf(w, "t%d;%d|", m.Token, age(m.Takeover))
+	for _, mc := range m.Machines {
+		fmt.Fprintf(w, "M%s,%t,%t,%t,%t,%s,%d,%d,%d,%g", mc.Name, mc.Up, mc.Shown, mc.Gone, mc.Returning,
+			behind(mc.Name, mc.Session, mc.Seq), age(mc.LastAnswer), age(mc.LastSeen), age(mc.Notice), mc.orphans.CPU)
+		names := make([]string, 0, len(mc.exits))
+		for k, e := range mc.exits {
+			committed := true
+			if j := m.Jobs[e.job]; j != nil {
+				committed = j.Chunks[e.chunk].Committed >= e.gen
+			}
+			names = append(names, fmt.Sprintf("e%s.%d,%t", k.name, k.attempt, committed))
+		}
+		slices.Sort(names)
+		fmt.Fprint(w, names, "|")
+	}
+	for _, j := range m.Jobs {
+		if j == nil {
+			continue
+		}
+		fmt.Fprintf(w, "J%s,%d,%t,%t,%t,%t,%t,%d,%t", j.ID, j.Attempt, j.Cancelled, j.Finished, j.Started, j.Ending, j.dirty,
+			max(age(j.NotBefore), -1), j.Version == ref.Version(ledger.JobKey(j.ID)))
+		for _, mc := range m.Machines {
+			if until, ok := j.avoid[mc.Idx]; ok && now.Before(until) {
+				fmt.Fprintf(w, "a%s%d", mc.Name, age(until))
+			}
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			fmt.Fprintf(w, "T%d,%d,%t", t.Phase, t.End, now.UnixMilli() < t.NotBefore)
+			if p := t.Place; p != nil {
+				fmt.Fprintf(w, "P%s,%d,%t,%t,%d,%t,%s", p.name, p.Attempt, p.Inherited, p.Sent, p.Seen, p.Summoned,
+					behind(p.name, p.Session, p.Seq))
+				if p.Stop != nil {
+					fmt.Fprintf(w, "S%g,%t", p.Stop.Grace, p.Stop.Direct.IsZero())
+				}
+			}
+		}
+		for i := range j.Chunks {
+			c := &j.Chunks[i]
+			fmt.Fprintf(w, "C%t,%t", c.Committed >= c.PlaceGen, c.Committed >= c.Gen)
+		}
+	}
+	for _, p := range m.pages {
+		fmt.Fprintf(w, "|p%d,%t,%t", p.n, p.version == ref.Version(ledger.PageKey(p.n)), p.gen == p.committed)
+	}
+	fmt.Fprintf(w, "|%d,%d", len(m.stops), len(m.fresh))
+}
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -60,6 +60,7 @@
 	Seen      uint8
 	Since     time.Time // when it was first seen running
 	Stop      *Stop
+	Summoned  bool // its machine was told to report
 
 	name string // of the machine
 }
@@ -166,6 +167,7 @@
 	Tasks      map[Ref]bool
 	Used       placement.Res
 	IdleSince  time.Time
+	Held       int // answers to its reports that are being held back
 
 	orphans placement.Res // what tasks not in the model take
 	images  []int32       // most recently used last
@@ -227,6 +229,7 @@
 	nextPage   int   // where writing goes on
 	longest    int   // of the machines' names
 	stops      []Ref // tasks to be told directly
+	fresh      []Ref // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	classes    map[string]*class
 
@@ -550,6 +553,7 @@
 	t.Phase = Placed
 	t.Place = &Place{Machine: mc.Idx, Attempt: attempt, At: now, name: mc.Name}
 	mc.Tasks[Ref{Job: j.Idx, Task: task}] = true
+	m.fresh = append(m.fresh, Ref{Job: j.Idx, Task: task})
 	mc.Used = mc.Used.Add(j.Need, 1)
 	j.Placed++
 	j.Chunks[int(task)/ledger.ChunkSize].Placed++
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -44,7 +44,9 @@
 	mc := l.m.Observe(&r, now)
 	l.gate.Leave()
 	if mc != nil && l.m.Freed != freed {
+		mc.Held++
 		l.awaitPass()
+		mc.Held--
 	}
 	// The lease is looked at last: the answer counts from here. A worker that
 	// has sent another report meanwhile waits for this answer no more.
@@ -125,3 +127,27 @@
 		}()
 	}
 }
+
+// summon makes the workers report for which launches are ready. Those that
+// can't be told now report soon anyway.
+func (l *leadership) summon(ctx context.Context) {
+	if !l.term.Valid() {
+		return
+	}
+	l.mu.Lock()
+	batch := l.m.Summons(time.Now())
+	l.mu.Unlock()
+	for _, d := range batch {
+		select {
+		case l.summoning <- struct{}{}:
+		default:
+			continue
+		}
+		go func() {
+			defer func() { <-l.summoning }()
+			if _, done, err := l.n.workers.Command(ctx, d.Addr, d.Batch); err != nil || !done {
+				l.log.Debug("summons", "machine", d.Machine, "executed", done, "err", err)
+			}
+		}()
+	}
+}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -25,7 +25,8 @@
 
 	schedKick chan struct{}
 	flushKick chan struct{}
-	direct    chan struct{} // bounds direct commands under way
+	direct    chan struct{} // bounds direct stops under way
+	summoning chan struct{} // bounds summonses under way
 	gate      *admission.Gate
 
 	syncing chan struct{} // held by the one barrier under way
@@ -58,7 +59,7 @@
 func (n *Node) runLeader(ctx context.Context, t *election.Term, ready func()) error {
 	l := &leadership{
 		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
-		direct: make(chan struct{}, 16), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
+		direct: make(chan struct{}, 16), summoning: make(chan struct{}, min(64, n.cfg.Cluster.Limits.Sockets/20)), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
 		gate: admission.NewGate(reportsAtOnce, 2*n.cfg.Cluster.Limits.Sockets),
 	}
 	for {
--- a/controller/passes.go
+++ b/controller/passes.go
@@ -66,6 +66,7 @@
 				l.beginMoves(ctx, g, rec)
 			}
 			l.pushStops(ctx)
+			l.summon(ctx)
 			kick(l.flushKick)
 		}
 		if !call.Pause(ctx, pause) {
--- /dev/null
+++ b/controller/summon_test.go
@@ -0,0 +1,188 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories of the summons: the direct command by which a worker reports at once,
+// and so gets a launch that is ready for it.
+
+// slowly is a deployment whose workers report every 4 s.
+func slowly(machines int) fake.Options {
+	return fake.Options{Machines: machines, Capacity: machines, Gap: 4, Lease: 22}
+}
+
+// one is a job with one task that fills a machine.
+func one(n int, seconds float64) wire.Job {
+	return job(n, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 8, seconds })
+}
+
+// Machines reported every 4 s, and a launch waited for the next report: 2 s on
+// average, and a gang for the last of its machines.
+func TestALaunchDoesNotWaitForTheNextReport(t *testing.T) {
+	story(t, slowly(8), func(t *testing.T, w *fake.World) {
+		time.Sleep(20 * time.Second)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs, j.ImageGB = 8, 8, 1 }))
+		time.Sleep(2500 * time.Millisecond) // of which the image takes 1 s
+		if n := w.Running(); n != 8 {
+			t.Errorf("%d of the gang's 8 tasks run", n)
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+		nothingListed(t, w)
+	})
+}
+
+// nothingListed fails where a worker still lists what a summons left.
+func nothingListed(t *testing.T, w *fake.World) {
+	t.Helper()
+	time.Sleep(12 * time.Second)
+	for _, id := range []string{"wk-000001", "wk-000002", "wk-000003"} {
+		if on := w.On(wire.TaskName(id, cluster.NoTask)); len(on) > 0 {
+			t.Errorf("the summons for %s is still listed on %v", id, on)
+		}
+	}
+}
+
+// A summons whose connection is held for two minutes is executed then, since
+// token and session still match. By then its job is over, or elsewhere; it is
+// delivered twice, as after a forget, and starts nothing.
+func TestASummonsThatArrivesMinutesLateStartsNothing(t *testing.T) {
+	for name, meanwhile := range map[string]func(t *testing.T, w *fake.World, at string){
+		"its job was cancelled": func(t *testing.T, w *fake.World, _ string) {
+			if w.Cancel("wk-000001") != wire.JobCancelled {
+				t.Error("not cancelled")
+			}
+		},
+		"its job is done": func(t *testing.T, w *fake.World, _ string) {
+			mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+		},
+		"its task is elsewhere": func(t *testing.T, w *fake.World, at string) {
+			w.Hang(at, true)
+			mustReach(t, w, "wk-000001", wire.JobDone, 2*time.Minute)
+			w.Hang(at, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, slowly(3), func(t *testing.T, w *fake.World) {
+				// So that no machine is idle, and returned.
+				mustSubmit(t, w, job(9, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 5, 900 }))
+				time.Sleep(20 * time.Second)
+				all := w.Cloud.Machines()
+				for _, m := range all {
+					w.HoldDirect(m)
+				}
+				mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 3, 20 }))
+				time.Sleep(300 * time.Millisecond)
+				at := all[0]
+				for range 60 {
+					if on := w.On("wk-000001/0"); len(on) > 0 {
+						at = on[0]
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				meanwhile(t, w, at)
+				time.Sleep(2 * time.Minute)
+				started, executed := w.Started(), 0
+				for _, m := range all {
+					n, _ := w.DeliverDirect(m)
+					executed += n
+				}
+				if executed == 0 {
+					t.Error("no summons was held and then executed")
+				}
+				nothingListed(t, w)
+				for _, m := range all {
+					w.DeliverDirect(m)
+				}
+				nothingListed(t, w)
+				if n := w.Started(); n != started {
+					t.Errorf("%d starts after the late summons, %d before", n, started)
+				}
+				mustSubmit(t, w, job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 3, 20 }))
+				mustReach(t, w, "wk-000002", wire.JobDone, 2*time.Minute)
+			})
+		})
+	}
+}
+
+// The worker's session ends while its summons is under way: it is refused, and
+// the task runs once.
+func TestASessionThatEndsUnderASummonsRefusesIt(t *testing.T) {
+	story(t, slowly(1), func(t *testing.T, w *fake.World) {
+		time.Sleep(10 * time.Second)
+		m := w.Cloud.Machines()[0]
+		w.HoldDirect(m)
+		mustSubmit(t, w, one(1, 30))
+		w.Hang(m, true)
+		time.Sleep(40 * time.Second)
+		w.Hang(m, false)
+		time.Sleep(time.Second)
+		if _, refused := w.DeliverDirect(m); refused == 0 {
+			t.Error("the summons of the ended session was not refused")
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, 2*time.Minute)
+		nothingListed(t, w)
+		if n := w.Started(); n != 1 {
+			t.Errorf("%d starts of a task that was not launched in the first session", n)
+		}
+	})
+}
+
+// The leader stands still somewhere between accepting a job, committing its
+// place and sending the summons, and goes on within its lease or past it.
+func TestALeaderThatStopsBeforeItsSummonsStartsNothingTwice(t *testing.T) {
+	for _, stop := range []time.Duration{3 * time.Second, 25 * time.Second} {
+		t.Run(stop.String(), func(t *testing.T) {
+			story(t, slowly(6), func(t *testing.T, w *fake.World) {
+				time.Sleep(10 * time.Second)
+				for n := 1; n <= 6; n++ {
+					mustSubmit(t, w, one(n, 8))
+					time.Sleep(time.Duration(n*n) * 5 * time.Millisecond)
+					at := w.Leader()
+					if at < 0 {
+						t.Fatal("no leader")
+					}
+					w.Stop(at, true)
+					time.Sleep(stop)
+					w.Stop(at, false)
+					mustReach(t, w, job(n, nil).ID, wire.JobDone, 2*time.Minute)
+					time.Sleep(10 * time.Second)
+				}
+				if n := w.Started(); n != 6 {
+					t.Errorf("%d starts of 6 tasks", n)
+				}
+			})
+		})
+	}
+}
+
+// A machine hangs while the answer to the report of its task's end is held back
+// for what comes next there. What it was to run runs, once, there or elsewhere.
+func TestAMachineHangsWhileItsAnswerIsHeld(t *testing.T) {
+	for _, hang := range []time.Duration{2 * time.Second, 5 * time.Second, 30 * time.Second} {
+		t.Run(hang.String(), func(t *testing.T) {
+			story(t, slowly(1), func(t *testing.T, w *fake.World) {
+				mustSubmit(t, w, one(1, 10), one(2, 10), one(3, 10))
+				for range 600 {
+					if time.Sleep(100 * time.Millisecond); w.Finished("wk-000001")+w.Finished("wk-000002")+w.Finished("wk-000003") > 0 {
+						break
+					}
+				}
+				time.Sleep(150 * time.Millisecond) // its report is there, its answer not yet
+				m := w.Cloud.Machines()[0]
+				w.Hang(m, true)
+				time.Sleep(hang)
+				w.Hang(m, false)
+				for n := 1; n <= 3; n++ {
+					mustReach(t, w, job(n, nil).ID, wire.JobDone, 3*time.Minute)
+				}
+			})
+		})
+	}
+}
--- a/controller/writing.go
+++ b/controller/writing.go
@@ -62,6 +62,7 @@
 			l.mu.Lock()
 			b.Committed(rev, time.Now())
 			l.mu.Unlock()
+			l.summon(ctx)
 			continue
 		}
 		l.settle(ctx, b, err)
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -68,6 +68,8 @@
 	notice  *float64
 	tokenAt time.Time
 	old     []byte // an earlier report, for stories of late ones
+	holding bool   // direct commands are held back
+	held    []wire.DirectCommands
 }
 
 func newMachine(w *World, name string, typ wire.MachineType, zone string, spot bool, boot time.Duration) *machine {
@@ -348,6 +350,13 @@
 	status := http.StatusOK
 	if r.URL.Path == wire.PathCommands {
 		var d wire.DirectCommands
+		if m.holding && wire.Unmarshal(body, &d) == nil {
+			m.held = append(m.held, d)
+			m.w.mu.Unlock()
+			<-r.Context().Done()
+			m.w.mu.Lock()
+			return
+		}
 		switch {
 		case wire.Unmarshal(body, &d) != nil || d.Session == 0:
 			status = http.StatusBadRequest
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -352,6 +352,38 @@
 	m.hung = on
 }
 
+// HoldDirect holds back direct commands to a machine until they are delivered.
+func (w *World) HoldDirect(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Cloud.machine(name).holding = true
+}
+
+// DeliverDirect delivers what was held back, whether its sender still waits or
+// not, and whether it was delivered before; what comes from now on is not held.
+// It returns how many batches were executed and how many refused; a machine that
+// has been returned does neither.
+func (w *World) DeliverDirect(name string) (executed, refused int) {
+	m := w.Cloud.machine(name)
+	if m == nil {
+		return 0, 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.holding = false
+	for _, d := range m.held {
+		if d.Token < m.token || d.Session != m.session {
+			refused++
+			continue
+		}
+		executed++
+		m.sawToken(d.Token, time.Now())
+		m.execute(d.Commands, time.Now())
+		m.dirty = true
+	}
+	return executed, refused
+}
+
 // Fault makes tasks fail on a machine.
 func (w *World) Fault(name string) {
 	m := w.Cloud.machine(name)
--- /dev/null
+++ b/modelcheck/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package modelcheck
+
+const anyDepth, underRace = 6, false
--- /dev/null
+++ b/modelcheck/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package modelcheck
+
+// Under the race detector a search takes ten times as long.
+const anyDepth, underRace = 5, true
--- /dev/null
+++ b/modelcheck/scenarios.go
@@ -0,0 +1,50 @@
+package modelcheck
+
+import (
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+func jobKey(id string) string { return ledger.JobKey(id) }
+
+func job(id string, change func(*wire.Job)) wire.Job {
+	j := wire.Job{ID: id, Class: "c", Team: "core", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 2, MemoryGB: 1,
+		Image: "i", ImageGB: 1, EstimateS: 60}
+	change(&j)
+	return j
+}
+
+// OneTask is a task that two machines could run and its user may cancel.
+func OneTask() *Scenario {
+	return &Scenario{Name: "one task", Zones: []string{"a", "a"}, Capacity: 2, Cancels: 1, Takeovers: 2,
+		Jobs: []wire.Job{job("wk-000001", func(*wire.Job) {})}}
+}
+
+// Alone is a task with one machine only.
+func Alone() *Scenario {
+	sc := OneTask()
+	sc.Name, sc.Zones = "one machine", sc.Zones[:1]
+	return sc
+}
+
+// Quota is two jobs of a team that may run one at a time.
+func Quota() *Scenario {
+	return &Scenario{Name: "quota", Zones: []string{"a", "a"}, Capacity: 2, Max: 2, Cancels: 1, Takeovers: 1,
+		Jobs: []wire.Job{job("wk-000001", func(*wire.Job) {}), job("wk-000002", func(*wire.Job) {})}}
+}
+
+// Gang is a gang of two in one zone, with a machine for both in each of two.
+func Gang() *Scenario {
+	return &Scenario{Name: "gang in one zone", Zones: []string{"a", "b"}, Capacity: 4, Cancels: 1, Takeovers: 1,
+		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Kind, j.Tasks, j.OneZone = wire.KindGang, 2, true })}}
+}
+
+// Split is a gang of two in one zone, whose two tasks need a machine each; there are
+// two in each of two zones.
+func Split() *Scenario {
+	return &Scenario{Name: "gang on two machines", Zones: []string{"a", "a", "b", "b"}, Capacity: 2, Takeovers: 1,
+		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Kind, j.Tasks, j.OneZone = wire.KindGang, 2, true })}}
+}
+
+// Scenarios are all of them.
+func Scenarios() []*Scenario { return []*Scenario{Alone(), OneTask(), Quota(), Gang(), Split()} }
