A place is launched once its own record is committed; summonses queue and are repeated

The worker was summoned and had reported, but its task's chunk had another placement meanwhile, and a chunk's tasks were launched only once all its changes were committed. Summonses beyond 64 at once were left out. Change: each placement keeps the change that it came with; a summons waits for a socket, and is repeated after 1.5 s if nothing came of it. The model check has an array of two, whose tasks share a chunk.

--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -70,7 +70,7 @@
 			t := &j.Tasks[i]
 			fmt.Fprintf(w, "T%d,%d,%t", t.Phase, t.End, now.UnixMilli() < t.NotBefore)
 			if p := t.Place; p != nil {
-				fmt.Fprintf(w, "P%s,%d,%t,%t,%d,%t,%s", p.name, p.Attempt, p.Inherited, p.Sent, p.Seen, p.Summoned,
+				fmt.Fprintf(w, "g%tP%s,%d,%t,%t,%d,%t,%s", j.Chunks[i/ledger.ChunkSize].Committed >= p.gen, p.name, p.Attempt, p.Inherited, p.Sent, p.Seen, now.Sub(p.Summoned) < summonAgain,
 					behind(p.name, p.Session, p.Seq))
 				if p.Stop != nil {
 					fmt.Fprintf(w, "S%g,%t", p.Stop.Grace, p.Stop.Direct.IsZero())
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -60,9 +60,10 @@
 	Seen      uint8
 	Since     time.Time // when it was first seen running
 	Stop      *Stop
-	Summoned  bool // its machine was told to report
+	Summoned  time.Time // when its machine was last told to report
 
 	name string // of the machine
+	gen  uint64 // the chunk's change that placed it
 }
 
 // Stop is an order to stop a task.
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -293,8 +293,9 @@
 		return false
 	}
 	if !j.Gang() {
-		c := &j.Chunks[int(task)/ledger.ChunkSize]
-		return c.Committed >= c.PlaceGen
+		// Its own record, not its neighbours': where tasks of one chunk were
+		// placed again and again, none of them was launched for seconds.
+		return j.Chunks[int(task)/ledger.ChunkSize].Committed >= j.Tasks[task].Place.gen
 	}
 	for i := range j.Chunks {
 		if c := &j.Chunks[i]; c.Committed < c.PlaceGen {
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -92,6 +92,7 @@
 		m.place(j, s.Task, mc, a, now)
 		c := m.touch(j, s.Task)
 		c.PlaceGen = c.Gen
+		j.Tasks[s.Task].Place.gen = c.Gen
 		d.Started++
 		m.Timings.Placed(now.Sub(j.At).Seconds())
 		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
--- a/cluster/summon.go
+++ b/cluster/summon.go
@@ -14,14 +14,18 @@
 // that it was about. Executed late, or a second time, it does the same and no
 // more; docs/start.md has the whole argument.
 
+// summonAgain is after how long a summons of which nothing came is repeated.
+const summonAgain = 1500 * time.Millisecond
+
 // NoTask is the number of a task that no job has: jobs have 100,000 at most,
 // counted from 0.
 const NoTask = 100_000
 
-// Summons returns what makes the workers report for which a launch is ready.
-// A machine whose report is being answered is left for the next time: the
-// launch goes with that answer.
-func (m *Model) Summons(now time.Time) []Direct {
+// Summons returns what makes the workers report for which a launch is ready, at
+// most so many at once. A machine whose report is being answered is left for the
+// next time: the launch goes with that answer. Where nothing has come of one, it
+// is repeated.
+func (m *Model) Summons(most int, now time.Time) []Direct {
 	var out []Direct
 	called := map[int32]bool{}
 	left := m.fresh[:0]
@@ -31,18 +35,19 @@
 			continue
 		}
 		p := j.Tasks[ref.Task].Place
-		if p == nil || p.Sent || p.Inherited || p.Stop != nil || p.Summoned {
+		if p == nil || p.Sent || p.Inherited || p.Stop != nil {
 			continue
 		}
 		mc := m.Machines[p.Machine]
-		if !launchable(j, ref.Task) || mc.Held > 0 {
-			left = append(left, ref)
-			continue
+		left = append(left, ref)
+		if called[mc.Idx] {
+			p.Summoned = now
 		}
-		p.Summoned = true
-		if called[mc.Idx] || mc.Addr == "" || !mc.Up || !mc.Notice.IsZero() {
+		if len(out) >= most || called[mc.Idx] || mc.Held > 0 || mc.Addr == "" || !mc.Up || !mc.Notice.IsZero() ||
+			now.Sub(p.Summoned) < summonAgain || !launchable(j, ref.Task) {
 			continue
 		}
+		p.Summoned = now
 		called[mc.Idx] = true
 		out = append(out, Direct{Machine: mc.Name, Addr: mc.Addr, Batch: wire.DirectCommands{Token: m.Token, Session: mc.Session,
 			Commands: []wire.Command{{Op: wire.OpStart, Task: wire.TaskName(j.ID, NoTask), Attempt: p.Attempt}}}})
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -128,26 +128,34 @@
 	}
 }
 
-// summon makes the workers report for which launches are ready. Those that
-// can't be told now report soon anyway.
+// summonWait is how long a worker may take to answer a summons. One that hangs
+// must not keep the others waiting for long; executed later, it does no harm.
+const summonWait = time.Second
+
+// summon makes the workers report for which launches are ready, as many at once
+// as there are sockets for. The others follow as these have answered: with those
+// left out instead, a quarter of a burst of 2,900 tasks waited for reports.
 func (l *leadership) summon(ctx context.Context) {
 	if !l.term.Valid() {
 		return
 	}
 	l.mu.Lock()
-	batch := l.m.Summons(time.Now())
+	batch := l.m.Summons(cap(l.summoning)-len(l.summoning), time.Now())
 	l.mu.Unlock()
 	for _, d := range batch {
 		select {
 		case l.summoning <- struct{}{}:
 		default:
-			continue
+			continue // another took the place; its next report is not far
 		}
 		go func() {
-			defer func() { <-l.summoning }()
-			if _, done, err := l.n.workers.Command(ctx, d.Addr, d.Batch); err != nil || !done {
+			within, cancel := context.WithTimeout(ctx, summonWait)
+			defer cancel()
+			if _, done, err := l.n.workers.Command(within, d.Addr, d.Batch); err != nil || !done {
 				l.log.Debug("summons", "machine", d.Machine, "executed", done, "err", err)
 			}
+			<-l.summoning
+			l.summon(ctx)
 		}()
 	}
 }
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -27,6 +27,12 @@
 	return sc
 }
 
+// Pair is an array of two, of which each machine takes one.
+func Pair() *Scenario {
+	return &Scenario{Name: "array of two", Zones: []string{"a", "a"}, Capacity: 2, Cancels: 1, Takeovers: 1,
+		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Tasks = 2 })}}
+}
+
 // Quota is two jobs of a team that may run one at a time.
 func Quota() *Scenario {
 	return &Scenario{Name: "quota", Zones: []string{"a", "a"}, Capacity: 2, Max: 2, Cancels: 1, Takeovers: 1,
@@ -47,4 +53,6 @@
 }
 
 // Scenarios are all of them.
-func Scenarios() []*Scenario { return []*Scenario{Alone(), OneTask(), Quota(), Gang(), Split()} }
+func Scenarios() []*Scenario {
+	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Gang(), Split()}
+}
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -299,7 +299,7 @@
 
 func (w *World) sendDirects() {
 	now := w.now()
-	for _, d := range append(w.model.DirectStops(now), w.model.Summons(now)...) {
+	for _, d := range append(w.model.DirectStops(now), w.model.Summons(maxDirects, now)...) {
 		if w.breach == DirectLaunch {
 			for i := range d.Batch.Commands {
 				c := &d.Batch.Commands[i]
