--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -210,3 +210,37 @@
 		})
 	}
 }
+
+// All tasks of the fleet end within seconds of one another, and as many wait:
+// the answer to each machine's report is held until what comes next there is
+// recorded. The nodes are slow meanwhile, and stand still for a second again and
+// again. No worker is left without an answer, and nothing starts twice.
+func TestAnswersAreHeldForAWholeFleetWhileAllNodesAreSlow(t *testing.T) {
+	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
+		tell.MustSubmit(t, w, tell.Job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = fleetMachines, 8, 60 }))
+		for range 600 { // the first job's tasks run 400 s
+			if time.Sleep(time.Second); w.Finished("wk-000001") > 0 {
+				break
+			}
+		}
+		began := time.Now()
+		for range 10 {
+			for i := range w.Nodes() {
+				w.Stop(i, true)
+			}
+			time.Sleep(time.Second)
+			for i := range w.Nodes() {
+				w.Stop(i, false)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		allAnswered(t, w, time.Now(), 10*time.Second)
+		for range 90 {
+			if time.Sleep(time.Second); w.Started() >= 2*fleetMachines {
+				break
+			}
+		}
+		t.Logf("all of the second job's tasks on their machines %v after the first's end", time.Since(began))
+		noneLost(t, w, 2*fleetMachines)
+	})
+}
