--- a/placement/classes.go
+++ b/placement/classes.go
@@ -100,46 +100,20 @@
 	}
 }
 
-// classEntry is the next machine of a class, or, once it has been taken, one
-// machine by itself.
-type classEntry struct {
-	entry
-	of *class // nil: by itself
-}
-
-type classQueue []classEntry
-
-func (q classQueue) Len() int { return len(q) }
-
-func (q classQueue) Less(a, b int) bool {
-	return q[a].cost < q[b].cost || q[a].cost == q[b].cost && q[a].idx < q[b].idx
-}
-
-func (q classQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-
-func (q *classQueue) Push(x any) { *q = append(*q, x.(classEntry)) }
-
-func (q *classQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // greedyByClass does what greedy does, for what depends on a machine's class
 // only: the same machines in the same order. Each class is judged by its first
 // machine; the others of it follow at the same cost, in their order.
 func (p *planner) greedyByClass(r *Request, n int, judge func(i int) (float64, bool), take func(i int) bool) {
 	own := roaring.New() // machines that have an entry of their own, or none any more
-	q := p.classQueue[:0]
+	q := p.queue[:0]
 	for _, k := range p.classes.all {
 		if i := k.next(0, r, own); i >= 0 {
 			if c, ok := judge(i); ok {
-				q = append(q, classEntry{entry{c, i}, k})
+				q = append(q, entry{c, i, k})
 			}
 		}
 	}
-	p.classQueue = q
+	p.queue = q
 	heap.Init(&q)
 	got := 0
 	for got < n && len(q) > 0 {
@@ -161,7 +135,7 @@
 				heap.Pop(&q)
 			}
 			if c, ok := judge(i); taken && ok {
-				heap.Push(&q, classEntry{entry{c, i}, nil})
+				heap.Push(&q, entry{c, i, nil})
 			}
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -139,9 +139,7 @@
 	queue   queue
 	vain    [modes][]vain
 	zones   int
-
-	classes    *classes // nil: every machine is judged, in tests
-	classQueue classQueue
+	classes *classes // nil: every machine is judged, in tests
 }
 
 // Make plans. Requests are served in their order. The input's machines are
--- a/placement/search.go
+++ b/placement/search.go
@@ -22,6 +22,7 @@
 type entry struct {
 	cost float64
 	idx  int
+	of   *class // it stands for the rest of its class as well; nil: for itself
 }
 
 // queue has the cheapest machine first, and the first of those that cost the
@@ -54,7 +55,7 @@
 	q := p.queue[:0]
 	for i := range p.in.Machines {
 		if c, ok := judge(i); ok {
-			q = append(q, entry{c, i})
+			q = append(q, entry{c, i, nil})
 		}
 	}
 	p.queue = q
