--- a/config/tuning.go
+++ b/config/tuning.go
@@ -15,6 +15,12 @@
 	Rebalance Rebalance `toml:"rebalance"`
 	Renting   Renting   `toml:"renting"`
 	Metrics   Metrics   `toml:"metrics"`
+	Launching Launching `toml:"launching"`
+}
+
+// Launching tunes how launches reach workers.
+type Launching struct {
+	Summon bool `toml:"summon"` // workers are told to report when a launch is ready
 }
 
 // Metrics says where the operators watch a node.
@@ -59,7 +65,8 @@
 				{Resource: "memory", Weight: 0.2, Threshold: 0.2, CapacityThreshold: 1},
 			},
 		},
-		Renting: Renting{IdleS: 240, Headroom: 0.35},
+		Renting:   Renting{IdleS: 240, Headroom: 0.35},
+		Launching: Launching{Summon: true},
 	}
 }
 
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -136,7 +136,7 @@
 // as there are sockets for. The others follow as these have answered: with those
 // left out instead, a quarter of a burst of 2,900 tasks waited for reports.
 func (l *leadership) summon(ctx context.Context) {
-	if !l.term.Valid() {
+	if !l.n.tuning.Launching.Summon || !l.term.Valid() {
 		return
 	}
 	l.mu.Lock()
--- a/controller/summon_test.go
+++ b/controller/summon_test.go
@@ -37,6 +37,29 @@
 	})
 }
 
+// The operators may switch it off: launches wait for reports, as they did.
+func TestWithoutSummonsLaunchesGoWithTheNextReports(t *testing.T) {
+	o := slowly(8)
+	o.NoSummons = true
+	story(t, o, func(t *testing.T, w *fake.World) {
+		time.Sleep(20 * time.Second)
+		for _, m := range w.Cloud.Machines() {
+			w.HoldDirect(m)
+		}
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs = 8, 8 }))
+		time.Sleep(2 * time.Second)
+		if n := w.Started(); n == 8 {
+			t.Error("all started before half of the machines can have reported")
+		}
+		mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+		for _, m := range w.Cloud.Machines() {
+			if n, refused := w.DeliverDirect(m); n+refused > 0 {
+				t.Errorf("%d direct batches", n+refused)
+			}
+		}
+	})
+}
+
 // nothingListed fails where a worker still lists what a summons left.
 func nothingListed(t *testing.T, w *fake.World) {
 	t.Helper()
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -27,14 +27,15 @@
 	Cloud    *Cloud
 	Settings *config.Settings // of the first node
 
-	ctx   context.Context
-	end   context.CancelFunc
-	wg    sync.WaitGroup
-	nodes []*node
-	yarn  string
-	watch bool
-	log   *slog.Logger
-	hc    *http.Client
+	ctx       context.Context
+	end       context.CancelFunc
+	wg        sync.WaitGroup
+	nodes     []*node
+	yarn      string
+	watch     bool
+	noSummons bool
+	log       *slog.Logger
+	hc        *http.Client
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
@@ -80,20 +81,21 @@
 
 // Options shape a world.
 type Options struct {
-	Nodes    int
-	Machines int // up at the start, alternating between the zones
-	Capacity int
-	Types    []wire.MachineType
-	Teams    []config.Team
-	Seed     uint64
-	Log      *slog.Logger
-	Outside  bool    // the controllers are real processes: none is started
-	Metrics  bool    // each node has an operators' door at port 9464
-	YARN     string  // settings of YARN's door, without its address; empty: none
-	Sockets  int     // of each node; 0 means 800, unenforced
-	Gap      float64 // seconds between reports; 0 means 1.5
-	Lease    float64 // seconds of a worker's lease; 0 means 12
-	StateRPS float64 // the state service's limit of requests a second; 0 means 200, unenforced
+	Nodes     int
+	Machines  int // up at the start, alternating between the zones
+	Capacity  int
+	Types     []wire.MachineType
+	Teams     []config.Team
+	Seed      uint64
+	Log       *slog.Logger
+	Outside   bool    // the controllers are real processes: none is started
+	Metrics   bool    // each node has an operators' door at port 9464
+	NoSummons bool    // launches wait for workers' reports
+	YARN      string  // settings of YARN's door, without its address; empty: none
+	Sockets   int     // of each node; 0 means 800, unenforced
+	Gap       float64 // seconds between reports; 0 means 1.5
+	Lease     float64 // seconds of a worker's lease; 0 means 12
+	StateRPS  float64 // the state service's limit of requests a second; 0 means 200, unenforced
 }
 
 // Zones of every world.
@@ -121,7 +123,7 @@
 		o.Teams = []config.Team{{Name: "core"}}
 	}
 	ctx, end := context.WithCancel(context.Background())
-	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics,
+	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
 		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}}
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
@@ -249,6 +251,7 @@
 	ctx, end := context.WithCancel(gated)
 	n.end, n.done = end, make(chan struct{})
 	tuning := config.DefaultTuning()
+	tuning.Launching.Summon = !w.noSummons
 	if w.watch {
 		tuning.Metrics.Listen = n.name + ":9464"
 	}
