--- a/config/config_test.go
+++ b/config/config_test.go
@@ -73,3 +73,14 @@
 		}
 	}
 }
+
+// What stands in deploy/ for operators is read without complaint.
+func TestTheOperatorsExampleIsGood(t *testing.T) {
+	got, err := LoadTuning("../deploy/operations.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Metrics.Listen == "" || !got.Launching.Summon {
+		t.Errorf("%+v", got)
+	}
+}
