--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -59,8 +59,8 @@
 		if j == nil {
 			continue
 		}
-		fmt.Fprintf(w, "J%s,%d,%t,%t,%t,%t,%t,%d,%t", j.ID, j.Attempt, j.Cancelled, j.Finished, j.Started, j.Ending, j.dirty,
-			max(age(j.NotBefore), -1), j.Version == ref.Version(ledger.JobKey(j.ID)))
+		fmt.Fprintf(w, "J%s,%d,%t,%t,%t,%t,%t,%t,%t", j.ID, j.Attempt, j.Cancelled, j.Finished, j.Started, j.Ending, j.dirty,
+			now.Before(j.NotBefore), j.Version == ref.Version(ledger.JobKey(j.ID)))
 		for _, mc := range m.Machines {
 			if until, ok := j.avoid[mc.Idx]; ok && now.Before(until) {
 				fmt.Fprintf(w, "a%s%d", mc.Name, age(until))
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -1,11 +1,6 @@
 package modelcheck
 
-import (
-	"github.com/umberdeal/umberdeal/ledger"
-	"github.com/umberdeal/umberdeal/wire"
-)
-
-func jobKey(id string) string { return ledger.JobKey(id) }
+import "github.com/umberdeal/umberdeal/wire"
 
 func job(id string, change func(*wire.Job)) wire.Job {
 	j := wire.Job{ID: id, Class: "c", Team: "core", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 2, MemoryGB: 1,
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -188,11 +189,7 @@
 	m := cluster.New(&cfg, w.token, at, slog.New(slog.DiscardHandler))
 	m.Tuning = config.DefaultTuning().Rebalance
 	m.SetTypes([]wire.MachineType{{Name: "m", CPUs: w.sc.Capacity, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: w.cfg.Cluster.Zones}})
-	keys := make([]string, 0, len(w.store))
-	for k := range w.store {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
+	keys := slices.Sorted(maps.Keys(w.store))
 	for _, k := range keys {
 		if id, ok := ledger.ParseJobKey(k); ok {
 			m.PutJob(id, w.store[k].v.(ledger.JobRecord), w.store[k].version, w.now())
@@ -600,11 +597,10 @@
 	w.cancelled[j.ID] = w.step
 	if w.breach == DropsOnCancel {
 		// As if the task were on no machine from here on.
-		for key, v := range w.store {
+		for key := range w.store {
 			if _, ok := ledger.ParsePageKey(key); ok {
 				w.rev++
 				w.store[key] = value{ledger.PageRecord{}, w.rev}
-				_ = v
 			}
 		}
 		w.lead()
@@ -680,11 +676,7 @@
 		fmt.Fprintf(out, "D%d,%d,%d", d.w, d.batch.Token, w.workers[d.w].session-d.batch.Session)
 		writeCommands(out, d.batch.Commands)
 	}
-	keys := make([]string, 0, len(w.store))
-	for k := range w.store {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
+	keys := slices.Sorted(maps.Keys(w.store))
 	for _, k := range keys {
 		fmt.Fprintf(out, "|%s", k)
 		switch v := w.store[k].v.(type) {
--- a/placement/classes.go
+++ b/placement/classes.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"math"
 
@@ -102,7 +101,7 @@
 // greedyByClass does what greedy does, for what depends on a machine's class
 // only: the same machines in the same order. Each class is judged by its first
 // machine; the others of it follow at the same cost, in their order.
-func (p *planner) greedyByClass(r *Request, n int, judge func(i int) (float64, bool), take func(i int) bool) {
+func (p *planner) greedyByClass(r *Request, n int, judge func(i int) (float64, bool), take func(i int) bool) int {
 	own := roaring.New() // machines that have an entry of their own, or none any more
 	q := p.queue[:0]
 	for _, k := range p.classes.all {
@@ -112,38 +111,8 @@
 			}
 		}
 	}
-	p.queue = q
-	heap.Init(&q)
-	got := 0
-	for got < n && len(q) > 0 {
-		e := q[0]
-		i := e.idx
-		if e.of != nil {
-			own.Add(uint32(i))
-		}
-		taken := take(i)
-		if taken {
-			got++
-		}
-		if e.of != nil {
-			// The class's next machine costs what this one did.
-			if j := e.of.next(i+1, r, own); j >= 0 {
-				q[0].idx = j
-				heap.Fix(&q, 0)
-			} else {
-				heap.Pop(&q)
-			}
-			if c, ok := judge(i); taken && ok {
-				heap.Push(&q, entry{c, i, nil})
-			}
-			continue
-		}
-		c, ok := judge(i)
-		if !taken || !ok {
-			heap.Pop(&q)
-			continue
-		}
-		q[0].cost = c
-		heap.Fix(&q, 0)
-	}
+	return p.draw(q, n, judge, take, func(k *class, i int) int {
+		own.Add(uint32(i))
+		return k.next(i+1, r, own)
+	})
 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -58,22 +58,41 @@
 			q = append(q, entry{c, i, nil})
 		}
 	}
+	return p.draw(q, n, judge, take, nil)
+}
+
+// draw takes the cheapest entry up to n times. Where one stands for its class,
+// next gives the class's machine after one that was drawn, or -1: it costs what
+// that one did.
+func (p *planner) draw(q queue, n int, judge func(i int) (float64, bool), take func(i int) bool, next func(k *class, i int) int) int {
 	p.queue = q
 	heap.Init(&q)
 	got := 0
 	for got < n && len(q) > 0 {
-		i := q[0].idx
-		if !take(i) {
-			heap.Pop(&q)
+		i, of := q[0].idx, q[0].of
+		cost, ok := 0.0, take(i)
+		if ok {
+			got++
+			cost, ok = judge(i)
+		}
+		if of != nil {
+			if j := next(of, i); j >= 0 {
+				q[0].idx = j
+				heap.Fix(&q, 0)
+			} else {
+				heap.Pop(&q)
+			}
+			if ok {
+				heap.Push(&q, entry{cost, i, nil})
+			}
 			continue
 		}
-		got++
-		if c, ok := judge(i); ok {
-			q[0].cost = c
-			heap.Fix(&q, 0)
-		} else {
+		if !ok {
 			heap.Pop(&q)
+			continue
 		}
+		q[0].cost = cost
+		heap.Fix(&q, 0)
 	}
 	return got
 }
