--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		fmt.Fprintf(w, "J%s,%d,%t,%t,%t,%t,%t,%t,%t", j.ID, j.Attempt, j.Cancelled, j.Finished, j.Started, j.Ending, j.dirty,
-			now.Before(j.NotBefore), j.Version == ref.Version(ledger.JobKey(j.ID)))
+			now.Before(j.NotBefore), j.current(ref))
 		for _, mc := range m.Machines {
 			if until, ok := j.avoid[mc.Idx]; ok && now.Before(until) {
 				fmt.Fprintf(w, "a%s%d", mc.Name, age(until))
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -16,10 +16,11 @@
 	// Committed takes the revision in after a success.
 	Committed func(rev uint64, now time.Time)
 
-	pages map[string]*page
-	jobs  map[string]*Job
-	after []func(rev uint64, now time.Time)
-	bytes int
+	pages  map[string]*page
+	jobs   map[string]*Job
+	leaves map[*intake]*leaving
+	after  []func(rev uint64, now time.Time)
+	bytes  int
 }
 
 // page is a key of the state service on which placement records of several
@@ -153,12 +154,11 @@
 			m.forget(j)
 			continue
 		case j.over():
-			if dones == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.maxGuards() {
+			if dones == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.maxGuards() || !m.batchDone(b, j) {
 				left = append(left, idx)
 				continue
 			}
 			dones--
-			m.batchDone(b, j)
 		}
 		j.dirty = false
 	}
@@ -170,6 +170,7 @@
 		m.batchPage(b, p)
 	}
 	m.nextPage++
+	b.emptied()
 	if len(b.Ops) == 0 {
 		return nil
 	}
@@ -198,13 +199,22 @@
 	return fresh, other
 }
 
-func (m *Model) batchDone(b *Batch, j *Job) {
+// batchDone ends a job, if its page fits in beside what is there already.
+func (m *Model) batchDone(b *Batch, j *Job) bool {
 	rec := ledger.JobRecord{Job: j.Spec, AtMs: j.At.UnixMilli(), State: wire.JobDone, Ended: j.ends(0, len(j.Tasks))}
 	if j.res != nil {
 		rec.Reserve = &j.res.Reserve
 	}
-	b.Guards = append(b.Guards, wire.Guard{Key: ledger.JobKey(j.ID), Version: j.Version}, wire.Guard{Key: ledger.FinalKey(j.ID)})
-	b.Ops = append(b.Ops, wire.Op{Delete: ledger.JobKey(j.ID)}, wire.Op{Put: ledger.FinalKey(j.ID), Value: rec})
+	if j.home != nil {
+		if !b.leave(j) {
+			return false
+		}
+	} else {
+		b.Guards = append(b.Guards, wire.Guard{Key: ledger.JobKey(j.ID), Version: j.Version})
+		b.Ops = append(b.Ops, wire.Op{Delete: ledger.JobKey(j.ID)})
+	}
+	b.Guards = append(b.Guards, wire.Guard{Key: ledger.FinalKey(j.ID)})
+	b.Ops = append(b.Ops, wire.Op{Put: ledger.FinalKey(j.ID), Value: rec})
 	b.jobs[ledger.JobKey(j.ID)] = j
 	b.bytes += 1000
 	b.after = append(b.after, func(_ uint64, now time.Time) {
@@ -212,6 +222,7 @@
 		m.log.Info("job done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
 		m.forget(j)
 	})
+	return true
 }
 
 // batchPage adds a page, if it fits in beside what is there already.
@@ -235,8 +246,13 @@
 		bytes += 60 + len(r.j.ID) + (20+m.longest)*len(cr.Placed) + 5*len(cr.Done)
 		key := ledger.JobKey(r.j.ID)
 		if c.PlaceGen > c.Committed && !r.j.Cancelled && b.jobs[key] == nil && jobs[key] == nil {
-			// A placement is only good for a job that is still wanted.
-			guards = append(guards, wire.Guard{Key: key, Version: r.j.Version})
+			// A placement is only good for a job that is still wanted. A page that
+			// the job shares changes with others, too: there it must not be over.
+			if r.j.home != nil {
+				guards = append(guards, wire.Guard{Key: ledger.FinalKey(r.j.ID)})
+			} else {
+				guards = append(guards, wire.Guard{Key: key, Version: r.j.Version})
+			}
 			jobs[key] = r.j
 			bytes += 60
 		}
@@ -291,10 +307,10 @@
 	}
 }
 
-// IsJob says whether a key of the batch is that of an active job.
+// IsJob says whether a key of the batch is that of active jobs.
 func (b *Batch) IsJob(key string) bool {
 	_, ok := ledger.ParseJobKey(key)
-	return ok
+	return ok || ledger.IsIntake(key)
 }
 
 // forget drops a job that is over. Its records leave their pages with the
--- /dev/null
+++ b/cluster/intake.go
@@ -0,0 +1,149 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file is about jobs whose records share pages (ledger.IntakeRecord).
+
+// intake is such a page.
+type intake struct {
+	key     string
+	version uint64
+	rec     ledger.IntakeRecord
+	size    int // in the form in which the service counts
+}
+
+// IntakePage is a page of users' jobs, as the store has it. The record of one
+// that is gone is empty.
+type IntakePage struct {
+	Key     string
+	Version uint64
+	Record  ledger.IntakeRecord
+}
+
+// PutIntake takes pages of users' jobs in, all of one moment: a job may have
+// moved from one to another, and is over where none has it any more.
+func (m *Model) PutIntake(pages []IntakePage, now time.Time) {
+	type gone struct {
+		id   string
+		from *intake
+	}
+	var may []gone
+	for i := range pages {
+		pg := &pages[i]
+		p := m.intakes[pg.Key]
+		if p == nil {
+			p = &intake{key: pg.Key}
+			m.intakes[pg.Key] = p
+		}
+		if pg.Version <= p.version {
+			if pg.Version == p.version && len(p.rec.Jobs) == 0 && !ledger.IsHead(p.key) {
+				delete(m.intakes, p.key) // as this leader has written it
+			}
+			continue
+		}
+		for _, e := range p.rec.Jobs {
+			may = append(may, gone{e.ID, p})
+		}
+		p.version, p.rec, p.size = pg.Version, pg.Record, pg.Record.Size()
+		for _, e := range p.rec.Jobs {
+			m.putOnPage(p, e, now)
+		}
+		if len(p.rec.Jobs) == 0 && !ledger.IsHead(p.key) {
+			delete(m.intakes, p.key) // it never comes back
+		}
+	}
+	for _, g := range may {
+		if j := m.Job(g.id); j != nil && j.home == g.from && !g.from.has(g.id) {
+			m.RemoveJob(g.id, now)
+		}
+	}
+}
+
+// Wrote says whether that change of a page is one of this leader's own.
+func (m *Model) Wrote(key string, version uint64) bool {
+	p := m.intakes[key]
+	return p != nil && p.version == version
+}
+
+func (p *intake) has(id string) bool {
+	for i := range p.rec.Jobs {
+		if p.rec.Jobs[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// putOnPage takes in that a job stands on a page.
+func (m *Model) putOnPage(p *intake, e ledger.IntakeEntry, now time.Time) {
+	j := m.Job(e.ID)
+	if j == nil {
+		rec, err := e.Decode()
+		if err != nil {
+			m.log.Error("unreadable job record", "key", p.key, "err", err)
+			return
+		}
+		m.PutJob(e.ID, rec, p.version, now)
+		j = m.Job(e.ID)
+	}
+	j.home, j.Version = p, p.version
+}
+
+// leaving is a page that a batch takes jobs from.
+type leaving struct {
+	op      int // which of the batch's
+	version uint64
+	ids     map[string]bool
+}
+
+// leave takes a job from its page, if the page fits into the batch.
+func (b *Batch) leave(j *Job) bool {
+	p := j.home
+	l := b.leaves[p]
+	if l == nil {
+		if len(b.Ops) > 0 && b.bytes+p.size > maxBytes {
+			return false
+		}
+		l = &leaving{op: len(b.Ops), version: p.version, ids: map[string]bool{}}
+		if b.leaves == nil {
+			b.leaves = map[*intake]*leaving{}
+		}
+		b.leaves[p] = l
+		b.Guards = append(b.Guards, wire.Guard{Key: p.key, Version: p.version})
+		b.Ops = append(b.Ops, wire.Op{Put: p.key})
+		b.bytes += p.size
+	}
+	l.ids[j.ID] = true
+	return true
+}
+
+// emptied fills in what is left of the pages that the batch takes jobs from.
+func (b *Batch) emptied() {
+	for p, l := range b.leaves {
+		rec := p.rec.Without(l.ids)
+		op := wire.Op{Put: p.key, Value: rec}
+		if len(rec.Jobs) == 0 && !ledger.IsHead(p.key) {
+			op = wire.Op{Delete: p.key}
+		}
+		b.Ops[l.op] = op
+		b.after = append(b.after, func(rev uint64, _ time.Time) {
+			if p.version == l.version { // else the watch was first
+				p.version, p.rec, p.size = rev, rec, rec.Size()
+			}
+		})
+	}
+}
+
+// current says whether what the model has of a job's record is what the store
+// has.
+func (j *Job) current(ref Reference) bool {
+	if j.home != nil {
+		return j.home.version == ref.Version(j.home.key)
+	}
+	return j.Version == ref.Version(ledger.JobKey(j.ID))
+}
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -131,6 +131,7 @@
 	NotBefore time.Time // a job that fails everywhere is not tried before
 	FirstRun  time.Time
 
+	home   *intake // the page that its record shares with others, if it does
 	cursor int
 	dirty  bool
 	avoid  map[int32]time.Time
@@ -227,6 +228,7 @@
 	live       []int32 // jobs that may be in the model
 	dirty      []int32 // jobs that may be done, or out of the model
 	pages      []*page
+	intakes    map[string]*intake
 	nextPage   int   // where writing goes on
 	longest    int   // of the machines' names
 	stops      []Ref // tasks to be told directly
@@ -254,7 +256,7 @@
 		Token: token, Takeover: now, Zones: cfg.Cluster.Zones, cfg: cfg, log: log, drift: 0.0005,
 		zoneIdx: map[string]int{}, teamIdx: map[string]int{}, typeIdx: map[string]int{},
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, imageIdx: map[string]int32{},
-		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{},
+		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, intakes: map[string]*intake{},
 		Timings: untimed{},
 	}
 	for i, z := range cfg.Cluster.Zones {
--- /dev/null
+++ b/cmd/umberdeal/state.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/snapshot"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+type stateCmd struct {
+	Export exportCmd `cmd:"" help:"Write the whole ledger to a file, as of one revision, while the service runs."`
+	Verify verifyCmd `cmd:"" help:"Say whether a file is whole and which invariants of the ledger fail in it."`
+	Import importCmd `cmd:"" help:"Fill an empty state service from a file."`
+}
+
+type exportCmd struct {
+	Config string  `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	Share  float64 `default:"0.1" help:"Share of the state service's requests to use."`
+	File   string  `arg:"" placeholder:"FILE" help:"Where to write; it must not be there yet."`
+}
+
+func (c *exportCmd) Run() (err error) {
+	s, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if !(c.Share > 0 && c.Share <= 1) {
+		return fmt.Errorf("--share: %v is not a share", c.Share)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// What is not whole never has the name that was asked for.
+	part, err := os.CreateTemp(filepath.Dir(c.File), filepath.Base(c.File)+".part-*")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, part.Close(), os.Remove(part.Name())) }()
+	per := s.Cluster.State.RPS * c.Share
+	src := state.New(call.Dialer(), s.Services.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS)
+	begun := time.Now()
+	h, keys, err := snapshot.Take(ctx, src, per, part, version)
+	if err != nil {
+		return err
+	}
+	if err := part.Sync(); err != nil {
+		return err
+	}
+	if err := os.Link(part.Name(), c.File); err != nil {
+		return err
+	}
+	fmt.Printf("%d keys as of revision %d, %.1f s\n", keys, h.Revision, time.Since(begun).Seconds())
+	return nil
+}
+
+// readSnapshot reads a file whole.
+func readSnapshot(name string) (h snapshot.Header, all map[string]wire.Raw, err error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return h, nil, err
+	}
+	defer f.Close()
+	r, err := snapshot.NewReader(io.Reader(f))
+	if err != nil {
+		return h, nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if all, err = r.All(); err != nil {
+		return h, nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return r.Header, all, nil
+}
+
+type verifyCmd struct {
+	File string `arg:"" placeholder:"FILE" help:"The snapshot."`
+}
+
+func (c *verifyCmd) Run() error {
+	h, all, err := readSnapshot(c.File)
+	if err != nil {
+		return err
+	}
+	totals, found := snapshot.Verify(all)
+	fmt.Printf("whole: %d keys as of revision %d, taken %s by version %s\n", totals.Keys, h.Revision, h.Taken().UTC().Format(time.RFC3339), h.By)
+	fmt.Printf("%d unfinished jobs, %d that are over, %d places, %d other keys\n", totals.Unfinished, totals.Over, totals.Placed, totals.Other)
+	for _, f := range found {
+		fmt.Println(f)
+	}
+	if len(found) > 0 {
+		return fmt.Errorf("%d invariants fail", len(found))
+	}
+	return nil
+}
+
+type importCmd struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	Anyway bool   `help:"Also where invariants fail."`
+	File   string `arg:"" placeholder:"FILE" help:"The snapshot."`
+}
+
+func (c *importCmd) Run() error {
+	s, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	h, all, err := readSnapshot(c.File)
+	if err != nil {
+		return err
+	}
+	if _, found := snapshot.Verify(all); len(found) > 0 && !c.Anyway {
+		return fmt.Errorf("%d invariants fail in it, the first: %v", len(found), found[0])
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	sl := s.Cluster.State
+	to := state.New(call.Dialer(), s.Services.State, sl.RPS, sl.WriteRPS)
+	n, err := snapshot.Restore(ctx, to, h, all, max(1, sl.TxnOps))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d keys written\n", n)
+	return nil
+}
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -16,6 +16,12 @@
 	Renting   Renting   `toml:"renting"`
 	Metrics   Metrics   `toml:"metrics"`
 	Launching Launching `toml:"launching"`
+	Ledger    Ledger    `toml:"ledger"`
+}
+
+// Ledger tunes how records are kept.
+type Ledger struct {
+	Intake bool `toml:"intake"` // users' jobs share keys, once every node can read that
 }
 
 // Launching tunes how launches reach workers.
@@ -67,6 +73,7 @@
 		},
 		Renting:   Renting{IdleS: 240, Headroom: 0.35},
 		Launching: Launching{Summon: true},
+		Ledger:    Ledger{Intake: true},
 	}
 }
 
--- /dev/null
+++ b/controller/form.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file is about the form of the records, and about which node adds jobs to
+// a bucket (docs/ledger.md).
+
+// raiseForm has records written in the newest form once every node says that it
+// reads that. While one is of an earlier version, or can't be asked, the form
+// stays as it is, so that that version can be gone back to.
+func (l *leadership) raiseForm(ctx context.Context) {
+	if !l.n.tuning.Ledger.Intake {
+		return
+	}
+	for wait := 300 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, 5*time.Second) {
+		done, err := l.tryRaise(ctx)
+		if done {
+			return
+		}
+		if err != nil {
+			l.log.Debug("the form of the records stays", "why", err)
+		}
+		if !call.Pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (l *leadership) tryRaise(ctx context.Context) (done bool, err error) {
+	for _, p := range l.n.peers {
+		s, err := p.Status(ctx, l.n.ask())
+		if err != nil {
+			return false, err
+		}
+		if s.Form < ledger.Form {
+			return false, fmt.Errorf("%s reads form %d", p.Name, s.Form)
+		}
+	}
+	e, err := l.n.state.Get(ctx, ledger.FormKey)
+	if err != nil {
+		return false, err
+	}
+	var now ledger.FormRecord
+	if e.Version != 0 {
+		if err := wire.Unmarshal(e.Value, &now); err != nil {
+			return false, err
+		}
+	}
+	if now.Form >= ledger.Form {
+		return true, nil
+	}
+	next := ledger.FormRecord{Form: ledger.Form, Buckets: max(1, len(l.n.peers)+1)}
+	if now.Buckets > 0 {
+		next.Buckets = now.Buckets
+	}
+	_, err = l.n.state.Commit(ctx, []wire.Guard{l.guard(), {Key: ledger.FormKey, Version: e.Version}},
+		[]wire.Op{{Put: ledger.FormKey, Value: next}})
+	if err != nil {
+		return false, err
+	}
+	l.log.Info("records are written in a new form; earlier versions can't read it", "form", next.Form, "buckets", next.Buckets)
+	return true, nil
+}
+
+const (
+	// bucketFor is how long the node that adds jobs to a bucket is waited for, and
+	// bucketWithin how long that one takes at most: then it says that it is busy.
+	bucketFor    = 1600 * time.Millisecond
+	bucketWithin = 1200 * time.Millisecond
+	// missedFor is for how long a node that did not answer is passed over.
+	missedFor = 3 * time.Second
+)
+
+// toBucketsNode hands a submission to the node that adds jobs to its bucket, where
+// several nodes would be in one another's way. It is a matter of speed only: any
+// node may add to any bucket, and the head's version tells who was first.
+func (n *Node) toBucketsNode(ctx context.Context, id string, body []byte) (mesh.Answer, bool) {
+	form := n.reader.Form()
+	if form.Form < ledger.FormIntake {
+		return mesh.Answer{}, false
+	}
+	bucket := form.Bucket(id)
+	if !n.reader.Crowded(bucket) {
+		return mesh.Answer{}, false
+	}
+	p := n.bucketsNode(bucket)
+	if p == nil {
+		return mesh.Answer{}, false
+	}
+	pctx, cancel := context.WithTimeout(ctx, bucketFor)
+	defer cancel()
+	a, err := p.User(pctx, mesh.Request{Op: opSubmit, Body: body, From: n.cfg.Node})
+	switch {
+	case err != nil:
+		n.log.Debug("submission not passed on", "to", p.Name, "err", err)
+		return mesh.Answer{}, false
+	case a.Status == http.StatusServiceUnavailable && a.RetryAfter != busyFor:
+		return mesh.Answer{}, false // it is that node's trouble
+	}
+	return a, true
+}
+
+// bucketsNode is the node that adds jobs to a bucket: the first, counted from the
+// bucket's own, that has answered lately; nil is this one.
+func (n *Node) bucketsNode(bucket int) *mesh.Peer {
+	names := []string{n.cfg.Node}
+	for _, p := range n.peers {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	for i := range names {
+		name := names[(bucket+i)%len(names)]
+		if name == n.cfg.Node {
+			return nil
+		}
+		if p := n.peer(name); p != nil && time.Since(p.Missed()) > missedFor {
+			return p
+		}
+	}
+	return nil
+}
+
+// relayed serves a submission that another node has passed on because it belongs
+// to this node's bucket.
+func (n *Node) relayed(ctx context.Context, r mesh.Request) mesh.Answer {
+	ctx, cancel := context.WithTimeout(ctx, bucketWithin)
+	defer cancel()
+	a, err := n.localUser(ctx, r)
+	switch {
+	case err == nil:
+		return a
+	case errors.Is(err, state.ErrBusy) || ctx.Err() != nil:
+		return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is busy"}, busyFor)
+	}
+	return answer(http.StatusServiceUnavailable, wire.Error{Error: "the state service is not reached"}, 1)
+}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +69,12 @@
 		if err == nil {
 			break
 		}
+		if errors.Is(err, ledger.ErrNewer) {
+			l.log.Error("this node can't lead", "err", err)
+			n.elector.Abstain(20 * time.Second)
+			t.Resign()
+			return err
+		}
 		l.log.Info("records not loaded, retrying", "err", err)
 		if !call.Pause(ctx, 300*time.Millisecond) {
 			return ctx.Err()
@@ -86,7 +94,7 @@
 	}()
 	ready()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud} {
+	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(ctx) }()
 	}
@@ -106,10 +114,15 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	pages := map[string]cluster.IntakePage{} // as the last change left them
 	for _, e := range ev.Log {
 		if e.Version <= l.rev {
 			continue
 		}
+		if ledger.IsIntake(e.Put + e.Delete) {
+			l.intake(pages, e)
+			continue
+		}
 		if e.Delete != "" {
 			if id, ok := ledger.ParseJobKey(e.Delete); ok {
 				if j := l.m.Job(id); j != nil && !j.Finished && j.Done < len(j.Tasks) {
@@ -129,11 +142,31 @@
 			l.userOps = append(l.userOps, now)
 		}
 	}
+	// Together, since a job may have moved from one to another.
+	l.m.PutIntake(slices.Collect(maps.Values(pages)), now)
 	l.rev = max(l.rev, ev.Revision)
 	kick(l.schedKick)
 	kick(l.flushKick)
 }
 
+// intake takes a change of a page of users' jobs in.
+func (l *leadership) intake(pages map[string]cluster.IntakePage, e wire.Event) {
+	key := e.Put + e.Delete
+	pg := cluster.IntakePage{Key: key, Version: e.Version}
+	if e.Put != "" {
+		if err := wire.Unmarshal(e.Value, &pg.Record); err != nil {
+			l.log.Error("unreadable job records", "key", key, "err", err)
+			return
+		}
+	}
+	if pages[key].Version <= e.Version {
+		pages[key] = pg
+	}
+	if !l.m.Wrote(key, e.Version) {
+		l.userOps = append(l.userOps, time.Now())
+	}
+}
+
 func (l *leadership) revision() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/controller/load.go
+++ b/controller/load.go
@@ -71,7 +71,19 @@
 }
 
 func loadJobs(m *cluster.Model, items []wire.Entry, now time.Time) error {
+	var pages []cluster.IntakePage
 	for _, it := range items {
+		var form ledger.FormRecord
+		if it.Key == ledger.FormKey && (wire.Unmarshal(it.Value, &form) != nil || form.Form > ledger.Form) {
+			return ledger.ErrNewer
+		}
+		if ledger.IsIntake(it.Key) {
+			pg := cluster.IntakePage{Key: it.Key, Version: it.Version}
+			if err := wire.Unmarshal(it.Value, &pg.Record); err != nil {
+				return fmt.Errorf("%s: %w", it.Key, err)
+			}
+			pages = append(pages, pg)
+		}
 		if id, ok := ledger.ParseJobKey(it.Key); ok {
 			var rec ledger.JobRecord
 			if err := wire.Unmarshal(it.Value, &rec); err != nil {
@@ -80,6 +92,7 @@
 			m.PutJob(id, rec, it.Version, now)
 		}
 	}
+	m.PutIntake(pages, now)
 	return nil
 }
 
--- a/controller/node.go
+++ b/controller/node.go
@@ -119,6 +119,8 @@
 	forUsers := n.state.Sharing(sl.RPS*0.7, sl.WriteRPS, usersShare/float64(max(1, cfg.Cluster.Size)))
 	n.forUsers = forUsers
 	n.reader = ledger.NewReader(forUsers)
+	n.reader.Limits = ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB}
+	n.reader.Log = log
 	n.reader.Gap = func() time.Duration { return config.Seconds(min(barrierShare/max(forUsers.Rate(), 1), 0.6)) }
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
--- a/controller/story_test.go
+++ b/controller/story_test.go
@@ -53,7 +53,7 @@
 		mustReach(t, w, "wk-000002", wire.JobDone, 2*time.Minute)
 		mustReach(t, w, "wk-000001", wire.JobCancelled, 5*time.Second)
 		time.Sleep(40 * time.Second) // the checker watches for tasks past cancel_s
-		if keys := w.State.Keys("w/"); len(keys) > 0 {
+		if keys := w.State.JobKeys(); len(keys) > 0 {
 			t.Errorf("records left of jobs that are over: %v", keys)
 		}
 	})
--- a/controller/users.go
+++ b/controller/users.go
@@ -165,6 +165,9 @@
 // User implements mesh.Handler: it serves a request another node received.
 func (n *Node) User(ctx context.Context, r mesh.Request) mesh.Answer {
 	if n.stateOK() {
+		if r.From != "" {
+			return n.relayed(ctx, r)
+		}
 		if a, err := n.localUser(ctx, r); err == nil {
 			return a
 		}
@@ -175,7 +178,7 @@
 func (n *Node) localUser(ctx context.Context, r mesh.Request) (mesh.Answer, error) {
 	switch r.Op {
 	case opSubmit:
-		return n.submit(ctx, r.Body)
+		return n.submit(ctx, r.Body, r.From)
 	case opShow:
 		return n.show(ctx, r.ID)
 	case opCancel:
@@ -252,7 +255,9 @@
 	return answer(http.StatusOK, wire.JobStatus{ID: id, State: final}, 0), nil
 }
 
-func (n *Node) submit(ctx context.Context, body []byte) (mesh.Answer, error) {
+// submit takes a submission that users have sent here, or that another node, from,
+// has passed on.
+func (n *Node) submit(ctx context.Context, body []byte, from string) (mesh.Answer, error) {
 	job, jerr := wire.DecodeJob(body)
 	status := http.StatusBadRequest
 	if jerr == nil {
@@ -276,6 +281,11 @@
 		}
 		return answer(status, wire.Error{Error: jerr.Error()}, retry), nil
 	}
+	if from == "" {
+		if a, ok := n.toBucketsNode(ctx, job.ID, body); ok {
+			return a, nil
+		}
+	}
 	var known bool
 	at := time.Now()
 	err := retryRefused(ctx, func() (err error) {
--- a/internal/fake/loopback.go
+++ b/internal/fake/loopback.go
@@ -69,6 +69,15 @@
 func (w *World) LearnJobs(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, key := range w.State.Keys(ledger.JobKey("")) {
+			var page ledger.IntakeRecord
+			if ledger.IsIntake(key) && wire.Unmarshal(w.State.Value(key), &page) == nil {
+				for _, e := range page.Jobs {
+					if rec, err := e.Decode(); err == nil {
+						w.Know(rec.Job)
+					}
+				}
+				continue
+			}
 			var rec ledger.JobRecord
 			if wire.Unmarshal(w.State.Value(key), &rec) == nil && strings.HasPrefix(rec.Job.ID, wire.JobPrefix) {
 				w.Know(rec.Job)
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -102,6 +104,22 @@
 	return out
 }
 
+// Wipe empties the service.
+func (s *State) Wipe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.keys)
+}
+
+// JobKeys lists the keys that say something of unfinished jobs: heads of buckets
+// stay when they are empty.
+func (s *State) JobKeys() []string {
+	return slices.DeleteFunc(s.Keys(ledger.Active), func(k string) bool {
+		var page ledger.IntakeRecord
+		return k == ledger.FormKey || ledger.IsHead(k) && wire.Unmarshal(s.Value(k), &page) == nil && len(page.Jobs) == 0
+	})
+}
+
 // Value is what a key holds.
 func (s *State) Value(key string) []byte {
 	s.mu.Lock()
--- /dev/null
+++ b/ledger/intake_test.go
@@ -0,0 +1,391 @@
+package ledger_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+var limits = ledger.Limits{TxnOps: 12, ValueKB: 16}
+
+func job(n int) wire.Job {
+	return wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "tile-rebuild", Team: "core", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: 2, CPUs: 2.5, MemoryGB: 4, Image: "img-1", ImageGB: 1.25, EstimateS: 20, Types: []string{"g8", "g16"}}
+}
+
+// nodes plays a story with that many readers of one store.
+func nodes(t *testing.T, n int, s *store, play func(rs []*ledger.Reader)) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	var rs []*ledger.Reader
+	for range n {
+		r := ledger.NewReader(s)
+		r.Limits = limits
+		rs = append(rs, r)
+		wg.Go(func() { r.Run(ctx) })
+	}
+	play(rs)
+	cancel()
+	wg.Wait()
+	s.wg.Wait()
+}
+
+// accept submits as a user does: again after a second, for a minute.
+func accept(ctx context.Context, r *ledger.Reader, j wire.Job) (known, ok bool) {
+	for range 60 {
+		actx, cancel := context.WithTimeout(ctx, 3500*time.Millisecond)
+		known, err := r.Accept(actx, j, time.Now())
+		cancel()
+		if err == nil {
+			return known, true
+		}
+		time.Sleep(time.Second)
+	}
+	return false, false
+}
+
+// The same ids reach seven nodes at the same moment, again and again, while
+// answers are lost, transactions are applied up to two minutes late, jobs are done
+// and cancelled. Each id stands in one place at any moment, and what was told as
+// final stays.
+func TestAnIDIsAcceptedOnceWhicheverNodesItReaches(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore(seed)
+			s.lost, s.late, s.lateBy = 0.1, 0.15, 2*time.Minute
+			const jobs = 40
+			told := map[string]string{} // final states
+			s.check = func() {
+				for n := range jobs {
+					id := job(n).ID
+					at := s.where(id)
+					if len(at) > 1 {
+						t.Errorf("seed %d: %s stands at %v", seed, id, at)
+					}
+					if told[id] != "" && (len(at) != 1 || at[0] != ledger.FinalKey(id)) {
+						t.Errorf("seed %d: %s was called %s, and stands at %v", seed, id, told[id], at)
+					}
+				}
+			}
+			tell := func(id, what string) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if was := told[id]; was != "" && was != what {
+					t.Errorf("seed %d: %s was called %s, now %s", seed, id, was, what)
+				}
+				told[id] = what
+			}
+			nodes(t, 7, s, func(rs []*ledger.Reader) {
+				rnd := rand.New(rand.NewPCG(seed, 9))
+				var wg sync.WaitGroup
+				for n := range jobs {
+					for _, r := range rs {
+						again := rnd.IntN(3)
+						wg.Go(func() {
+							for range again + 1 {
+								if _, ok := accept(t.Context(), r, job(n)); !ok {
+									t.Errorf("seed %d: %d was never accepted", seed, n)
+								}
+								time.Sleep(20 * time.Second)
+							}
+						})
+					}
+					at, r := time.Duration(rnd.IntN(60))*time.Second, rs[rnd.IntN(len(rs))]
+					if n%3 == 0 {
+						wg.Go(func() {
+							time.Sleep(at)
+							if s.finish(job(n).ID) {
+								tell(job(n).ID, wire.JobDone)
+							}
+						})
+					}
+					if n%2 == 0 {
+						wg.Go(func() {
+							time.Sleep(at)
+							final, found, err := r.Cancel(t.Context(), job(n).ID)
+							if err == nil && found {
+								tell(job(n).ID, final)
+							}
+						})
+					}
+					if n == jobs/2 {
+						s.raise(3) // amid it all
+					}
+					time.Sleep(time.Duration(rnd.IntN(30)) * time.Millisecond)
+				}
+				wg.Wait()
+				time.Sleep(2 * time.Minute)
+				for n := range jobs {
+					for i, r := range rs {
+						v, found, err := r.Lookup(t.Context(), job(n).ID)
+						if err != nil || !found {
+							t.Errorf("seed %d: %d at node %d: %v, %v", seed, n, i, found, err)
+						}
+						if want := told[job(n).ID]; want != "" && (v.Version != 0 || v.Record.State != want) {
+							t.Errorf("seed %d: %d at node %d is %q, was told %q", seed, n, i, v.Record.State, want)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// A page splits while two nodes write and a third reads: what is accepted is
+// found, at once and by every node.
+func TestAnAcceptedJobIsFoundWhilePagesSplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		nodes(t, 3, s, func(rs []*ledger.Reader) {
+			var wg sync.WaitGroup
+			for k := range 2 {
+				for n := range 150 {
+					wg.Go(func() {
+						time.Sleep(time.Duration(n*4+k) * time.Millisecond)
+						j := job(1000*k + n)
+						if known, ok := accept(t.Context(), rs[k], j); !ok || known {
+							t.Errorf("%s: known %v, accepted %v", j.ID, known, ok)
+						}
+						v, found, err := rs[2].Lookup(t.Context(), j.ID)
+						if err != nil || !found || v.Record.Job.ID != j.ID || v.Record.Job.CPUs != j.CPUs {
+							t.Errorf("%s: found %v, %v, %v", j.ID, found, v.Record, err)
+						}
+					})
+				}
+			}
+			wg.Wait()
+			if n := len(s.where("")); n != 0 {
+				t.Error("a job without an id")
+			}
+		})
+		sealed := 0
+		for k := range s.keys {
+			if ledger.IsIntake(k) && !ledger.IsHead(k) {
+				sealed++
+			}
+		}
+		if sealed < 5 {
+			t.Errorf("only %d pages were sealed", sealed)
+		}
+	})
+}
+
+// A burst of submissions at a state service of 25 changes a second: a
+// transaction takes as many as it has conditions for.
+func TestABurstSharesChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		nodes(t, 1, s, func(rs []*ledger.Reader) {
+			if known, ok := accept(t.Context(), rs[0], job(9999)); known || !ok {
+				t.Fatal("the first one")
+			}
+			s.changes = 0
+			var wg sync.WaitGroup
+			begun := time.Now()
+			for n := range 500 {
+				wg.Go(func() { accept(t.Context(), rs[0], job(n)) })
+			}
+			wg.Wait()
+			t.Logf("500 jobs: %d changes, %v", s.changes, time.Since(begun))
+			if s.changes > 75 {
+				t.Errorf("500 jobs took %d changes", s.changes)
+			}
+		})
+	})
+}
+
+// A submission alone waits for nobody.
+func TestASubmissionAloneIsCommittedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(3)
+		nodes(t, 1, s, func(rs []*ledger.Reader) {
+			accept(t.Context(), rs[0], job(0))
+			for n := range 30 {
+				begun := time.Now()
+				if _, ok := accept(t.Context(), rs[0], job(n+1)); !ok || time.Since(begun) > 12*time.Millisecond {
+					t.Errorf("took %v", time.Since(begun))
+				}
+				time.Sleep(time.Second)
+			}
+		})
+	})
+}
+
+// Until the form is raised every job has a key of its own, which the version
+// before reads; a node that has not heard of the new form does not write the old
+// one any more.
+func TestTheFormIsRaisedUnderANodeThatHasNotHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		nodes(t, 2, s, func(rs []*ledger.Reader) {
+			accept(t.Context(), rs[0], job(1))
+			accept(t.Context(), rs[1], job(2))
+			for _, n := range []int{1, 2} {
+				if at := s.where(job(n).ID); len(at) != 1 || at[0] != ledger.JobKey(job(n).ID) {
+					t.Errorf("before: %v", at)
+				}
+			}
+			s.raise(3)
+			for i, r := range rs {
+				accept(t.Context(), r, job(10+i))
+				if at := s.where(job(10 + i).ID); len(at) != 1 || !ledger.IsHead(at[0]) {
+					t.Errorf("after: %v", at)
+				}
+				if known, ok := accept(t.Context(), r, job(1)); !known || !ok {
+					t.Error("a job of the old form is not known")
+				}
+			}
+			large := job(20)
+			large.Types = []string{strings.Repeat("x", 5000)}
+			if known, ok := accept(t.Context(), rs[0], large); known || !ok {
+				t.Error("the large one was not accepted")
+			}
+			if known, ok := accept(t.Context(), rs[1], large); !known || !ok {
+				t.Error("the large one was accepted twice")
+			}
+			if at := s.where(large.ID); len(at) != 1 || at[0] != ledger.JobKey(large.ID) {
+				t.Errorf("the large one stands at %v", at)
+			}
+		})
+	})
+}
+
+// A form that a later version has written is refused, in words.
+func TestANewerFormIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		_, _ = s.apply(nil, []wire.Op{{Put: ledger.FormKey, Value: ledger.FormRecord{Form: ledger.Form + 1, Buckets: 3}}})
+		nodes(t, 1, s, func(rs []*ledger.Reader) {
+			if _, _, err := rs[0].Lookup(t.Context(), "wk-000001"); !errors.Is(err, ledger.ErrNewer) {
+				t.Errorf("lookup: %v", err)
+			}
+			if _, err := rs[0].Accept(t.Context(), job(1), time.Now()); err == nil || errors.Is(err, state.ErrUnknown) {
+				t.Errorf("accept: %v", err)
+			}
+			if len(s.where("wk-000001")) != 0 {
+				t.Error("it was written all the same")
+			}
+		})
+	})
+}
+
+// A damaged record is named, and those beside it go on.
+func TestADamagedRecordIsNamedAndTheOthersGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		good, err := wire.Marshal(ledger.JobRecord{Job: job(1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.raise(1)
+		_, _ = s.apply(nil, []wire.Op{{Put: ledger.HeadKey(0), Value: ledger.IntakeRecord{Jobs: []ledger.IntakeEntry{
+			{ID: job(1).ID, Record: good}, {ID: job(2).ID, Record: good}, {ID: job(3).ID, Record: wire.Raw{0xc0}}}}}})
+		var log bytes.Buffer
+		nodes(t, 1, s, func(rs []*ledger.Reader) {
+			rs[0].Log = slog.New(slog.NewTextHandler(&log, nil))
+			if v, found, err := rs[0].Lookup(t.Context(), job(1).ID); err != nil || !found || v.Record.Job.CPUs != 2.5 {
+				t.Errorf("the good one: %v, %v, %v", v, found, err)
+			}
+			for _, n := range []int{2, 3} {
+				if known, ok := accept(t.Context(), rs[0], job(n)); !known || !ok {
+					t.Errorf("%d, which is damaged, was accepted anew", n)
+				}
+			}
+			if _, ok := accept(t.Context(), rs[0], job(4)); !ok {
+				t.Error("nothing is accepted beside damaged records")
+			}
+		})
+		for _, n := range []int{2, 3} {
+			if !strings.Contains(log.String(), job(n).ID) {
+				t.Errorf("%s is not named in %q", job(n).ID, log.String())
+			}
+			if at := s.where(job(n).ID); len(at) != 1 {
+				t.Errorf("%s stands at %v", job(n).ID, at)
+			}
+		}
+	})
+}
+
+// What a page is said to take is never less than what the service counts.
+func TestSizesAreNotUnderstated(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 3))
+	for range 300 {
+		j := job(rnd.IntN(1e6))
+		j.CPUs, j.EstimateS = rnd.ExpFloat64()*1e3, rnd.Float64()*1e-7
+		j.Class = strings.Repeat(`"é<`, rnd.IntN(20))
+		checkSize(t, ledger.JobRecord{Job: j, AtMs: rnd.Int64()})
+	}
+}
+
+func checkSize(t *testing.T, rec ledger.JobRecord) {
+	t.Helper()
+	raw, err := wire.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := ledger.IntakeRecord{Seq: 1 << 40, Jobs: []ledger.IntakeEntry{{ID: rec.Job.ID, Record: raw}, {ID: rec.Job.ID, Record: raw}}}
+	whole, err := wire.Marshal(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var v any
+	if err := msgpack.Unmarshal(whole, &v); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := page.Size(); got < len(text) || got > 2*len(text)+200 {
+		t.Errorf("%d for %d: %s", got, len(text), text)
+	}
+}
+
+// Whatever stands in a page's value, reading it ends, and what can be read is
+// what was written.
+func FuzzIntakeRecord(f *testing.F) {
+	raw, err := wire.Marshal(ledger.JobRecord{Job: job(1)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	whole, err := wire.Marshal(ledger.IntakeRecord{Seq: 3, Jobs: []ledger.IntakeEntry{{ID: job(1).ID, Record: raw}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte{0x82, 0xa1, 's', 0xcf, 0xff})
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var rec ledger.IntakeRecord
+		if wire.Unmarshal(b, &rec) != nil {
+			return
+		}
+		if n := rec.Size(); n < 40 {
+			t.Errorf("size %d", n)
+		}
+		for _, e := range rec.Jobs {
+			if got, err := e.Decode(); err == nil && got.Job.ID != e.ID {
+				t.Errorf("%q under %q", got.Job.ID, e.ID)
+			}
+		}
+	})
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -50,7 +50,10 @@
 }
 
 // ParseJobKey takes a JobKey apart.
-func ParseJobKey(key string) (id string, ok bool) { return strings.CutPrefix(key, Jobs) }
+func ParseJobKey(key string) (id string, ok bool) {
+	id, ok = strings.CutPrefix(key, Jobs)
+	return id, ok && !IsIntake(key)
+}
 
 // JobRecord is an accepted job, or its end.
 type JobRecord struct {
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,10 @@
 	Follow(ctx context.Context, prefix string, after uint64, block time.Duration) (wire.Events, error)
 }
 
+// ErrNewer says that the records are in a form that a later version has written,
+// and that this one can't read.
+var ErrNewer = errors.New("the records have a newer form than this version reads: start the version that wrote them")
+
 // finalMax bounds the cache of final states; the state service keeps them all.
 const finalMax = 20_000
 
@@ -30,11 +35,14 @@
 	Version uint64 // of the active record, 0 once the job is over
 	Done    int
 	Placed  int
+
+	home string // the page that its record shares with others, if it does
 }
 
 type activeJob struct {
 	rec     JobRecord
 	version uint64
+	home    string // the page that its record stands on; "": a key of its own
 	chunks  map[int]counts
 }
 
@@ -58,6 +66,11 @@
 	// Gap is for how long at the least a barrier follows another. It is for the
 	// owner to set before Run.
 	Gap func() time.Duration
+	// Limits are what the state service takes, TxnOps and ValueKB of it. They are
+	// for the owner to set before Run.
+	Limits Limits
+	// Log is told of records that can't be read. Nil: nobody is.
+	Log *slog.Logger
 
 	store  Store
 	asks   chan chan error
@@ -70,20 +83,35 @@
 	pages  map[int]*page
 	finals map[string]JobRecord
 	order  []string
+	form   FormRecord
+	formAt uint64 // the version of the form's record
+	intake map[string]*intakePage
+	queues map[int]*queue
+	ctx    context.Context // of Run
+	ended  bool            // by which no writer begins any more
+
+	writers sync.WaitGroup // of submissions
 }
 
 // NewReader makes a reader; Run must be running for lookups to be answered.
 func NewReader(store Store) *Reader {
 	return &Reader{store: store, asks: make(chan chan error, 256),
-		finals: map[string]JobRecord{}}
+		finals: map[string]JobRecord{}, queues: map[int]*queue{}}
 }
 
-// Run answers barriers until ctx ends.
+// Run answers barriers and commits submissions until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	defer r.writers.Wait()
 	for {
 		var first chan error
 		select {
 		case <-ctx.Done():
+			r.mu.Lock()
+			r.ended = true
+			r.mu.Unlock()
 			return
 		case first = <-r.asks:
 		}
@@ -136,8 +164,7 @@
 	if loaded {
 		ev, err := r.store.Follow(ctx, Active, rev, 0)
 		if err == nil {
-			r.apply(ev)
-			return nil
+			return r.apply(ev)
 		}
 		if !errors.Is(err, state.ErrTooOld) {
 			return err
@@ -149,7 +176,7 @@
 	}
 	r.mu.Lock()
 	r.loaded, r.rev = true, rev
-	r.jobs, r.pages = map[string]*activeJob{}, map[int]*page{}
+	r.jobs, r.pages, r.intake = map[string]*activeJob{}, map[int]*page{}, map[string]*intakePage{}
 	r.detail.reset()
 	for _, it := range items {
 		r.put(it.Key, it.Value, it.Version)
@@ -164,11 +191,10 @@
 		r.mu.Unlock()
 		return err
 	}
-	r.apply(ev)
-	return nil
+	return r.apply(ev)
 }
 
-func (r *Reader) apply(ev wire.Events) {
+func (r *Reader) apply(ev wire.Events) error {
 	// A page may have changed many times since: only its last state counts.
 	last := map[string]uint64{}
 	for i := range ev.Log {
@@ -186,6 +212,10 @@
 		}
 	}
 	r.rev = max(r.rev, ev.Revision)
+	if r.form.Form > Form {
+		return ErrNewer
+	}
+	return nil
 }
 
 func (r *Reader) job(id string) *activeJob {
@@ -207,6 +237,22 @@
 		}
 		return
 	}
+	if IsIntake(key) {
+		var rec IntakeRecord
+		if err := wire.Unmarshal(v, &rec); err != nil {
+			r.unreadable(key, err)
+			return
+		}
+		r.setIntake(key, rec, version)
+		return
+	}
+	if key == FormKey && version > r.formAt {
+		if err := wire.Unmarshal(v, &r.form); err != nil {
+			r.unreadable(key, err)
+		}
+		r.formAt = version
+		return
+	}
 	if strings.HasPrefix(key, Apps) {
 		r.detail.put(key, v, version)
 		return
@@ -246,13 +292,20 @@
 
 func (r *Reader) remove(key string, version uint64) {
 	if id, ok := ParseJobKey(key); ok {
-		if j := r.jobs[id]; j != nil && j.version <= version {
+		if j := r.jobs[id]; j != nil && j.version <= version && j.home == "" {
 			j.version = 0
 			r.detail.dropJob(id, &j.rec)
 			r.drop(id, j)
 		}
 		return
 	}
+	if IsIntake(key) {
+		r.setIntake(key, IntakeRecord{}, version)
+		if p := r.intake[key]; !IsHead(key) && p.version == version {
+			delete(r.intake, key) // it never comes back
+		}
+		return
+	}
 	if n, ok := ParsePageKey(key); ok {
 		r.setPage(n, nil, version)
 	}
@@ -277,7 +330,7 @@
 	if j == nil || j.version == 0 {
 		return View{}, false
 	}
-	v := View{Record: j.rec, Version: j.version}
+	v := View{Record: j.rec, Version: j.version, home: j.home}
 	for _, c := range j.chunks {
 		v.Done += c.done
 		v.Placed += c.placed
@@ -331,22 +384,10 @@
 	return View{Record: rec}, true, nil
 }
 
-// Accept commits a submission. known is true where the id is known already.
-func (r *Reader) Accept(ctx context.Context, j wire.Job, at time.Time) (known bool, err error) {
-	guards := []wire.Guard{{Key: JobKey(j.ID)}, {Key: FinalKey(j.ID)}}
-	ops := []wire.Op{{Put: JobKey(j.ID), Value: JobRecord{Job: j, AtMs: at.UnixMilli()}}}
-	_, err = r.store.Commit(ctx, guards, ops)
-	var c *state.Conflict
-	if errors.As(err, &c) {
-		return true, nil
-	}
-	return false, err
-}
-
 // Cancel ends a job unless it is over, and returns its final state; found is
 // false where it was never accepted.
 func (r *Reader) Cancel(ctx context.Context, id string) (final string, found bool, err error) {
-	for range 4 {
+	for range 8 {
 		v, found, err := r.Lookup(ctx, id)
 		if err != nil || !found {
 			return "", found, err
@@ -356,9 +397,13 @@
 		}
 		rec := v.Record
 		rec.State = wire.JobCancelled
-		_, err = r.store.Commit(ctx,
-			[]wire.Guard{{Key: JobKey(id), Version: v.Version}, {Key: FinalKey(id)}},
-			[]wire.Op{{Delete: JobKey(id)}, {Put: FinalKey(id), Value: rec}})
+		if v.home != "" {
+			err = r.cancelOnPage(ctx, id, v.home, rec)
+		} else {
+			_, err = r.store.Commit(ctx,
+				[]wire.Guard{{Key: JobKey(id), Version: v.Version}, {Key: FinalKey(id)}},
+				[]wire.Op{{Delete: JobKey(id)}, {Put: FinalKey(id), Value: rec}})
+		}
 		if err == nil {
 			r.keepFinal(id, rec)
 			return rec.State, true, nil
--- /dev/null
+++ b/ledger/store_test.go
@@ -0,0 +1,184 @@
+package ledger_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// store is a state service in memory that takes 3 ms, and of which a story can
+// have transactions applied late, or their answers lost.
+type store struct {
+	rnd        *rand.Rand
+	lost, late float64       // shares of the transactions
+	lateBy     time.Duration // at most
+
+	mu      sync.Mutex
+	rev     uint64
+	keys    map[string]wire.Entry
+	log     []wire.Event
+	changes int // also of transactions whose conditions failed
+	asked   int
+	check   func() // after each change
+	wg      sync.WaitGroup
+}
+
+func newStore(seed uint64) *store {
+	return &store{rnd: rand.New(rand.NewPCG(seed, 5)), keys: map[string]wire.Entry{}}
+}
+
+func (s *store) Get(_ context.Context, key string) (wire.Entry, error) {
+	time.Sleep(3 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	e := s.keys[key]
+	e.Revision = s.rev
+	return e, nil
+}
+
+func (s *store) List(_ context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	time.Sleep(3 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	var out []wire.Entry
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.rev, nil
+}
+
+func (s *store) Follow(_ context.Context, prefix string, after uint64, _ time.Duration) (wire.Events, error) {
+	time.Sleep(3 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	ev := wire.Events{Revision: s.rev}
+	for _, e := range s.log {
+		if e.Version > after && strings.HasPrefix(e.Put+e.Delete, prefix) {
+			ev.Log = append(ev.Log, e)
+		}
+	}
+	return ev, nil
+}
+
+func (s *store) Commit(_ context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
+	time.Sleep(3 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	s.changes += len(ops)
+	switch p := s.rnd.Float64(); {
+	case p < s.late:
+		by := time.Duration(s.rnd.Int64N(int64(s.lateBy)))
+		s.wg.Go(func() {
+			time.Sleep(by)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.apply(guards, ops)
+		})
+		return 0, state.ErrUnknown
+	case p < s.late+s.lost:
+		_, _ = s.apply(guards, ops)
+		return 0, state.ErrUnknown
+	}
+	return s.apply(guards, ops)
+}
+
+// apply is the transaction itself; the lock is held.
+func (s *store) apply(guards []wire.Guard, ops []wire.Op) (uint64, error) {
+	var failed []string
+	for _, g := range guards {
+		if s.keys[g.Key].Version != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if failed != nil {
+		return 0, &state.Conflict{Failed: failed, Revision: s.rev}
+	}
+	s.rev++
+	for _, op := range ops {
+		if op.Delete != "" {
+			delete(s.keys, op.Delete)
+			s.log = append(s.log, wire.Event{Delete: op.Delete, Version: s.rev})
+			continue
+		}
+		raw, err := wire.Marshal(op.Value)
+		if err != nil {
+			return 0, err
+		}
+		s.keys[op.Put] = wire.Entry{Key: op.Put, Value: raw, Version: s.rev}
+		s.log = append(s.log, wire.Event{Put: op.Put, Value: raw, Version: s.rev})
+	}
+	if s.check != nil {
+		s.check()
+	}
+	return s.rev, nil
+}
+
+// where lists the keys on which a job's records stand; the lock is held.
+func (s *store) where(id string) []string {
+	var out []string
+	for k, e := range s.keys {
+		if k == ledger.JobKey(id) || k == ledger.FinalKey(id) {
+			out = append(out, k)
+		}
+		var page ledger.IntakeRecord
+		if ledger.IsIntake(k) && wire.Unmarshal(e.Value, &page) == nil {
+			for _, j := range page.Jobs {
+				if j.ID == id {
+					out = append(out, k)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// finish is the leader's transaction that ends a job, and repeats it until it is
+// over; done says whether it was this that ended it.
+func (s *store) finish(id string) (done bool) {
+	for {
+		time.Sleep(2 * time.Millisecond)
+		s.mu.Lock()
+		at := s.where(id)
+		if len(at) != 1 || at[0] == ledger.FinalKey(id) {
+			s.mu.Unlock()
+			return false
+		}
+		e := s.keys[at[0]]
+		s.mu.Unlock()
+		rec := ledger.JobRecord{Job: wire.Job{ID: id}, State: wire.JobDone}
+		op := wire.Op{Delete: at[0]}
+		if ledger.IsIntake(at[0]) {
+			var page ledger.IntakeRecord
+			_ = wire.Unmarshal(e.Value, &page) // as this store wrote it
+			op = wire.Op{Put: at[0], Value: page.Without(map[string]bool{id: true})}
+		}
+		time.Sleep(2 * time.Millisecond)
+		s.mu.Lock()
+		_, err := s.apply([]wire.Guard{{Key: at[0], Version: e.Version}, {Key: ledger.FinalKey(id)}}, []wire.Op{op, {Put: ledger.FinalKey(id), Value: rec}})
+		s.mu.Unlock()
+		if err == nil {
+			return true
+		}
+	}
+}
+
+// raise writes the form in which jobs share pages.
+func (s *store) raise(buckets int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.apply([]wire.Guard{{Key: ledger.FormKey}}, []wire.Op{{Put: ledger.FormKey, Value: ledger.FormRecord{Form: ledger.Form, Buckets: buckets}}})
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -22,7 +22,7 @@
 	ID   string
 	Body []byte
 
-	From string  // the node that asks
+	From string  // the node that asks; of a user's request: that has passed it on to its bucket's node
 	Room int     // how many workers' connections it keeps
 	AgoS float64 // of a report: seconds since the worker's last answer there; negative if not known
 }
@@ -40,6 +40,7 @@
 	Leader  string
 	StateOK bool
 	Plan    *routing.Plan // of the leader: where workers report
+	Form    int           // the newest form of records that the node reads
 }
 
 // Handler serves the other nodes.
@@ -104,11 +105,14 @@
 	return nil
 }
 
+// usersAtOnce is how many users' requests of other nodes are under way at most.
+const usersAtOnce = 256
+
 // Serve answers other nodes until ctx ends, with at most so many workers'
 // reports under way.
 func Serve(ctx context.Context, l net.Listener, h Handler, reports int) error {
 	srv := rpc.NewServer()
-	m := &Mesh{h: h, ctx: ctx, sem: make(chan struct{}, 64), rep: make(chan struct{}, max(64, reports))}
+	m := &Mesh{h: h, ctx: ctx, sem: make(chan struct{}, usersAtOnce), rep: make(chan struct{}, max(64, reports))}
 	if err := srv.Register(m); err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -47,7 +47,14 @@
 		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Kind, j.Tasks, j.OneZone = wire.KindGang, 2, true })}}
 }
 
+// Page is the same two jobs with their records on one page.
+func Page() *Scenario {
+	sc := Quota()
+	sc.Name, sc.Shared, sc.Cancels = "shared page", true, 2
+	return sc
+}
+
 // Scenarios are all of them.
 func Scenarios() []*Scenario {
-	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Gang(), Split()}
+	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split()}
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -9,7 +9,6 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -97,7 +96,7 @@
 		out = append(out, Action{Direct, uint8(i)})
 	}
 	for i := range w.sc.Cancels {
-		if _, ok := w.store[ledger.JobKey(w.sc.Jobs[i].ID)]; ok {
+		if _, ok := w.active(w.sc.Jobs[i].ID); ok {
 			out = append(out, Action{Cancel, uint8(i)})
 		}
 	}
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -58,6 +58,7 @@
 	Takeovers int     // changes of leader at most
 	Only      []Kind  // what may happen; nil: anything
 	Reliable  int     // of the last so many machines no message is split, late or lost
+	Shared    bool    // the jobs' records share a page
 }
 
 const (
@@ -160,7 +161,22 @@
 	for _, z := range sc.Zones {
 		w.workers = append(w.workers, &worker{name: fmt.Sprintf("host-%d", len(w.workers)+1), zone: z, session: 1})
 	}
+	if sc.Shared {
+		w.rev++
+		var page ledger.IntakeRecord
+		for i := range sc.Jobs {
+			raw, err := wire.Marshal(ledger.JobRecord{Job: sc.Jobs[i], AtMs: began.UnixMilli()})
+			if err != nil {
+				panic(err) // a job of ours
+			}
+			page.Jobs = append(page.Jobs, ledger.IntakeEntry{ID: sc.Jobs[i].ID, Record: raw})
+		}
+		w.store[ledger.SealedKey(0, 1)] = value{page, w.rev}
+	}
 	for i := range sc.Jobs {
+		if sc.Shared {
+			break
+		}
 		w.rev++
 		w.store[ledger.JobKey(sc.Jobs[i].ID)] = value{ledger.JobRecord{Job: sc.Jobs[i], AtMs: began.UnixMilli()}, w.rev}
 	}
@@ -194,6 +210,9 @@
 		if id, ok := ledger.ParseJobKey(k); ok {
 			m.PutJob(id, w.store[k].v.(ledger.JobRecord), w.store[k].version, w.now())
 		}
+		if ledger.IsIntake(k) {
+			m.PutIntake([]cluster.IntakePage{{Key: k, Version: w.store[k].version, Record: w.store[k].v.(ledger.IntakeRecord)}}, w.now())
+		}
 	}
 	for _, k := range keys {
 		n, ok := ledger.ParsePageKey(k)
@@ -217,6 +236,16 @@
 
 // learn is the leader's watch: it sees which active records are gone.
 func (w *World) learn() {
+	if w.sc.Shared {
+		key := ledger.SealedKey(0, 1)
+		page, ok := w.store[key]
+		if !ok {
+			page = value{ledger.IntakeRecord{}, w.rev} // removed, at the latest by now
+		}
+		w.model.PutIntake([]cluster.IntakePage{{Key: key, Version: page.version, Record: page.v.(ledger.IntakeRecord)}}, w.now())
+		w.seen = w.rev
+		return
+	}
 	for i := range w.sc.Jobs {
 		id := w.sc.Jobs[i].ID
 		if _, ok := w.store[ledger.JobKey(id)]; !ok {
@@ -587,11 +616,32 @@
 	}
 }
 
+// active is a job's record, while it is not over.
+func (w *World) active(id string) (ledger.JobRecord, bool) {
+	if page, ok := w.store[ledger.SealedKey(0, 1)].v.(ledger.IntakeRecord); ok {
+		for _, e := range page.Jobs {
+			if e.ID == id {
+				rec, err := e.Decode()
+				return rec, err == nil
+			}
+		}
+	}
+	rec, ok := w.store[ledger.JobKey(id)].v.(ledger.JobRecord)
+	return rec, ok
+}
+
 func (w *World) cancel(i int) {
 	j := w.sc.Jobs[i]
-	rec := w.store[ledger.JobKey(j.ID)].v.(ledger.JobRecord)
+	rec, _ := w.active(j.ID)
 	rec.State = wire.JobCancelled
 	w.rev++
+	if key := ledger.SealedKey(0, 1); w.sc.Shared {
+		if page := w.store[key].v.(ledger.IntakeRecord).Without(map[string]bool{j.ID: true}); len(page.Jobs) > 0 {
+			w.store[key] = value{page, w.rev}
+		} else {
+			delete(w.store, key)
+		}
+	}
 	delete(w.store, ledger.JobKey(j.ID))
 	w.store[ledger.FinalKey(j.ID)] = value{rec, w.rev}
 	w.cancelled[j.ID] = w.step
@@ -682,6 +732,10 @@
 		switch v := w.store[k].v.(type) {
 		case ledger.JobRecord:
 			fmt.Fprint(out, v.State)
+		case ledger.IntakeRecord:
+			for _, e := range v.Jobs {
+				fmt.Fprint(out, ",", e.ID)
+			}
 		case ledger.PageRecord:
 			for _, c := range v.Chunks {
 				fmt.Fprintf(out, ",%s%d%v%v", c.Job, c.Attempt, c.Placed, c.Done)
--- /dev/null
+++ b/snapshot/snapshot_test.go
@@ -0,0 +1,233 @@
+package snapshot_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/snapshot"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+func sample(t *testing.T, n int) (map[string]wire.Raw, []byte) {
+	t.Helper()
+	var buf bytes.Buffer
+	w, err := snapshot.NewWriter(&buf, snapshot.Header{Revision: 7, AtMs: 1000, By: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]wire.Raw{}
+	for i := range n {
+		raw, err := wire.Marshal(map[string]any{"n": i, "text": strings.Repeat("x", i%90)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := snapshot.Pair{Key: fmt.Sprintf("k/%06d", i), Value: raw}
+		all[p.Key] = raw
+		if err := w.Add(p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return all, buf.Bytes()
+}
+
+func read(b []byte) (map[string]wire.Raw, error) {
+	r, err := snapshot.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	return r.All()
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	want, b := sample(t, 2000)
+	got, err := read(b)
+	if err != nil || len(got) != len(want) {
+		t.Fatalf("%d of %d, %v", len(got), len(want), err)
+	}
+	for k := range want {
+		if !bytes.Equal(got[k], want[k]) {
+			t.Errorf("%s differs", k)
+		}
+	}
+}
+
+// Wherever a file is cut off or changed it is refused, with the place named.
+func TestACutOffOrChangedFileIsRefused(t *testing.T) {
+	_, b := sample(t, 1200)
+	for n := 0; n < len(b); n += 1 + n/7 {
+		if _, err := read(b[:n]); !errors.Is(err, snapshot.ErrDamaged) {
+			t.Errorf("cut off at %d of %d: %v", n, len(b), err)
+		}
+	}
+	for n := 0; n < len(b); n += 1 + len(b)/400 {
+		changed := bytes.Clone(b)
+		changed[n] ^= 0x20
+		_, err := read(changed)
+		if err == nil {
+			t.Errorf("changed at %d of %d: nothing is said", n, len(b))
+		}
+		if n > 40 && !strings.Contains(fmt.Sprint(err), "block") {
+			t.Errorf("changed at %d: the place is not named: %v", n, err)
+		}
+	}
+	if _, err := read(append(bytes.Clone(b), 0)); !errors.Is(err, snapshot.ErrDamaged) {
+		t.Errorf("with something behind: %v", err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("umberdeal snapshot\x01p\xff\xff\xff\xff"))
+	f.Add([]byte("umberdeal snapshot\x02"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, err := read(b); err == nil {
+			t.Error("only a writer makes a whole one")
+		}
+	})
+}
+
+func client(w *fake.World) *state.Client {
+	return state.New(w.Net.Dial("ops"), "state:1", 200, 200)
+}
+
+var errCut = errors.New("cut off")
+
+// few is a state service that takes so many transactions.
+type few struct {
+	*state.Client
+	left int
+}
+
+func (f *few) Commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
+	if f.left--; f.left < 0 {
+		return 0, errCut
+	}
+	return f.Client.Commit(ctx, guards, ops)
+}
+
+// A snapshot taken while jobs come and go is of one moment and sound, and a world
+// that is filled with it knows every job.
+func TestASnapshotOfARunningServiceFillsAnEmptyOne(t *testing.T) {
+	var file bytes.Buffer
+	var known map[string]string
+	tell.Story(t, fake.Options{Machines: 6, Capacity: 8}, func(t *testing.T, w *fake.World) {
+		known = map[string]string{}
+		for n := range 60 {
+			j := tell.Job(n, func(j *wire.Job) { j.EstimateS = float64(2 + n%9) })
+			tell.MustSubmit(t, w, j)
+			if n == 40 {
+				h, keys, err := snapshot.Take(t.Context(), client(w), 20, &file, "test")
+				if err != nil || keys < 20 || h.Revision == 0 {
+					t.Fatalf("%d keys, %+v, %v", keys, h, err)
+				}
+			}
+			if n < 40 {
+				known[j.ID] = ""
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	r, err := snapshot.NewReader(&file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, err := r.All()
+	if err != nil {
+		t.Fatal(err)
+	}
+	totals, found := snapshot.Verify(all)
+	if len(found) > 0 || totals.Over == 0 || totals.Unfinished == 0 {
+		t.Errorf("%+v: %v", totals, found)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(fake.Options{Machines: 4})
+		defer w.Close()
+		time.Sleep(5 * time.Second)
+		for n := range w.Nodes() {
+			w.KillNode(n)
+		}
+		time.Sleep(30 * time.Second)
+		if _, err := snapshot.Restore(t.Context(), client(w), r.Header, all, 12); !errors.Is(err, snapshot.ErrNotEmpty) {
+			t.Errorf("into one that is not empty: %v", err)
+		}
+		w.State.Wipe()
+		// Cut off in the middle, it goes on where it stopped.
+		first, err := snapshot.Restore(t.Context(), &few{client(w), 4}, r.Header, all, 5)
+		if !errors.Is(err, errCut) || first == 0 {
+			t.Errorf("was not cut off: %d", first)
+		}
+		second, err := snapshot.Restore(t.Context(), client(w), r.Header, all, 12)
+		if err != nil || second == 0 {
+			t.Errorf("%d and then %d keys: %v", first, second, err)
+		}
+		if n := len(w.State.Keys("")); n != len(all) {
+			t.Errorf("%d keys of %d", n, len(all))
+		}
+		rd := ledger.NewReader(client(w))
+		rctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); rd.Run(rctx) }()
+		for id := range known {
+			if _, ok, err := rd.Lookup(t.Context(), id); err != nil || !ok {
+				t.Errorf("%s is not known: %v", id, err)
+			}
+		}
+		stop()
+		<-done
+	})
+}
+
+// Each invariant that does not hold is named with its key.
+func TestWhatDoesNotHoldIsNamed(t *testing.T) {
+	raw := func(v any) wire.Raw {
+		b, err := wire.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	rec := func(n int, st string) ledger.JobRecord {
+		return ledger.JobRecord{Job: tell.Job(n, nil), State: st}
+	}
+	all := map[string]wire.Raw{
+		ledger.JobKey("wk-000001"):   raw(rec(1, "")),
+		ledger.FinalKey("wk-000001"): raw(rec(1, wire.JobDone)),
+		ledger.FinalKey("wk-000002"): raw(rec(2, "lost")),
+		ledger.FinalKey("wk-000003"): raw(rec(4, wire.JobDone)),
+		ledger.HeadKey(0):            raw(ledger.IntakeRecord{Jobs: []ledger.IntakeEntry{{ID: "wk-000005", Record: wire.Raw{0xc0}}}}),
+		ledger.JobKey("wk-000006"):   {0xc1},
+		ledger.JobKey("wk-000007"):   raw(rec(7, "")),
+		ledger.PageKey(0): raw(ledger.PageRecord{Chunks: []ledger.ChunkRecord{
+			{Job: "wk-000007", Attempt: 3, Done: []int{0, 0}, Placed: []ledger.Placement{{Task: 0, Attempt: 2, Machine: "a"}, {Task: 1, Attempt: 9, Machine: "b"}, {Task: 5, Attempt: 1, Machine: "c"}}},
+			{Job: "wk-000099"}, {Job: "wk-000007"}}}),
+	}
+	_, found := snapshot.Verify(all)
+	var text []string
+	for _, f := range found {
+		text = append(text, f.String())
+	}
+	said := strings.Join(text, "\n")
+	for _, want := range []string{"w/j/wk-000001: job wk-000001 stands at f/wk-000001", "f/wk-000002: is over with state", "f/wk-000003: its record is that of",
+		"w/j/+0: jobs share a page, and the form is 0", "w/j/+0: job wk-000005", "w/j/wk-000006: can't be read", "w/p/0: task wk-000007/0 is done, and placed on a",
+		"w/p/0: task wk-000007/1 is placed with attempt 9", "w/p/0: job wk-000007 has no task 5", "w/p/0: chunk 0 of job wk-000099, which is not there",
+		"w/p/0: chunk 0 of job wk-000007 stands at"} {
+		if !strings.Contains(said, want) {
+			t.Errorf("not said: %s", want)
+		}
+	}
+	if len(found) != 11 {
+		t.Errorf("%d findings:\n%s", len(found), said)
+	}
+}
--- /dev/null
+++ b/snapshot/verify.go
@@ -0,0 +1,196 @@
+package snapshot
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Finding is an invariant of the ledger that does not hold.
+type Finding struct {
+	Key  string
+	What string
+}
+
+func (f Finding) String() string { return f.Key + ": " + f.What }
+
+// Totals counts what a ledger holds.
+type Totals struct {
+	Keys, Unfinished, Over, Placed, Other int
+}
+
+// Verify says which invariants of the ledger do not hold, each with its key, in
+// their order.
+func Verify(all map[string]wire.Raw) (Totals, []Finding) {
+	v := &verifier{all: all, jobs: map[string]at{}, chunks: map[chunk]string{}}
+	v.totals.Keys = len(all)
+	keys := slices.Sorted(maps.Keys(all))
+	v.readForm()
+	for _, key := range keys {
+		v.job(key)
+	}
+	for _, key := range keys {
+		if _, ok := ledger.ParsePageKey(key); ok {
+			v.page(key)
+		}
+	}
+	slices.SortStableFunc(v.found, func(a, b Finding) int { return strings.Compare(a.Key, b.Key) })
+	return v.totals, v.found
+}
+
+type at struct {
+	key string
+	rec ledger.JobRecord
+}
+
+type chunk struct {
+	job string
+	n   int
+}
+
+type verifier struct {
+	all    map[string]wire.Raw
+	form   ledger.FormRecord
+	jobs   map[string]at
+	chunks map[chunk]string
+	totals Totals
+	found  []Finding
+}
+
+func (v *verifier) say(key, what string, args ...any) {
+	v.found = append(v.found, Finding{key, fmt.Sprintf(what, args...)})
+}
+
+// read decodes a key's value, or says that it can't be read.
+func (v *verifier) read(key string, out any) bool {
+	if err := wire.Unmarshal(v.all[key], out); err != nil {
+		v.say(key, "can't be read: %v", err)
+		return false
+	}
+	return true
+}
+
+func (v *verifier) readForm() {
+	raw, ok := v.all[ledger.FormKey]
+	if !ok {
+		return
+	}
+	if len(raw) > 0 && v.read(ledger.FormKey, &v.form) && v.form.Form > ledger.Form {
+		v.say(ledger.FormKey, "form %d is newer than this program reads (%d)", v.form.Form, ledger.Form)
+	}
+}
+
+// job takes in the jobs that stand on a key.
+func (v *verifier) job(key string) {
+	const final = "f/"
+	if ledger.IsIntake(key) {
+		var page ledger.IntakeRecord
+		if !v.read(key, &page) {
+			return
+		}
+		if v.form.Form < ledger.FormIntake {
+			v.say(key, "jobs share a page, and the form is %d", v.form.Form)
+		}
+		for _, e := range page.Jobs {
+			rec, err := e.Decode()
+			if err != nil {
+				v.say(key, "%v", err)
+				continue
+			}
+			if v.form.Buckets > 0 && key != ledger.HeadKey(v.form.Bucket(e.ID)) && !strings.HasPrefix(key, ledger.HeadKey(v.form.Bucket(e.ID))+".") {
+				v.say(key, "job %s belongs to bucket %d", e.ID, v.form.Bucket(e.ID))
+			}
+			v.put(key, e.ID, rec)
+		}
+		return
+	}
+	id, ok := ledger.ParseJobKey(key)
+	over := false
+	if !ok {
+		if id, over = strings.CutPrefix(key, final); !over {
+			if _, page := ledger.ParsePageKey(key); !page {
+				v.totals.Other++
+			}
+			return
+		}
+	}
+	var rec ledger.JobRecord
+	if !v.read(key, &rec) {
+		return
+	}
+	if rec.Job.ID != id {
+		v.say(key, "its record is that of job %q", rec.Job.ID)
+	}
+	if over && rec.State != wire.JobDone && rec.State != wire.JobCancelled {
+		v.say(key, "is over with state %q", rec.State)
+	}
+	v.put(key, id, rec)
+}
+
+func (v *verifier) put(key, id string, rec ledger.JobRecord) {
+	if was, ok := v.jobs[id]; ok {
+		v.say(key, "job %s stands at %s as well", id, was.key)
+		return
+	}
+	v.jobs[id] = at{key, rec}
+	if rec.State == "" {
+		v.totals.Unfinished++
+	} else {
+		v.totals.Over++
+	}
+}
+
+// page takes in a page of placement records.
+func (v *verifier) page(key string) {
+	var page ledger.PageRecord
+	if !v.read(key, &page) {
+		return
+	}
+	for i := range page.Chunks {
+		c := &page.Chunks[i]
+		name := chunk{c.Job, c.Chunk}
+		if other, ok := v.chunks[name]; ok {
+			v.say(key, "chunk %d of job %s stands at %s as well", c.Chunk, c.Job, other)
+			continue
+		}
+		v.chunks[name] = key
+		j, ok := v.jobs[c.Job]
+		if !ok {
+			v.say(key, "chunk %d of job %s, which is not there", c.Chunk, c.Job)
+			continue
+		}
+		lo, hi := c.Chunk*ledger.ChunkSize, min((c.Chunk+1)*ledger.ChunkSize, j.rec.Job.Tasks)
+		done := map[int]bool{}
+		for k := 0; k+1 < len(c.Done); k += 2 {
+			if c.Done[k] < lo || c.Done[k+1] >= hi || c.Done[k] > c.Done[k+1] {
+				v.say(key, "job %s: tasks %d to %d are done, and its chunk has %d to %d", c.Job, c.Done[k], c.Done[k+1], lo, hi-1)
+				continue
+			}
+			for t := c.Done[k]; t <= c.Done[k+1]; t++ {
+				done[t] = true
+			}
+		}
+		if j.rec.State != "" {
+			continue // what is left of a job that is over leaves with the page's next change
+		}
+		placed := map[int]string{}
+		for _, p := range c.Placed {
+			switch {
+			case p.Task < lo || p.Task >= hi:
+				v.say(key, "job %s has no task %d in chunk %d", c.Job, p.Task, c.Chunk)
+			case done[p.Task]:
+				v.say(key, "task %s/%d is done, and placed on %s", c.Job, p.Task, p.Machine)
+			case placed[p.Task] != "":
+				v.say(key, "task %s/%d is placed on %s and on %s", c.Job, p.Task, placed[p.Task], p.Machine)
+			case p.Attempt > c.Attempt:
+				v.say(key, "task %s/%d is placed with attempt %d, the highest used being %d", c.Job, p.Task, p.Attempt, c.Attempt)
+			}
+			placed[p.Task] = p.Machine
+			v.totals.Placed++
+		}
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -162,6 +162,27 @@
 	return e, err
 }
 
+// listPage is how many keys are asked for at once.
+const listPage = 500
+
+// Page reads the keys with a prefix that come after a key, in their order: some of
+// them. more says that there are others.
+func (c *Client) Page(ctx context.Context, prefix, after string) (entries []wire.Entry, more bool, rev uint64, err error) {
+	q := url.Values{"prefix": {prefix}, "page": {strconv.Itoa(listPage)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	status, body, err := c.do(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, answerMax, c.timeout)
+	if err != nil {
+		return nil, false, 0, err
+	}
+	var l wire.Listing
+	if err := decode(status, body, &l); err != nil {
+		return nil, false, 0, err
+	}
+	return l.Items, l.More && len(l.Items) > 0, l.Revision, nil
+}
+
 // List reads all keys with a prefix. The revision is that of the first page:
 // a watch from there sees every change that the pages may have missed.
 func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
@@ -169,26 +190,18 @@
 	var first uint64
 	after := ""
 	for {
-		q := url.Values{"prefix": {prefix}, "page": {"500"}}
-		if after != "" {
-			q.Set("after", after)
-		}
-		status, body, err := c.do(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, answerMax, c.timeout)
+		items, more, rev, err := c.Page(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
-		var l wire.Listing
-		if err := decode(status, body, &l); err != nil {
-			return nil, 0, err
-		}
 		if first == 0 {
-			first = l.Revision
+			first = rev
 		}
-		all = append(all, l.Items...)
-		if !l.More || len(l.Items) == 0 {
+		all = append(all, items...)
+		if !more {
 			return all, first, nil
 		}
-		after = l.Items[len(l.Items)-1].Key
+		after = items[len(items)-1].Key
 	}
 }
 
--- a/yarn/door_test.go
+++ b/yarn/door_test.go
@@ -143,7 +143,7 @@
 
 func noRecords(t *testing.T, w *fake.World) {
 	t.Helper()
-	for _, k := range w.State.Keys("") {
+	for _, k := range append(w.State.JobKeys(), w.State.Keys("yx/")...) {
 		if strings.HasPrefix(k, "w/j/") || strings.HasPrefix(k, "yx/") || strings.HasPrefix(k, "w/y/application") {
 			t.Errorf("record left: %s", k)
 		}
