Damaged records are set aside; what claims more than it has is refused before room is made

Cause: one record that can't be read kept every leader from leading; and a fuzzer found that a list of five bytes that claims billions of elements had the decoder ask for 86 GB, in records and in workers' reports (submissions were guarded). Change: jobs whose records or placements can't be read are named, stand still, can be cancelled; the leader places nothing for cancel_s then. Every message is walked through before it is decoded.

Measured: stories of a damaged job and a damaged page under two leaders: the others run, none twice, none forgotten.

--- /dev/null
+++ b/cluster/damaged.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+)
+
+// This file is about records of earlier leaders that can't be read. What they say
+// is not guessed: what hangs on them is set aside and named, and the rest goes on.
+
+// keptSize is what the chunks that are kept as they were take, about.
+func (p *page) keptSize() int {
+	n := 0
+	for i := range p.kept {
+		n += 80 + 40*len(p.kept[i].Placed) + 8*len(p.kept[i].Done)
+	}
+	return n
+}
+
+// DamagedJob names a job whose record can't be read. It stands still until its
+// user cancels it; its placements are kept as they are, since attempts must
+// not repeat should it be read again.
+func (m *Model) DamagedJob(key, id string, err error) {
+	m.log.Error("unreadable job record: the job is set aside", "key", key, "id", id, "err", err)
+	if m.unreadable == nil {
+		m.unreadable = map[string]bool{}
+	}
+	m.unreadable[id] = true
+	m.wait()
+}
+
+// DamagedIntake names a page of jobs that can't be read: which jobs stand on it is
+// not known. Chunks of jobs that are not known otherwise are kept.
+func (m *Model) DamagedIntake(key string, version uint64, err error) {
+	m.log.Error("unreadable page of jobs: they are set aside", "key", key, "err", err)
+	m.lostIntake = true
+	m.wait()
+}
+
+// DamagedPage names a page of placement records that can't be read, and keeps it as
+// it is. Whatever it may speak of is set aside when all has been read.
+func (m *Model) DamagedPage(n int, version uint64, err error) {
+	key := ledger.PageKey(n)
+	m.log.Error("unreadable page of placements: jobs that it may speak of are set aside", "key", key, "err", err)
+	for len(m.pages) <= n {
+		m.pages = append(m.pages, &page{n: len(m.pages)})
+	}
+	m.pages[n].version, m.pages[n].size = version, 1<<30 // nothing is put there
+	m.damaged = max(m.damaged, version)
+	m.wait()
+}
+
+// wait holds all placing back until the tasks that can't be accounted for are gone
+// by all means: they may use a team's limit. A worker that is answered is told
+// to stop what nobody knows; one that is not loses its lease.
+func (m *Model) wait() {
+	m.quiet = m.Takeover.Add(config.Seconds(m.cfg.Cluster.Workers.CancelS))
+}
+
+// setAside holds the jobs back of which a page that can't be read may have
+// placements: those with a part that no other page has, unless they were
+// accepted after it was last written.
+func (m *Model) setAside() {
+	if m.damaged == 0 {
+		return
+	}
+	for _, j := range m.Jobs {
+		if j == nil || j.Cancelled || j.Finished || j.home == nil && j.Version > m.damaged {
+			continue
+		}
+		for i := range j.Chunks {
+			if j.Chunks[i].page == nil {
+				j.aside = true
+				m.log.Error("job set aside: where its tasks are can't be read", "id", j.ID)
+				break
+			}
+		}
+	}
+}
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -31,7 +31,8 @@
 	gen       uint64 // counts changes
 	committed uint64 // the last change that is in the store
 	chunks    []chunkRef
-	size      int // the most bytes that its records take
+	kept      []ledger.ChunkRecord // of jobs whose records can't be read
+	size      int                  // the most bytes that its records take
 }
 
 type chunkRef struct {
@@ -74,7 +75,7 @@
 func (m *Model) findPage(j *Job, n int) {
 	size := m.chunkSize(j, n)
 	for _, p := range m.pages {
-		if p.size+size <= m.pageBytes() && len(p.chunks) < m.pageChunks() {
+		if p.size+size <= m.pageBytes() && len(p.chunks)+len(p.kept) < m.pageChunks() {
 			m.putOn(p, j, n)
 			return
 		}
@@ -238,6 +239,8 @@
 		bytes  = 200
 	)
 	jobs := map[string]*Job{}
+	rec.Chunks = append(rec.Chunks, p.kept...)
+	bytes += p.keptSize()
 	for _, r := range p.chunks {
 		c := &r.j.Chunks[r.n]
 		cr := r.j.chunkRecord(r.n)
@@ -262,7 +265,7 @@
 	}
 	key := ledger.PageKey(p.n)
 	op := wire.Op{Put: key, Value: rec}
-	if len(p.chunks) == 0 {
+	if len(rec.Chunks) == 0 {
 		op = wire.Op{Delete: key}
 		if p.version == 0 {
 			p.committed = p.gen // it was never written
--- a/cluster/intake.go
+++ b/cluster/intake.go
@@ -85,7 +85,7 @@
 	if j == nil {
 		rec, err := e.Decode()
 		if err != nil {
-			m.log.Error("unreadable job record", "key", p.key, "err", err)
+			m.DamagedJob(p.key, e.ID, err)
 			return
 		}
 		m.PutJob(e.ID, rec, p.version, now)
--- /dev/null
+++ b/cluster/load_test.go
@@ -0,0 +1,111 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Whatever a page of placements holds, taking it in and going on ends, and what
+// is written afterwards can be read.
+func FuzzLoadPage(f *testing.F) {
+	add := func(rec ledger.PageRecord) {
+		b, err := wire.Marshal(rec)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	add(ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001", Attempt: 3, Done: []int{1, 2}, Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-000001"}}}}})
+	add(ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001", Chunk: -1}, {Job: "wk-000001", Done: []int{-5, 1 << 40, 3}}, {Job: "wk-000001", Placed: []ledger.Placement{{Task: -1}, {Task: 4}}}}})
+	add(ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001"}, {Job: "wk-000001"}, {Job: "nobody", Placed: []ledger.Placement{{}}}}})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var rec ledger.PageRecord
+		if wire.Unmarshal(b, &rec) != nil {
+			return
+		}
+		m := newModel(5)
+		m.PutJob("wk-000001", arrayJob("wk-000001", 4), 1, at(0))
+		m.LoadPage(0, rec, 2, at(0))
+		m.Loaded(at(0))
+		r := rep(1, 5)
+		m.Observe(r, at(1))
+		m.Schedule(at(2), 1000)
+		for range 20 {
+			if b := m.NextBatch(12); b != nil {
+				b.Committed(9, at(2))
+			}
+		}
+		if m.Pending() > 0 {
+			t.Error("writing does not end")
+		}
+		if j := m.Job("wk-000001"); j != nil && (j.Done < 0 || j.Done > 4 || j.Placed < 0 || j.Placed > 4) {
+			t.Errorf("%d done, %d placed of 4", j.Done, j.Placed)
+		}
+	})
+}
+
+// What a next leader does with the records that it has read, by how many tasks
+// there are that are not over. Jobs that are over are not read.
+func BenchmarkTakeover(b *testing.B) {
+	for _, tasks := range []int{1_000, 10_000, 100_000} {
+		const each = 20
+		var pages []ledger.PageRecord
+		var jobs []ledger.JobRecord
+		for n := range tasks / each {
+			id := fmt.Sprintf("wk-%06d", n)
+			jobs = append(jobs, arrayJob(id, each))
+			c := ledger.ChunkRecord{Job: id, Attempt: each}
+			for t := range each {
+				c.Placed = append(c.Placed, ledger.Placement{Task: t, Attempt: uint64(t + 1), Machine: fmt.Sprintf("host-%06d", (n*each+t)/4)})
+			}
+			if n%16 == 0 {
+				pages = append(pages, ledger.PageRecord{})
+			}
+			last := &pages[len(pages)-1]
+			last.Chunks = append(last.Chunks, c)
+		}
+		raw := func(v any) wire.Raw {
+			out, err := wire.Marshal(v)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return out
+		}
+		var rawJobs, rawPages []wire.Raw
+		bytes := 0
+		for i := range jobs {
+			rawJobs = append(rawJobs, raw(jobs[i]))
+			bytes += len(rawJobs[i])
+		}
+		for i := range pages {
+			rawPages = append(rawPages, raw(pages[i]))
+			bytes += len(rawPages[i])
+		}
+		b.Run(fmt.Sprintf("%d tasks", tasks), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				m := newModel(5)
+				for i, v := range rawJobs {
+					var rec ledger.JobRecord
+					if err := wire.Unmarshal(v, &rec); err != nil {
+						b.Fatal(err)
+					}
+					m.PutJob(jobs[i].Job.ID, rec, 1, at(0))
+				}
+				for i, v := range rawPages {
+					var rec ledger.PageRecord
+					if err := wire.Unmarshal(v, &rec); err != nil {
+						b.Fatal(err)
+					}
+					m.LoadPage(i, rec, 2, at(0))
+				}
+				m.Loaded(at(0))
+			}
+			b.ReportMetric(float64(len(rawJobs)+len(rawPages)), "keys")
+			b.ReportMetric(float64(bytes)/1024, "KiB-read")
+		})
+	}
+}
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -125,7 +125,7 @@
 	m.live = live
 	var jobs []*Job
 	for _, idx := range m.live {
-		if j := m.Jobs[idx]; !j.Cancelled && !j.Finished && j.Done < len(j.Tasks) {
+		if j := m.Jobs[idx]; !j.Cancelled && !j.Finished && !j.aside && j.Done < len(j.Tasks) {
 			jobs = append(jobs, j)
 		}
 	}
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -20,6 +20,9 @@
 
 // Schedule places what waits, stops what must make room and says what to rent.
 func (m *Model) Schedule(now time.Time, renting int) Decisions {
+	if now.Before(m.quiet) {
+		return Decisions{}
+	}
 	jobs := m.openJobs()
 	within := m.within(jobs)
 	reqs := m.requests(jobs, within, now)
--- a/controller/ledger_test.go
+++ b/controller/ledger_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"log/slog"
 	"os"
 	"slices"
 	"strings"
@@ -239,3 +240,72 @@
 		}
 	}
 }
+
+// A record that can't be read is named, and what hangs on it is set aside: it is
+// neither forgotten nor started again, its user can cancel it, and the other jobs
+// go on under the next leader.
+func TestDamagedRecordsAreSetAsideAndTheOthersGoOn(t *testing.T) {
+	for _, c := range []struct{ name, key string }{
+		{"a job", ledger.JobKey("wk-000001")}, {"a page of placements", ledger.PageKey(0)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var log logged
+			o := fake.Options{Machines: 4, Log: slog.New(slog.NewTextHandler(&log, nil))}
+			synctest.Test(t, func(t *testing.T) {
+				w := fake.New(o)
+				defer w.Close()
+				time.Sleep(5 * time.Second)
+				mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
+				time.Sleep(8 * time.Second)
+				for n := range w.Nodes() {
+					w.KillNode(n)
+				}
+				w.State.Damage(c.key)
+				mark := w.Started()
+				time.Sleep(2 * time.Second)
+				for n := range w.Nodes() {
+					w.StartNode(n)
+				}
+				time.Sleep(10 * time.Second)
+				mustSubmit(t, w, job(2, nil), job(3, nil))
+				mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
+				mustReach(t, w, "wk-000003", wire.JobDone, 3*time.Minute)
+				if got := w.Started() - mark; got != 4 {
+					t.Errorf("%d tasks were started, the two others have 4", got)
+				}
+				w.KillNode(w.Leader()) // it stays so under the next
+				time.Sleep(time.Minute)
+				if got := w.Poll(w.Any(), "wk-000001"); got != wire.JobPending && got != wire.JobRunning {
+					t.Errorf("the job that is set aside is %q", got)
+				}
+				if !strings.Contains(log.String(), "set aside") || !strings.Contains(log.String(), c.key) || !strings.Contains(log.String(), "wk-000001") {
+					t.Error("it is not named")
+				}
+				w.Cancel("wk-000001")
+				mustReach(t, w, "wk-000001", wire.JobCancelled, 5*time.Second)
+				time.Sleep(45 * time.Second)
+				for _, b := range w.Broken() {
+					t.Errorf("rule broken: %s", b)
+				}
+			})
+		})
+	}
+}
+
+// logged is a log in memory.
+type logged struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -112,6 +112,15 @@
 	return s.asked
 }
 
+// Damage makes a key's value something that nobody has written.
+func (s *State) Damage(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	e.Value = wire.Raw{0xa3, 'b', 'a', 'd'}
+	s.keys[key] = e
+}
+
 // Wipe empties the service.
 func (s *State) Wipe() {
 	s.mu.Lock()
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -232,10 +232,15 @@
 	if id, ok := ParseJobKey(key); ok {
 		j := r.job(id)
 		var rec JobRecord
-		if version > j.version && wire.Unmarshal(v, &rec) == nil {
-			j.rec, j.version = rec, version
-			r.detail.putJob(id, &rec)
+		if version <= j.version {
+			return
+		}
+		if err := wire.Unmarshal(v, &rec); err != nil {
+			r.unreadable(key, err)
+			rec = JobRecord{Job: wire.Job{ID: id, Tasks: 1}} // it is known, and that is all
 		}
+		j.rec, j.version = rec, version
+		r.detail.putJob(id, &rec)
 		return
 	}
 	if IsIntake(key) {
@@ -260,9 +265,11 @@
 	}
 	if n, ok := ParsePageKey(key); ok {
 		var rec PageRecord
-		if wire.Unmarshal(v, &rec) == nil {
-			r.setPage(n, rec.Chunks, version)
+		if err := wire.Unmarshal(v, &rec); err != nil {
+			r.unreadable(key, err)
+			return
 		}
+		r.setPage(n, rec.Chunks, version)
 	}
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,8 +28,12 @@
 	return buf.Bytes(), nil
 }
 
-// Unmarshal decodes a message, ignoring unknown fields.
+// Unmarshal decodes a message, ignoring unknown fields. One that claims more than
+// it has is refused before room is made for it.
 func Unmarshal(b []byte, v any) error {
+	if !whole(b) {
+		return errDamaged
+	}
 	if err := msgpack.Unmarshal(b, v); err != nil {
 		return fmt.Errorf("decode: %w", err)
 	}
