Sizes of binary and of times, which no record has, are not understated either

Cause: the fuzzer of sizes found base64 and a time written out longer than was counted. Change: more is counted for them.

--- a/wire/whole.go
+++ b/wire/whole.go
@@ -123,10 +123,10 @@
 		return take(1+width, uintAt(width), 8+2*max(uintAt(width), 0))
 	case 0xc7, 0xc8, 0xc9: // extensions
 		width := 1 << (c - 0xc7)
-		return take(2+width, uintAt(width), 8+2*max(uintAt(width), 0))
+		return take(2+width, uintAt(width), 40+2*max(uintAt(width), 0))
 	case 0xd4, 0xd5, 0xd6, 0xd7, 0xd8:
 		width := 1 << (c - 0xd4)
-		return take(2, width, 8+2*width)
+		return take(2, width, 40+2*width)
 	case 0xd9, 0xda, 0xdb:
 		width := 1 << (c - 0xd9)
 		return text(1+width, uintAt(width))
