Kept chunks, damaged records and final keys are each worked out in one place

Cause: read again: the size of a kept chunk had two formulas, pages were grown in two places, the stand-in for a damaged job was written twice, verify knew the ledger's prefix of final keys by heart, a submission kept its id beside its entry's.

--- a/cluster/damaged.go
+++ b/cluster/damaged.go
@@ -8,13 +8,10 @@
 // This file is about records of earlier leaders that can't be read. What they say
 // is not guessed: what hangs on them is set aside and named, and the rest goes on.
 
-// keptSize is what the chunks that are kept as they were take, about.
-func (p *page) keptSize() int {
-	n := 0
-	for i := range p.kept {
-		n += 80 + 40*len(p.kept[i].Placed) + 8*len(p.kept[i].Done)
-	}
-	return n
+// keptSize is what a chunk that is kept as it was takes, at most about, in the form
+// in which the service counts.
+func (m *Model) keptSize(c *ledger.ChunkRecord) int {
+	return 80 + len(c.Job) + (22+max(m.longest, 18))*len(c.Placed) + 8*len(c.Done)
 }
 
 // DamagedJob names a job whose record can't be read. It stands still until its
@@ -31,7 +28,7 @@
 
 // DamagedIntake names a page of jobs that can't be read: which jobs stand on it is
 // not known. Chunks of jobs that are not known otherwise are kept.
-func (m *Model) DamagedIntake(key string, version uint64, err error) {
+func (m *Model) DamagedIntake(key string, err error) {
 	m.log.Error("unreadable page of jobs: they are set aside", "key", key, "err", err)
 	m.lostIntake = true
 	m.wait()
@@ -42,10 +39,8 @@
 func (m *Model) DamagedPage(n int, version uint64, err error) {
 	key := ledger.PageKey(n)
 	m.log.Error("unreadable page of placements: jobs that it may speak of are set aside", "key", key, "err", err)
-	for len(m.pages) <= n {
-		m.pages = append(m.pages, &page{n: len(m.pages)})
-	}
-	m.pages[n].version, m.pages[n].size = version, 1<<30 // nothing is put there
+	p := m.pageAt(n)
+	p.version, p.size = version, 1<<30 // nothing is put there
 	m.damaged = max(m.damaged, version)
 	m.wait()
 }
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -239,8 +239,10 @@
 		bytes  = 200
 	)
 	jobs := map[string]*Job{}
-	rec.Chunks = append(rec.Chunks, p.kept...)
-	bytes += p.keptSize()
+	for i := range p.kept {
+		rec.Chunks = append(rec.Chunks, p.kept[i])
+		bytes += m.keptSize(&p.kept[i])
+	}
 	for _, r := range p.chunks {
 		c := &r.j.Chunks[r.n]
 		cr := r.j.chunkRecord(r.n)
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -429,13 +429,18 @@
 	m.markDirty(j)
 }
 
-// LoadPage takes a page of placement records of an earlier leader in. The jobs
-// must be there already, those that are over for their placements only.
-func (m *Model) LoadPage(n int, rec ledger.PageRecord, version uint64, now time.Time) {
+// pageAt finds or makes the page of that number.
+func (m *Model) pageAt(n int) *page {
 	for len(m.pages) <= n {
 		m.pages = append(m.pages, &page{n: len(m.pages)})
 	}
-	p := m.pages[n]
+	return m.pages[n]
+}
+
+// LoadPage takes a page of placement records of an earlier leader in. The jobs
+// must be there already, those that are over for their placements only.
+func (m *Model) LoadPage(n int, rec ledger.PageRecord, version uint64, now time.Time) {
+	p := m.pageAt(n)
 	p.version = version
 	for i := range rec.Chunks {
 		m.loadChunk(p, &rec.Chunks[i], now)
@@ -446,7 +451,7 @@
 	j := m.Job(c.Job)
 	if j == nil && (m.unreadable[c.Job] || m.lostIntake) {
 		p.kept = append(p.kept, *c)
-		p.size += 80 + len(c.Job) + (22+max(m.longest, 12))*len(c.Placed) + 8*len(c.Done)
+		p.size += m.keptSize(c)
 		return
 	}
 	if j == nil || c.Chunk < 0 || c.Chunk >= len(j.Chunks) {
--- a/cmd/umberdeal/state.go
+++ b/cmd/umberdeal/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -70,7 +69,7 @@
 		return h, nil, err
 	}
 	defer f.Close()
-	r, err := snapshot.NewReader(io.Reader(f))
+	r, err := snapshot.NewReader(f)
 	if err != nil {
 		return h, nil, fmt.Errorf("%s: %w", name, err)
 	}
--- a/controller/ledger_test.go
+++ b/controller/ledger_test.go
@@ -109,7 +109,9 @@
 		jobs := map[string]ledger.JobRecord{}
 		for k, v := range all {
 			var rec ledger.JobRecord
-			if _, ok := ledger.ParseJobKey(k); (ok || strings.HasPrefix(k, "f/")) && wire.Unmarshal(v, &rec) == nil {
+			_, active := ledger.ParseJobKey(k)
+			_, over := ledger.ParseFinalKey(k)
+			if (active || over) && wire.Unmarshal(v, &rec) == nil {
 				jobs[rec.Job.ID] = rec
 				w.Know(rec.Job)
 			}
--- a/controller/load.go
+++ b/controller/load.go
@@ -80,7 +80,7 @@
 		if ledger.IsIntake(it.Key) {
 			pg := cluster.IntakePage{Key: it.Key, Version: it.Version}
 			if err := wire.Unmarshal(it.Value, &pg.Record); err != nil {
-				m.DamagedIntake(it.Key, it.Version, err)
+				m.DamagedIntake(it.Key, err)
 				continue
 			}
 			pages = append(pages, pg)
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// damaged names a job whose record can't be read, and stands in for it: the job is
+// known, and that is all.
+func (r *Reader) damaged(key, id string, err error) JobRecord {
+	r.unreadable(key, err)
+	return JobRecord{Job: wire.Job{ID: id, Tasks: 1}}
+}
+
 // setIntake replaces what stands on a page of users' jobs. A job may have come
 // from another page in the same transaction, in either order.
 func (r *Reader) setIntake(key string, rec IntakeRecord, version uint64) {
@@ -82,8 +89,7 @@
 		if j.version == 0 {
 			got, err := e.Decode()
 			if err != nil {
-				r.unreadable(key, err)
-				got = JobRecord{Job: wire.Job{ID: e.ID, Tasks: 1}} // it is known, and that is all
+				got = r.damaged(key, e.ID, err)
 			}
 			j.rec = got
 		}
@@ -106,7 +112,6 @@
 
 // submission waits for its job to be committed.
 type submission struct {
-	id    string
 	entry IntakeEntry
 	done  chan accepted
 }
@@ -256,7 +261,7 @@
 	if r.ctx == nil || r.ended {
 		return nil, fmt.Errorf("%w: shutting down", state.ErrRefused)
 	}
-	s := &submission{id: e.ID, entry: e, done: make(chan accepted, 1)}
+	s := &submission{entry: e, done: make(chan accepted, 1)}
 	q.waiting = append(q.waiting, s)
 	if !q.busy {
 		q.busy = true
@@ -315,11 +320,11 @@
 	left, bytes, most := q.waiting[:0:0], 0, r.Limits.jobs(r.each(HeadKey(bucket)))
 	for _, s := range q.waiting {
 		size := s.entry.size()
-		if ids[s.id] || len(batch) >= most || len(batch) > 0 && bytes+size > 2*r.Limits.bytes() {
+		if ids[s.entry.ID] || len(batch) >= most || len(batch) > 0 && bytes+size > 2*r.Limits.bytes() {
 			left = append(left, s)
 			continue
 		}
-		ids[s.id] = true
+		ids[s.entry.ID] = true
 		bytes += size
 		batch = append(batch, s)
 	}
@@ -342,7 +347,7 @@
 	var err error
 	for try := 0; try < acceptTries && ctx.Err() == nil; try++ {
 		r.mu.Lock()
-		answer(func(s *submission) bool { return r.known(s.id) }, accepted{known: true})
+		answer(func(s *submission) bool { return r.known(s.entry.ID) }, accepted{known: true})
 		if most := r.Limits.jobs(r.each(HeadKey(bucket))); len(batch) > most {
 			// The head has been closed meanwhile, so that each needs more conditions.
 			q.waiting = append(slices.Clone(batch[most:]), q.waiting...)
@@ -370,7 +375,7 @@
 		switch {
 		case errors.As(err, &c):
 			answer(func(s *submission) bool {
-				return slices.Contains(c.Failed, JobKey(s.id)) || slices.Contains(c.Failed, FinalKey(s.id))
+				return slices.Contains(c.Failed, JobKey(s.entry.ID)) || slices.Contains(c.Failed, FinalKey(s.entry.ID))
 			}, accepted{known: true})
 			if !slices.Contains(c.Failed, HeadKey(bucket)) && !slices.Contains(c.Failed, FormKey) {
 				continue
@@ -406,9 +411,9 @@
 		head, size = p.rec, p.size
 	}
 	for _, s := range batch {
-		guards = append(guards, wire.Guard{Key: FinalKey(s.id)})
+		guards = append(guards, wire.Guard{Key: FinalKey(s.entry.ID)})
 		if each > 1 {
-			guards = append(guards, wire.Guard{Key: JobKey(s.id)})
+			guards = append(guards, wire.Guard{Key: JobKey(s.entry.ID)})
 		}
 		size += s.entry.size()
 	}
--- a/ledger/intake_test.go
+++ b/ledger/intake_test.go
@@ -283,11 +283,7 @@
 			s.raise(3)
 			for i, r := range rs {
 				shared := 0
-				var wg sync.WaitGroup
-				for n := range 40 {
-					wg.Go(func() { accept(t.Context(), r, job(100*i+100+n)) })
-				}
-				wg.Wait()
+				crowded(t, r, 100*i+100)
 				for n := range 40 {
 					at := s.where(job(100*i + 100 + n).ID)
 					if len(at) != 1 {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,6 +55,9 @@
 	return id, ok && !IsIntake(key)
 }
 
+// ParseFinalKey takes a FinalKey apart.
+func ParseFinalKey(key string) (id string, ok bool) { return strings.CutPrefix(key, final) }
+
 // JobRecord is an accepted job, or its end.
 type JobRecord struct {
 	Job   wire.Job `msgpack:"job"`
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -236,8 +236,7 @@
 			return
 		}
 		if err := wire.Unmarshal(v, &rec); err != nil {
-			r.unreadable(key, err)
-			rec = JobRecord{Job: wire.Job{ID: id, Tasks: 1}} // it is known, and that is all
+			rec = r.damaged(key, id, err)
 		}
 		j.rec, j.version = rec, version
 		r.detail.putJob(id, &rec)
--- a/snapshot/verify.go
+++ b/snapshot/verify.go
@@ -86,7 +86,6 @@
 
 // job takes in the jobs that stand on a key.
 func (v *verifier) job(key string) {
-	const final = "f/"
 	if ledger.IsIntake(key) {
 		var page ledger.IntakeRecord
 		if !v.read(key, &page) {
@@ -111,7 +110,7 @@
 	id, ok := ledger.ParseJobKey(key)
 	over := false
 	if !ok {
-		if id, over = strings.CutPrefix(key, final); !over {
+		if id, over = ledger.ParseFinalKey(key); !over {
 			if _, page := ledger.ParsePageKey(key); !page {
 				v.totals.Other++
 			}
