A reserved job's version does not say that it came after a damaged page

Cause: read again: a job that has a key of its own counted as accepted after a page of placements was last written where its version is newer. A reserved job's version changes with each mark, so that one with placements on the damaged page could be placed again. Change: such a job is set aside. Measured: a test that fails without it; all tests of the package.

--- a/cluster/damaged.go
+++ b/cluster/damaged.go
@@ -54,13 +54,14 @@
 
 // setAside holds the jobs back of which a page that can't be read may have
 // placements: those with a part that no other page has, unless they were
-// accepted after it was last written.
+// accepted after it was last written. What a job's version says of that is no
+// more than when its record last changed, where the record has marks or is shared.
 func (m *Model) setAside() {
 	if m.damaged == 0 {
 		return
 	}
 	for _, j := range m.Jobs {
-		if j == nil || j.Cancelled || j.Finished || j.home == nil && j.Version > m.damaged {
+		if j == nil || j.Cancelled || j.Finished || j.home == nil && j.res == nil && j.Version > m.damaged {
 			continue
 		}
 		for i := range j.Chunks {
--- a/cluster/load_test.go
+++ b/cluster/load_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -109,3 +110,21 @@
 		})
 	}
 }
+
+// A job whose record has marks changes its version with each: it may be older than
+// a page that can't be read was.
+func TestOnlyWhatCameAfterADamagedPageIsNotSetAside(t *testing.T) {
+	m := newModel(5)
+	marked := arrayJob("wk-000003", 4)
+	marked.Reserve = &ledger.Reserve{Owner: "w/y/a"}
+	m.PutJob("wk-000001", arrayJob("wk-000001", 4), 4, at(0))
+	m.PutJob("wk-000002", arrayJob("wk-000002", 4), 9, at(0))
+	m.PutJob("wk-000003", marked, 9, at(0))
+	m.DamagedPage(0, 5, errors.New("damaged"))
+	m.Loaded(at(0))
+	for id, want := range map[string]bool{"wk-000001": true, "wk-000002": false, "wk-000003": true} {
+		if got := m.Job(id).aside; got != want {
+			t.Errorf("%s set aside: %v", id, got)
+		}
+	}
+}
