--- /dev/null
+++ b/ledger/known_test.go
@@ -0,0 +1,200 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+func mustMarshal(t *testing.T, v any) wire.Raw {
+	t.Helper()
+	raw, err := wire.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func over(j wire.Job, how string) ledger.JobRecord {
+	return ledger.JobRecord{Job: j, AtMs: 1, State: how}
+}
+
+// After a restart thousands of users ask for jobs that are over, and for some that
+// nobody has submitted. Each is told what is so, with few requests where those
+// asked for lie together, and with no more than one each where they lie apart.
+func TestEndsAreReadManyAtATime(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		over, asked, most int
+	}{
+		{"dense", 6000, 3000, 120}, {"few of many", 6000, 40, 60}, {"one", 6000, 1, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore(1)
+				ends := []string{wire.JobDone, wire.JobCancelled}
+				for n := range c.over {
+					if n%5 > 0 {
+						s.set(ledger.FinalKey(job(n).ID), mustMarshal(t, over(job(n), ends[n%2])))
+					}
+				}
+				nodes(t, 1, s, func(rs []*ledger.Reader) {
+					rs[0].Order = func(id string) float64 { return float64(id[len(id)-1]) }
+					var wg sync.WaitGroup
+					for i := range c.asked {
+						wg.Go(func() {
+							n := i * (c.over / c.asked)
+							v, found, err := rs[0].Lookup(t.Context(), job(n).ID)
+							if err != nil || found != (n%5 > 0) || found && (v.Record.State != ends[n%2] || v.Version != 0) {
+								t.Errorf("%d is %q, found %v, %v", n, v.Record.State, found, err)
+							}
+						})
+					}
+					wg.Wait()
+				})
+				t.Logf("%d requests for %d lookups", s.asked, c.asked)
+				if s.asked > c.most {
+					t.Errorf("%d requests for %d lookups", s.asked, c.asked)
+				}
+			})
+		})
+	}
+}
+
+// All nodes begin anew, and what is to be read takes longer than a barrier may: each
+// barrier goes on where the one before it stopped, and changes meanwhile count.
+func TestALoadingGoesOnWhereItStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.listing = 600 * time.Millisecond
+		const jobs = 6000
+		for n := range jobs {
+			s.set(ledger.JobKey(job(n).ID), mustMarshal(t, over(job(n), "")))
+		}
+		nodes(t, 3, s, func(rs []*ledger.Reader) {
+			time.AfterFunc(5*time.Second, func() { s.finish(job(0).ID) })
+			for i, r := range rs {
+				at := time.Now()
+				var err error
+				var v ledger.View
+				found := false
+				for time.Since(at) < time.Minute && (!found || v.Version != 0) {
+					ctx, cancel := context.WithTimeout(t.Context(), 1700*time.Millisecond)
+					v, found, err = r.Lookup(ctx, job(0).ID)
+					cancel()
+				}
+				if took := time.Since(at); !found || took > 20*time.Second || v.Record.State != wire.JobDone {
+					t.Errorf("node %d: found %v as %q after %v: %v", i, found, v.Record.State, took, err)
+				}
+			}
+		})
+	})
+}
+
+// However a page of jobs is damaged, whoever reads it anew calls none of its jobs
+// unknown, and no job known that is not on it. Those that still stand there are
+// known, can be cancelled, and stay cancelled when the page can be read again.
+func TestJobsOfADamagedPageStayKnown(t *testing.T) {
+	const jobs, strangers = 30, 30
+	known := 0
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore(seed)
+			s.raise(1)
+			page := ledger.IntakeRecord{Seq: 1}
+			for n := range jobs {
+				page.Jobs = append(page.Jobs, ledger.IntakeEntry{ID: job(n).ID, Record: mustMarshal(t, over(job(n), ""))})
+			}
+			key, whole := ledger.HeadKey(0), mustMarshal(t, page)
+			placed := job(jobs - 1).ID
+			s.set(ledger.PageKey(0), mustMarshal(t, ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: placed,
+				Placed: []ledger.Placement{{Task: 0, Attempt: 1, Machine: "host-1"}}}}}))
+			rnd := rand.New(rand.NewPCG(seed, 4))
+			bad := slices.Clone(whole)
+			from := rnd.IntN(len(bad))
+			for i := range bad[from:min(len(bad), from+1+rnd.IntN(400))] {
+				bad[from+i] = byte(rnd.Uint32())
+			}
+			if seed%3 == 0 {
+				bad = bad[:from+1]
+			}
+			bad[0] = 0xc1 // which nothing begins with
+			s.set(key, bad)
+			nodes(t, 1, s, func(rs []*ledger.Reader) {
+				r, cancelled := rs[0], ""
+				for n := range jobs + strangers {
+					v, found, err := r.Lookup(t.Context(), job(n).ID)
+					switch {
+					case n >= jobs && found:
+						t.Errorf("seed %d: %d, which nobody has submitted, is known", seed, n)
+					case n < jobs && !found && !errors.Is(err, ledger.ErrDamaged):
+						t.Errorf("seed %d: %d is forgotten: %v", seed, n, err)
+					case found && (v.Version == 0 || v.Record.State != ""):
+						t.Errorf("seed %d: %d is called over", seed, n)
+					case found:
+						known++
+						cancelled = job(n).ID
+					}
+					if job(n).ID == placed && v.Placed != 1 {
+						t.Errorf("seed %d: of the job that is placed %d tasks are, found %v", seed, v.Placed, found)
+					}
+				}
+				if final, found, err := r.Cancel(t.Context(), cancelled); final != wire.JobCancelled || !found || err != nil {
+					t.Errorf("seed %d: cancel of %s: %q, %v, %v", seed, cancelled, final, found, err)
+				}
+				s.set(key, whole)
+				for n := range jobs + strangers {
+					v, found, err := r.Lookup(t.Context(), job(n).ID)
+					if err != nil || found != (n < jobs) || found && job(n).ID != cancelled && v.Record.Job.Tasks != 2 {
+						t.Errorf("seed %d: read again, %d is found %v, %v", seed, n, found, err)
+					}
+					if job(n).ID == cancelled && v.Record.State != wire.JobCancelled {
+						t.Errorf("seed %d: %d was cancelled, and is %q", seed, n, v.Record.State)
+					}
+				}
+			})
+		})
+	}
+	if known < 40*jobs/3 {
+		t.Errorf("%d of %d jobs were known in spite of the damage", known, 40*jobs)
+	}
+}
+
+// Of a final record that can't be read its state may still stand there; it is never
+// made up.
+func TestADamagedEndIsNotMadeUp(t *testing.T) {
+	read := 0
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			s, rnd := newStore(seed), rand.New(rand.NewPCG(seed, 4))
+			how := []string{wire.JobDone, wire.JobCancelled}[seed%2]
+			raw := mustMarshal(t, over(job(1), how))
+			from := rnd.IntN(len(raw))
+			for i := range raw[from:min(len(raw), from+60)] {
+				raw[from+i] = byte(rnd.Uint32())
+			}
+			raw[0] = 0xc1
+			s.set(ledger.FinalKey(job(1).ID), raw)
+			nodes(t, 1, s, func(rs []*ledger.Reader) {
+				v, found, err := rs[0].Lookup(t.Context(), job(1).ID)
+				switch {
+				case found && v.Record.State == how && v.Version == 0:
+					read++
+				case found || !errors.Is(err, ledger.ErrDamaged):
+					t.Errorf("seed %d: it was %s, and is %q, found %v, %v", seed, how, v.Record.State, found, err)
+				}
+			})
+		})
+	}
+	if read < 20 || read == 60 {
+		t.Errorf("%d of 60 states were read", read)
+	}
+}
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -18,6 +18,7 @@
 type store struct {
 	rnd        *rand.Rand
 	slow       time.Duration // how much longer an answer takes at most
+	listing    time.Duration // how much longer a page of the active records takes
 	lost, late float64       // shares of the transactions
 	lateBy     time.Duration // at most
 
@@ -60,6 +61,9 @@
 
 func (s *store) Span(ctx context.Context, prefix, after string, most int) ([]wire.Entry, bool, uint64, error) {
 	s.pause()
+	if prefix == ledger.Active {
+		time.Sleep(s.listing)
+	}
 	if ctx.Err() != nil {
 		return nil, false, 0, state.ErrUnknown
 	}
@@ -203,6 +207,15 @@
 	}
 }
 
+// set writes a key as nobody else would.
+func (s *store) set(key string, v wire.Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.keys[key] = wire.Entry{Key: key, Value: v, Version: s.rev}
+	s.log = append(s.log, wire.Event{Put: key, Value: v, Version: s.rev})
+}
+
 // raise writes the form in which jobs share pages.
 func (s *store) raise(buckets int) {
 	s.mu.Lock()
