--- a/controller/users.go
+++ b/controller/users.go
@@ -120,6 +120,10 @@
 func (n *Node) servePoll(w http.ResponseWriter, r *http.Request) {
 	n.asUser(w, r)
 	id := r.PathValue("id")
+	if v, ok := n.reader.Remembered(id); ok {
+		write(w, answer(http.StatusOK, n.status(v), 0))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), pollWithin)
 	defer cancel()
 	now := time.Now()
--- a/ledger/ends.go
+++ b/ledger/ends.go
@@ -19,7 +19,7 @@
 const (
 	// endReaders is how many such requests there are at once: one that is not
 	// answered keeps only those waiting that it was sent for.
-	endReaders = 3
+	endReaders = 2
 	// fewEnds is below how many lookups each is read by itself.
 	fewEnds = 3
 	// A request covers as many keys as pay: between the least and the most, such
@@ -27,6 +27,9 @@
 	spanLeast, spanMost = 16, 500
 	wasted              = 32
 	endWait             = 2 * time.Second
+	// endsKept is how many of the first are read although nobody waits any more:
+	// what is read of a job that is over is kept, and its user asks again.
+	endsKept = 64
 )
 
 // endAsk waits for a final record.
@@ -38,7 +41,8 @@
 }
 
 type endAnswer struct {
-	entry wire.Entry
+	rec   JobRecord
+	found bool
 	err   error
 }
 
@@ -49,9 +53,9 @@
 	kick    chan struct{}
 }
 
-// end reads a job's final record as of a moment after the call; version 0 where
-// there is none.
-func (r *Reader) end(ctx context.Context, id string) (wire.Entry, error) {
+// end reads a job's final record as of a moment after the call; found is false
+// where there is none.
+func (r *Reader) end(ctx context.Context, id string) (rec JobRecord, found bool, err error) {
 	a := &endAsk{ctx: ctx, id: id, done: make(chan endAnswer, 1)}
 	if r.Order != nil {
 		a.order = r.Order(id)
@@ -65,12 +69,29 @@
 	}
 	select {
 	case got := <-a.done:
-		return got.entry, got.err
+		return got.rec, got.found, got.err
 	case <-ctx.Done():
-		return wire.Entry{}, refused(ctx)
+		return JobRecord{}, false, refused(ctx)
 	}
 }
 
+// tell answers a lookup, and keeps what it was told.
+func (r *Reader) tell(a *endAsk, e wire.Entry, err error) {
+	got := endAnswer{err: err, found: err == nil && e.Version != 0}
+	if got.found {
+		if err := wire.Unmarshal(e.Value, &got.rec); err != nil {
+			r.unreadable(e.Key, err)
+			if got.rec = (JobRecord{State: salvageState(e.Value)}); got.rec.State == "" {
+				got = endAnswer{err: fmt.Errorf("%w: how job %s ended", ErrDamaged, a.id)}
+			}
+		}
+	}
+	if got.found {
+		r.keepFinal(a.id, got.rec)
+	}
+	a.done <- got
+}
+
 // readEnds serves lookups until ctx ends.
 func (r *Reader) readEnds(ctx context.Context) {
 	for {
@@ -91,7 +112,7 @@
 			gctx, cancel := context.WithTimeout(ctx, endWait)
 			e, err := r.store.Get(gctx, FinalKey(asks[0].id))
 			cancel()
-			asks[0].done <- endAnswer{e, err}
+			r.tell(asks[0], e, err)
 		default:
 			r.readSpan(ctx, asks, span)
 		}
@@ -102,9 +123,13 @@
 func (r *Reader) takeEnds() (asks []*endAsk, span int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	asks = slices.DeleteFunc(r.ends.waiting, func(a *endAsk) bool { return a.ctx.Err() != nil })
+	asks = r.ends.waiting
 	r.ends.waiting = nil
 	slices.SortStableFunc(asks, func(a, b *endAsk) int { return cmp.Compare(a.order, b.order) })
+	if len(asks) > endsKept {
+		rest := slices.DeleteFunc(asks[endsKept:], func(a *endAsk) bool { return a.ctx.Err() != nil })
+		asks = asks[:endsKept+len(rest)]
+	}
 	return asks, max(spanLeast, r.ends.span)
 }
 
@@ -132,7 +157,7 @@
 	entries, more, _, err := r.store.Span(rctx, final, after, n)
 	if err != nil {
 		for _, a := range asks {
-			a.done <- endAnswer{err: err}
+			r.tell(a, wire.Entry{}, err)
 		}
 		return
 	}
@@ -144,7 +169,7 @@
 	var left []*endAsk
 	for _, a := range asks {
 		if key := FinalKey(a.id); key > after && (!more || key <= last) {
-			a.done <- endAnswer{entry: found[key]}
+			r.tell(a, found[key], nil)
 		} else {
 			left = append(left, a)
 		}
@@ -153,7 +178,7 @@
 	if covered == 0 {
 		// Something else lies before the first one's key.
 		e, err := r.store.Get(rctx, first)
-		asks[0].done <- endAnswer{e, err}
+		r.tell(asks[0], e, err)
 		left = left[1:]
 	}
 	if covered*wasted >= n {
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -424,11 +424,8 @@
 // Lookup says what is known of a job; found is false where it was never
 // accepted.
 func (r *Reader) Lookup(ctx context.Context, id string) (v View, found bool, err error) {
-	r.mu.Lock()
-	rec, ok := r.finals[id]
-	r.mu.Unlock()
-	if ok {
-		return View{Record: rec}, true, nil
+	if v, ok := r.Remembered(id); ok {
+		return v, true, nil
 	}
 	if err := r.sync(ctx); err != nil {
 		return View{}, false, err
@@ -439,25 +436,25 @@
 	}
 	// A job moves from active to final in one transaction and never back, so
 	// reading final after active misses none.
-	e, err := r.end(ctx, id)
-	if err != nil {
+	rec, over, err := r.end(ctx, id)
+	switch {
+	case err != nil:
 		return View{}, false, err
+	case over:
+		return View{Record: rec}, true, nil
+	case unsure && !found:
+		return View{}, false, fmt.Errorf("%w: job %s may stand on it", ErrDamaged, id)
 	}
-	if e.Version == 0 {
-		if unsure && !found {
-			return View{}, false, fmt.Errorf("%w: job %s may stand on it", ErrDamaged, id)
-		}
-		return v, found, nil
-	}
-	if err := wire.Unmarshal(e.Value, &rec); err != nil {
-		r.unreadable(FinalKey(id), err)
-		rec = JobRecord{State: salvageState(e.Value)}
-		if rec.State == "" {
-			return View{}, false, fmt.Errorf("%w: how job %s ended", ErrDamaged, id)
-		}
-	}
-	r.keepFinal(id, rec)
-	return View{Record: rec}, true, nil
+	return v, found, nil
+}
+
+// Remembered is a job that this node knows to be over, for which nothing need be
+// read.
+func (r *Reader) Remembered(id string) (View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.finals[id]
+	return View{Record: rec}, ok
 }
 
 // Cancel ends a job unless it is over, and returns its final state; found is
