The plan: versions of what operators decide, kept in the state service

Cause: deadlines, orders and pools are decided by operators, and a leader that has not heard of a change must not act by what held before. Change: package plan reads and checks one TOML file; the ledger keeps its versions (head, copy, texts in pieces); every placement and rental is committed on condition of the head's version, and what a superseded version placed is taken back; the plan's parts keep records at 2% of the service's changes; form 3 keeps programs that know of no plan from leading; umberdeal plan apply|show|history|check.

--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -18,6 +18,8 @@
 
 	pages  map[string]*page
 	jobs   map[string]*Job
+	notes  map[string]*noted
+	places bool // tasks, by the plan
 	leaves map[*intake]*leaving
 	after  []func(rev uint64, now time.Time)
 	bytes  int
@@ -48,14 +50,14 @@
 	donesAtOnce = 4
 )
 
-// maxGuards is how many conditions a transaction may have, the leader key's
-// left out.
+// maxGuards is how many conditions a transaction may have, the leader key's and
+// the plan's left out.
 func (m *Model) maxGuards() int {
 	ops := m.cfg.Cluster.State.TxnOps
 	if ops <= 0 {
 		ops = 12
 	}
-	return 4*ops - 1
+	return 4*ops - 2
 }
 
 // pageBytes and pageChunks bound a page, so that whatever becomes of its
@@ -68,7 +70,7 @@
 	return int(kb*1024) - 256
 }
 
-func (m *Model) pageChunks() int { return m.maxGuards() - 2 - 2*donesAtOnce }
+func (m *Model) pageChunks() int { return m.maxGuards() - 1 - 2*donesAtOnce }
 
 // findPage gives a chunk the first page with room for all that may ever be
 // said of its tasks, so that it never has to move.
@@ -175,14 +177,20 @@
 	if len(b.Ops) == 0 {
 		return nil
 	}
-	b.Committed = func(rev uint64, now time.Time) {
-		for _, f := range b.after {
-			f(rev, now)
-		}
+	if b.places {
+		b.Guards = append(b.Guards, m.PlanGuard())
 	}
+	b.Committed = b.committed
 	return b
 }
 
+// committed takes in that a batch is in the store.
+func (b *Batch) committed(rev uint64, now time.Time) {
+	for _, f := range b.after {
+		f(rev, now)
+	}
+}
+
 // changedPages lists the pages to be written: those with new placements, and
 // the others. Each begins elsewhere every time, so that none is left out for
 // long where not all can be written.
@@ -238,7 +246,7 @@
 		guards []wire.Guard
 		bytes  = 200
 	)
-	jobs := map[string]*Job{}
+	jobs, places := map[string]*Job{}, false
 	for i := range p.kept {
 		rec.Chunks = append(rec.Chunks, p.kept[i])
 		bytes += m.keptSize(&p.kept[i])
@@ -250,6 +258,7 @@
 		chunks = append(chunks, written{c, c.Gen})
 		bytes += 60 + len(r.j.ID) + (20+m.longest)*len(cr.Placed) + 5*len(cr.Done)
 		key := ledger.JobKey(r.j.ID)
+		places = places || c.PlaceGen > c.Committed
 		if c.PlaceGen > c.Committed && !r.j.Cancelled && b.jobs[key] == nil && jobs[key] == nil {
 			// A placement is only good for a job that is still wanted. A page that
 			// the job shares changes with others, too: there it must not be over.
@@ -280,6 +289,7 @@
 	for k, j := range jobs {
 		b.jobs[k] = j
 	}
+	b.places = b.places || places
 	b.bytes += bytes
 	gen := p.gen
 	b.after = append(b.after, func(rev uint64, _ time.Time) {
@@ -310,6 +320,9 @@
 		p.version = version
 		p.gen++ // also where it was to be deleted
 	}
+	if x := b.notes[key]; x != nil {
+		x.version = version
+	}
 }
 
 // IsJob says whether a key of the batch is that of active jobs.
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -58,6 +58,8 @@
 	stops      []Ref           // tasks to be told directly
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
+	plan       Plan
+	notes      notes
 	classes    map[string]*class
 
 	// Reused from pass to pass.
--- /dev/null
+++ b/cluster/plan.go
@@ -0,0 +1,182 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file is what the leader knows of the operators' plan, and what the plan's
+// parts record (docs/plan.md).
+
+// Plan is a version of the plan that a leader decides by.
+type Plan struct {
+	*plan.Plan // nil: there is none
+
+	Number int
+	Head   uint64 // the version of the plan's head: 0 where there is no plan
+	Lost   bool   // there is a plan, and no version of it can be read
+}
+
+// SetPlan takes a version of the plan in. What was placed by another one and is
+// not committed yet was decided by what no longer holds: it is taken back, and
+// decided anew. Its transaction, if it is under way, fails for the head's version,
+// or was committed while that version held.
+func (m *Model) SetPlan(p Plan, now time.Time) {
+	if p.Head < m.plan.Head || p.Head == m.plan.Head && p.Number == m.plan.Number && p.Lost == m.plan.Lost {
+		return
+	}
+	first := !m.loaded
+	m.plan = p
+	if !first {
+		m.log.Info("plan taken in", "version", p.Number, "lost", p.Lost, "takenBack", m.takeBack(now))
+	}
+	m.planChanged(now)
+}
+
+// planChanged tells the plan's parts; the plan may have been read for the first
+// time, before any job is known.
+func (m *Model) planChanged(time.Time) {}
+
+// takeBack takes placements back that are not committed, and says how many.
+func (m *Model) takeBack(now time.Time) int {
+	n := 0
+	for _, j := range m.Jobs {
+		if j == nil || j.Placed == 0 {
+			continue
+		}
+		for i := range j.Tasks {
+			p := j.Tasks[i].Place
+			if p != nil && !p.Sent && !p.Inherited && p.gen > j.Chunks[i/ledger.ChunkSize].Committed {
+				m.unplace(j, int32(i), now)
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// PlanGuard is the condition of whatever is decided by the plan: a leader that
+// has not heard of a newer one, or a transaction that comes late, changes nothing
+// by an older. Where there is no plan, the condition is that there is none still.
+func (m *Model) PlanGuard() wire.Guard {
+	return wire.Guard{Key: ledger.PlanHeadKey, Version: m.plan.Head}
+}
+
+// notes are what the plan's parts record for the next leader and the operators:
+// one key each, of which only the last value counts.
+type notes struct {
+	byName map[string]*noted
+	names  []string // in the order in which they are written next
+}
+
+type noted struct {
+	value     any
+	gen       uint64 // counts changes
+	committed uint64 // the last one that is in the store
+	version   uint64
+	raw       wire.Raw // as committed
+}
+
+func (n *notes) at(name string) *noted {
+	if n.byName == nil {
+		n.byName = map[string]*noted{}
+	}
+	x := n.byName[name]
+	if x == nil {
+		x = &noted{}
+		n.byName[name] = x
+		n.names = append(n.names, name)
+	}
+	return x
+}
+
+// keep has a record of that name written, soon: all of the parts' records
+// together are few changes a second, and of several values only the last is
+// written. rec must not change before it is kept again, and must fit into a value.
+func (m *Model) keep(name string, rec any) {
+	x := m.notes.at(name)
+	x.value = rec
+	x.gen++
+}
+
+// kept is the committed record of that name, an earlier leader's or this one's;
+// false where there is none.
+func (m *Model) kept(name string) (wire.Raw, bool) {
+	x := m.notes.byName[name]
+	if x == nil || x.raw == nil {
+		return nil, false
+	}
+	return x.raw, true
+}
+
+// keeping says whether the last value of that name waits to be committed.
+func (m *Model) keeping(name string) bool {
+	x := m.notes.byName[name]
+	return x != nil && x.gen != x.committed
+}
+
+// LoadNote takes in what an earlier leader recorded. It comes before the plan and
+// the jobs.
+func (m *Model) LoadNote(key string, value wire.Raw, version uint64) {
+	x := m.notes.at(key[len(ledger.Notes):])
+	x.raw, x.version = value, version
+}
+
+// NotesPending is how many records wait to be written.
+func (m *Model) NotesPending() int {
+	n := 0
+	for _, x := range m.notes.byName {
+		if x.gen != x.committed {
+			n++
+		}
+	}
+	return n
+}
+
+var errNoteSize = errors.New("larger than a value may be")
+
+// NoteBatch collects records of the plan's parts, at most maxOps of them; nil if
+// there are none. Its conditions are the plan's version and the records' own.
+func (m *Model) NoteBatch(maxOps int) *Batch {
+	b := &Batch{Guards: []wire.Guard{m.PlanGuard()}, notes: map[string]*noted{}}
+	for _, name := range slices.Clone(m.notes.names) {
+		x := m.notes.byName[name]
+		if x.gen == x.committed || len(b.Ops) >= maxOps {
+			continue
+		}
+		raw, err := wire.Marshal(x.value)
+		size := wire.JSONSize(raw)
+		if err == nil && size > m.pageBytes() {
+			err = fmt.Errorf("%d bytes: %w", size, errNoteSize)
+		}
+		if err != nil {
+			m.log.Error("a record of the plan's can't be written", "name", name, "err", err)
+			x.committed = x.gen
+			continue
+		}
+		if len(b.Ops) > 0 && b.bytes+size > maxBytes {
+			break
+		}
+		// Those that are left out go first the next time.
+		m.notes.names = append(slices.DeleteFunc(m.notes.names, func(n string) bool { return n == name }), name)
+		key, gen := ledger.Notes+name, x.gen
+		b.Guards = append(b.Guards, wire.Guard{Key: key, Version: x.version})
+		b.Ops = append(b.Ops, wire.Op{Put: key, Value: wire.Raw(raw)})
+		b.notes[key] = x
+		b.bytes += size
+		b.after = append(b.after, func(rev uint64, _ time.Time) {
+			x.version, x.committed, x.raw = rev, max(x.committed, gen), raw
+		})
+	}
+	if len(b.Ops) == 0 {
+		return nil
+	}
+	b.Committed = b.committed
+	return b
+}
--- a/cmd/umberdeal/main.go
+++ b/cmd/umberdeal/main.go
@@ -34,6 +34,7 @@
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Job     jobCmd     `cmd:"" help:"Submit, show or cancel a job on a running node."`
 	Status  statusCmd  `cmd:"" help:"Show what a running node and its leader know, now."`
+	Plan    planCmd    `cmd:"" help:"Apply, show or check what operators decide: one file for all nodes."`
 	State   stateCmd   `cmd:"" help:"Export, verify or import everything that the state service holds."`
 	YARN    yarnCmd    `cmd:"" name:"yarn" help:"Show what YARN's clients run, at a node that serves them."`
 }
--- /dev/null
+++ b/cmd/umberdeal/plan.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/state"
+)
+
+type planCmd struct {
+	Apply   planApplyCmd   `cmd:"" help:"Make a file the plan that holds, on all nodes at once."`
+	Show    planShowCmd    `cmd:"" help:"Print the plan that holds, or an earlier version."`
+	History planHistoryCmd `cmd:"" help:"List the last versions: who, when, and what changed."`
+	Check   planCheckCmd   `cmd:"" help:"Check a file without applying it."`
+}
+
+// stateFlags lead to the state service by way of a node's settings.
+type stateFlags struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+}
+
+// open reads the settings and makes a client; stop ends the context.
+func (f *stateFlags) open() (ctx context.Context, stop func(), s *config.Settings, c *state.Client, err error) {
+	s, err = config.Load(f.Config)
+	if err != nil {
+		return nil, nil, nil, nil, err
+	}
+	sl := s.Cluster.State
+	c = state.New(call.Dialer(), s.Services.State, sl.RPS*0.1, sl.WriteRPS)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, release := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	return ctx, func() { release(); cancel() }, s, c, nil
+}
+
+// readPlan reads and checks a plan for a deployment.
+func readPlan(name string, s *config.Settings) (string, *plan.Plan, error) {
+	in := io.Reader(os.Stdin)
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return "", nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	text, err := io.ReadAll(io.LimitReader(in, plan.MaxBytes+1))
+	if err != nil {
+		return "", nil, fmt.Errorf("%s: %w", name, err)
+	}
+	p, err := plan.Parse(string(text))
+	if err != nil {
+		return "", nil, fmt.Errorf("%s: %w", name, err)
+	}
+	var teams []string
+	for _, t := range s.Cluster.Teams {
+		teams = append(teams, t.Name)
+	}
+	if err := p.Check(s.Cluster.Zones, teams); err != nil {
+		return "", nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return string(text), p, nil
+}
+
+type planCheckCmd struct {
+	stateFlags
+	File string `arg:"" placeholder:"FILE" help:"The plan (TOML); - for standard input."`
+}
+
+func (c *planCheckCmd) Run() error {
+	s, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if _, _, err := readPlan(c.File, s); err != nil {
+		return err
+	}
+	fmt.Printf("%s is a valid plan for %d zones and %d teams\n", c.File, len(s.Cluster.Zones), len(s.Cluster.Teams))
+	return nil
+}
+
+type planApplyCmd struct {
+	stateFlags
+	Base int    `required:"" placeholder:"N" help:"The version that it builds on; 0 for the first. Refused if another came between."`
+	By   string `placeholder:"NAME" help:"Who applies it, for the history (default: the user of this machine)."`
+	File string `arg:"" placeholder:"FILE" help:"The plan (TOML); - for standard input."`
+}
+
+func (c *planApplyCmd) Run() error {
+	ctx, stop, s, st, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	text, p, err := readPlan(c.File, s)
+	if err != nil {
+		return err
+	}
+	by := c.By
+	if by == "" {
+		if u, err := user.Current(); err == nil {
+			by = u.Username
+		}
+	}
+	sl := s.Cluster.State
+	v, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB},
+		ledger.PlanChange{Base: c.Base, Text: text, By: by, Note: p.Note, At: time.Now()})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("version %d holds\n", v.Number)
+	return nil
+}
+
+type planShowCmd struct {
+	stateFlags
+	Version int `default:"0" placeholder:"N" help:"An earlier version that is still kept."`
+}
+
+func (c *planShowCmd) Run() error {
+	ctx, stop, _, st, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
+	if err != nil {
+		return err
+	}
+	if trouble != nil {
+		fmt.Fprintln(os.Stderr, trouble)
+	}
+	v, ok := h.Find(c.Version)
+	if !ok && c.Version == 0 {
+		return ledger.ErrNoPlan
+	}
+	if !ok {
+		return fmt.Errorf("version %d is not kept any more: the oldest is %d", c.Version, h.Versions[len(h.Versions)-1].Number)
+	}
+	text, err := ledger.ReadPlanText(ctx, st, v)
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(os.Stdout, text)
+	return err
+}
+
+type planHistoryCmd struct{ stateFlags }
+
+func (c *planHistoryCmd) Run() error {
+	ctx, stop, _, st, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
+	if err != nil {
+		return err
+	}
+	if trouble != nil {
+		fmt.Fprintln(os.Stderr, trouble)
+	}
+	if len(h.Versions) == 0 {
+		return ledger.ErrNoPlan
+	}
+	before, known := "", false
+	for i := len(h.Versions) - 1; i >= 0; i-- {
+		v := h.Versions[i]
+		text, err := ledger.ReadPlanText(ctx, st, v)
+		by := v.By
+		if by == "" {
+			by = "not known"
+		}
+		fmt.Printf("version %d, %s, by %s: %s\n", v.Number, time.UnixMilli(v.AtMs).UTC().Format(time.RFC3339), by, strconv.Quote(v.Note))
+		switch {
+		case err != nil:
+			fmt.Println("  ", err)
+		case !known && v.Number > 1:
+			fmt.Println("   what it changed is not known: the version before is not kept, or damaged")
+		default:
+			for _, l := range plan.Changes(before, text) {
+				fmt.Println("  ", l)
+			}
+		}
+		before, known = text, err == nil
+	}
+	return nil
+}
--- a/controller/form.go
+++ b/controller/form.go
@@ -30,13 +30,21 @@
 // reads that. While one is of an earlier version, or can't be asked, the form
 // stays as it is, so that that version can be gone back to.
 func (l *leadership) raiseForm(ctx context.Context) {
-	if l.n.form() < ledger.Form {
+	if l.n.form() < ledger.FormIntake {
 		return
 	}
-	for wait := 300 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, 5*time.Second) {
+	wait := 300 * time.Millisecond
+	for ctx.Err() == nil {
 		done, err := l.tryRaise(ctx)
 		if done {
-			return
+			// Higher once somebody wants a plan.
+			select {
+			case <-ctx.Done():
+				return
+			case <-l.formKick:
+			}
+			wait = 300 * time.Millisecond
+			continue
 		}
 		if err != nil {
 			l.log.Debug("the form of the records stays", "why", err)
@@ -44,16 +52,34 @@
 		if !call.Pause(ctx, wait) {
 			return
 		}
+		wait = min(2*wait, 5*time.Second)
 	}
 }
 
+// wantedForm is the form that records are to be written in. As long as nobody
+// wants a plan, it is one that the version before reads as well.
+func (l *leadership) wantedForm(ctx context.Context) (int, error) {
+	asked, err := l.n.state.Get(ctx, ledger.PlanAskedKey)
+	if err != nil {
+		return 0, err
+	}
+	if asked.Version != 0 {
+		return ledger.FormPlan, nil
+	}
+	return ledger.FormIntake, nil
+}
+
 func (l *leadership) tryRaise(ctx context.Context) (done bool, err error) {
+	form, err := l.wantedForm(ctx)
+	if err != nil {
+		return false, err
+	}
 	for _, p := range l.n.peers {
 		s, err := p.Status(ctx, l.n.ask())
 		if err != nil {
 			return false, err
 		}
-		if s.Form < ledger.Form {
+		if s.Form < form {
 			return false, fmt.Errorf("%s reads form %d", p.Name, s.Form)
 		}
 	}
@@ -67,10 +93,10 @@
 			return false, err
 		}
 	}
-	if now.Form >= ledger.Form {
+	if now.Form >= form {
 		return true, nil
 	}
-	next := ledger.FormRecord{Form: ledger.Form, Buckets: max(1, len(l.n.peers)+1)}
+	next := ledger.FormRecord{Form: form, Buckets: max(1, len(l.n.peers)+1)}
 	if now.Buckets > 0 {
 		next.Buckets = now.Buckets
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -27,6 +27,7 @@
 
 	schedKick chan struct{}
 	flushKick chan struct{}
+	formKick  chan struct{}
 	direct    chan struct{} // bounds direct stops under way
 	summoning chan struct{} // bounds summonses under way
 	gate      *admission.Gate
@@ -60,7 +61,7 @@
 // runLeader leads until ctx ends. It implements election.Elector.Lead.
 func (n *Node) runLeader(ctx context.Context, t *election.Term, ready func()) error {
 	l := &leadership{
-		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
+		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1), formKick: make(chan struct{}, 1),
 		direct: make(chan struct{}, 16), summoning: make(chan struct{}, min(64, n.cfg.Cluster.Limits.Sockets/20)), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
 		gate: admission.NewGate(reportsAtOnce, 2*n.cfg.Cluster.Limits.Sockets),
 	}
@@ -87,6 +88,7 @@
 	if types != nil {
 		l.setTypes(types)
 	}
+	l.setPlan(n.orders()) // what was learnt since the records were read
 	defer func() {
 		n.mu.Lock()
 		n.lead = nil
@@ -94,7 +96,7 @@
 	}()
 	ready()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm} {
+	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(ctx) }()
 	}
--- a/controller/load.go
+++ b/controller/load.go
@@ -31,6 +31,14 @@
 	if err != nil {
 		return err
 	}
+	notes, _, err := st.List(ctx, ledger.Notes)
+	if err != nil {
+		return err
+	}
+	orders, err := l.n.readOrders(ctx)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
@@ -40,6 +48,10 @@
 	if types := l.n.knownTypes(); types != nil {
 		m.SetTypes(types)
 	}
+	for _, it := range notes {
+		m.LoadNote(it.Key, it.Value, it.Version)
+	}
+	m.SetPlan(orders, now)
 	if err := loadJobs(m, items, now); err != nil {
 		return err
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/umberdeal/umberdeal/admission"
 	"github.com/umberdeal/umberdeal/cloud"
+	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/election"
 	"github.com/umberdeal/umberdeal/internal/call"
@@ -62,10 +63,11 @@
 	pulse   pulse
 	doubts  doubts
 
-	answered *admission.Answered       // when workers were last answered here
-	plan     atomic.Pointer[published] // where workers report
-	moves    *rate.Limiter             // paces workers' moves to other nodes
-	metrics  *metrics.Set              // nil unless the operators watch
+	answered *admission.Answered          // when workers were last answered here
+	plan     atomic.Pointer[published]    // where workers report
+	ordered  atomic.Pointer[cluster.Plan] // what the operators decided; nil before it is read
+	moves    *rate.Limiter                // paces workers' moves to other nodes
+	metrics  *metrics.Set                 // nil unless the operators watch
 	troubles *metrics.Troubles
 
 	forUsers     *state.Client
@@ -222,6 +224,7 @@
 	duty(n.watchLeader)
 	duty(n.keepPlan)
 	duty(n.keepTypes)
+	duty(n.followOrders)
 	duty(n.elector.Run)
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "bind", n.cfg.Bind)
 	select {
--- /dev/null
+++ b/controller/plan.go
@@ -0,0 +1,175 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file keeps a node's knowledge of the operators' plan, and writes what its
+// parts record. Each node watches the plan; a leader reads it before it places
+// anything, and every placement is committed on condition of the plan's version,
+// so that the watch is a matter of speed only.
+
+const (
+	// planBlock is for how long a watch of the plan is open.
+	planBlock = 50 * time.Second
+	// notesShare is the share of the state service's changes that all records of
+	// the plan's parts may take.
+	notesShare = 0.02
+)
+
+// orders is the operators' plan as this node knows it.
+func (n *Node) orders() cluster.Plan {
+	if p := n.ordered.Load(); p != nil {
+		return *p
+	}
+	return cluster.Plan{}
+}
+
+// followOrders learns of new versions of the plan as they are applied.
+func (n *Node) followOrders(ctx context.Context) {
+	rev, known := uint64(0), false
+	for ctx.Err() == nil {
+		if !known {
+			_, at, err := n.state.List(ctx, ledger.PlanHeadKey)
+			if err == nil {
+				_, err = n.readOrders(ctx)
+			}
+			if err != nil {
+				call.Pause(ctx, time.Second+rand.N(time.Second))
+				continue
+			}
+			rev, known = at, true
+			n.planAsked() // maybe before this watch
+		}
+		ev, err := n.state.Follow(ctx, ledger.Plans, rev, planBlock)
+		switch {
+		case errors.Is(err, state.ErrTooOld):
+			known = false
+		case err != nil:
+			call.Pause(ctx, time.Second+rand.N(time.Second))
+		default:
+			if len(ev.Log) > 0 {
+				if _, err := n.readOrders(ctx); err != nil {
+					call.Pause(ctx, time.Second+rand.N(time.Second))
+					continue // the same changes are told again
+				}
+				for _, e := range ev.Log {
+					if e.Put == ledger.PlanAskedKey {
+						n.planAsked()
+					}
+				}
+			}
+			rev = max(rev, ev.Revision)
+		}
+	}
+}
+
+// readOrders reads the plan and hands it to the leader, if this node leads.
+func (n *Node) readOrders(ctx context.Context) (cluster.Plan, error) {
+	var got *plan.Plan
+	st, err := ledger.LoadPlan(ctx, n.state, func(text string) error {
+		p, err := plan.Parse(text)
+		got = p
+		return err
+	})
+	lost := errors.Is(err, ledger.ErrPlanDamaged)
+	if err != nil && !lost {
+		return cluster.Plan{}, err
+	}
+	p := cluster.Plan{Number: st.Number, Head: st.Head, Lost: lost}
+	if st.Number > 0 {
+		p.Plan = got
+	}
+	n.mu.Lock()
+	was := n.orders()
+	if p.Lost && was.Plan != nil {
+		// What this node read before still holds: the record is damaged, not
+		// the decision.
+		p.Plan, p.Number, p.Lost = was.Plan, was.Number, false
+	}
+	if p.Head < was.Head {
+		p = was // another read has been faster
+	}
+	n.ordered.Store(&p)
+	l := n.lead
+	n.mu.Unlock()
+	if p.Head != was.Head {
+		for _, t := range st.Troubles {
+			n.log.Error("a record of the plan can't be read", "holds", p.Number, "err", t)
+		}
+		if lost {
+			n.log.Error("a record of the plan can't be read", "holds", p.Number, "err", err)
+		}
+		n.log.Info("plan read", "version", p.Number, "by", st.By, "note", st.Note)
+	}
+	if l != nil {
+		l.setPlan(p)
+	}
+	return p, nil
+}
+
+func (l *leadership) setPlan(p cluster.Plan) {
+	l.mu.Lock()
+	l.m.SetPlan(p, time.Now())
+	l.mu.Unlock()
+	kick(l.schedKick)
+	kick(l.flushKick)
+}
+
+// rereadPlan is for a leader whose transaction failed for the plan's version.
+func (l *leadership) rereadPlan(ctx context.Context) {
+	if _, err := l.n.readOrders(ctx); err != nil {
+		l.log.Debug("plan", "err", err)
+	}
+}
+
+// planAsked has a leader look again whether the records may be written in the form
+// that says that there may be a plan.
+func (n *Node) planAsked() {
+	if l := n.leadership(); l != nil {
+		kick(l.formKick)
+	}
+}
+
+// writeNotes writes what the plan's parts record, few changes a second.
+func (l *leadership) writeNotes(ctx context.Context) {
+	sl := l.n.cfg.Cluster.State
+	share := rate.NewLimiter(rate.Limit(notesShare*sl.WriteRPS), max(1, min(sl.TxnOps, int(2*notesShare*sl.WriteRPS))))
+	for call.Pause(ctx, 500*time.Millisecond) {
+		l.mu.Lock()
+		want := min(l.m.NotesPending(), share.Burst())
+		l.mu.Unlock()
+		if want == 0 || !l.term.Valid() {
+			continue
+		}
+		if err := share.WaitN(ctx, want); err != nil {
+			return
+		}
+		l.mu.Lock()
+		b := l.m.NoteBatch(want)
+		l.mu.Unlock()
+		if b == nil {
+			continue
+		}
+		rev, err := l.n.state.Commit(ctx, append([]wire.Guard{l.guard()}, b.Guards...), b.Ops)
+		if err != nil {
+			l.settle(ctx, b, err)
+			continue
+		}
+		l.mu.Lock()
+		b.Committed(rev, time.Now())
+		l.mu.Unlock()
+	}
+}
--- a/controller/renting.go
+++ b/controller/renting.go
@@ -117,7 +117,10 @@
 	bon := fmt.Sprintf("r-%d-%d", l.term.Token, l.bons)
 	rec := ledger.RentalRecord{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: count, AtMs: time.Now().UnixMilli()}
 	key := ledger.Rentals + bon
-	if _, err := l.n.state.Commit(ctx, []wire.Guard{l.guard(), {Key: key}}, []wire.Op{{Put: key, Value: rec}}); err != nil {
+	l.mu.Lock()
+	byPlan := l.m.PlanGuard()
+	l.mu.Unlock()
+	if _, err := l.n.state.Commit(ctx, []wire.Guard{l.guard(), byPlan, {Key: key}}, []wire.Op{{Put: key, Value: rec}}); err != nil {
 		l.log.Debug("rental record", "err", err)
 		return
 	}
--- a/controller/writing.go
+++ b/controller/writing.go
@@ -11,6 +11,7 @@
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/election"
 	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -104,6 +105,10 @@
 			if b.IsJob(key) {
 				continue // the watch tells what happened to it
 			}
+			if key == ledger.PlanHeadKey {
+				l.rereadPlan(ctx)
+				continue
+			}
 			if e, gerr := l.n.state.Get(ctx, key); gerr == nil {
 				l.mu.Lock()
 				l.m.Reread(b, key, e.Version)
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -20,6 +20,15 @@
 	ValueKB float64 // KiB of a value
 }
 
+// valueBytes is how much a value may have.
+func (l Limits) valueBytes() int {
+	kb := l.ValueKB
+	if kb <= 0 {
+		kb = 16
+	}
+	return int(kb * 1024)
+}
+
 // jobs is how many jobs a transaction can take that has that many conditions for
 // each; the head and the form have one each.
 func (l Limits) jobs(each int) int {
@@ -32,11 +41,7 @@
 
 // bytes is the largest page.
 func (l Limits) bytes() int {
-	kb := l.ValueKB
-	if kb <= 0 {
-		kb = 16
-	}
-	return int(min(kb, 18)*1024) - 256 // three of them fit into a transaction
+	return min(l.valueBytes(), 18<<10) - 256 // three of them fit into a transaction
 }
 
 // intakePage is a page of users' jobs as last read or written.
--- a/ledger/intake.go
+++ b/ledger/intake.go
@@ -21,8 +21,9 @@
 const (
 	FormKeys   = 1 // a key for each unfinished job
 	FormIntake = 2 // users' unfinished jobs share pages
+	FormPlan   = 3 // there may be a plan, whose version placements depend on
 	// Form is the newest that this program reads.
-	Form = FormIntake
+	Form = FormPlan
 )
 
 // FormKey says in which form records are written. It lies with the jobs, so that
--- /dev/null
+++ b/ledger/plan.go
@@ -0,0 +1,448 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file keeps the versions of the operators' plan. docs/plan.md has the ways
+// weighed. The head's version is the condition of whatever a leader decides by the
+// plan; the texts lie beside it, in pieces that fit into a value, and are written
+// before the head that names them, so that a plan is there as a whole or not at all.
+
+// Keys of the plan.
+const (
+	Plans = "plan/"
+	// PlanHeadKey says which version holds, and names the last ones.
+	PlanHeadKey = "plan/head"
+	// planCopyKey has the same value, changed in the same transaction: it says
+	// which version holds where the head can't be read.
+	planCopyKey = "plan/copy"
+	// PlanAskedKey is there from when a plan is first wanted: the leader then has
+	// the records written in FormPlan, once every node reads that.
+	PlanAskedKey = "plan/asked"
+	planTexts    = "plan/t/"
+	// Notes are what the plan's parts record. They change more often than the plan
+	// itself, which every node watches.
+	Notes = "note/"
+)
+
+// planVersions is how many versions stay readable.
+const planVersions = 16
+
+// PlanHead is the value of PlanHeadKey.
+type PlanHead struct {
+	Versions []PlanVersion `msgpack:"v"` // the newest first: the one that holds
+}
+
+// PlanVersion names a version of the plan. Numbers never repeat.
+type PlanVersion struct {
+	Number int    `msgpack:"n"`
+	Draft  string `msgpack:"d"` // of its text
+	Pieces int    `msgpack:"p"`
+	Digest uint64 `msgpack:"h"` // xxh3 of its text
+	AtMs   int64  `msgpack:"at"`
+	By     string `msgpack:"by,omitempty"` // as far as known
+	Note   string `msgpack:"note,omitempty"`
+}
+
+// planPiece is a part of a version's text. It says what belongs together, so that
+// the texts alone tell what there was where no head can be read.
+type planPiece struct {
+	Text   string `msgpack:"t"`
+	Pieces int    `msgpack:"p"`
+	Digest uint64 `msgpack:"h"` // of the whole text
+}
+
+// Current is the number of the version that holds, 0 where there is none.
+func (h PlanHead) Current() int {
+	if len(h.Versions) == 0 {
+		return 0
+	}
+	return h.Versions[0].Number
+}
+
+// Find finds a version; 0 is the current one.
+func (h PlanHead) Find(number int) (PlanVersion, bool) {
+	for _, v := range h.Versions {
+		if v.Number == number || number == 0 {
+			return v, true
+		}
+	}
+	return PlanVersion{}, false
+}
+
+func pieceKey(draft string, piece int) string { return planTexts + draft + "/" + strconv.Itoa(piece) }
+
+// draftNumber is the version that a text was written for.
+func draftNumber(key string) (number int, draft string, ok bool) {
+	rest, ok := strings.CutPrefix(key, planTexts)
+	if !ok {
+		return 0, "", false
+	}
+	draft, _, ok = strings.Cut(rest, "/")
+	num, _, ok2 := strings.Cut(draft, "-")
+	number, err := strconv.Atoi(num)
+	return number, draft, ok && ok2 && err == nil
+}
+
+var (
+	// ErrNoPlan: no version of the plan is there.
+	ErrNoPlan = errors.New("there is no plan")
+	// ErrPlanForm: not every node is known to read plans yet.
+	ErrPlanForm = errors.New("not every node reads plans yet: start this version on all of them (with ledger.intake), and apply again")
+	// ErrPlanDamaged: a text is not what was written.
+	ErrPlanDamaged = errors.New("the plan's record is damaged")
+)
+
+// PlanMoved says that another version came between.
+type PlanMoved struct{ Base, Current int }
+
+func (e *PlanMoved) Error() string {
+	return fmt.Sprintf("it builds on version %d, and version %d holds: look at what came between, and apply again", e.Base, e.Current)
+}
+
+// ReadPlanHead reads which versions there are. version is the head key's own, 0
+// where there is no plan. A head that can't be read is named in trouble, and its
+// copy holds.
+func ReadPlanHead(ctx context.Context, s Store) (h PlanHead, version uint64, trouble error, err error) {
+	e, err := s.Get(ctx, PlanHeadKey)
+	if err != nil {
+		return h, 0, nil, err
+	}
+	if e.Version == 0 {
+		return h, 0, nil, nil
+	}
+	if h, err := decodeHead(e.Value); err == nil {
+		return h, e.Version, nil, nil
+	}
+	trouble = fmt.Errorf("%w: %s can't be read, its copy holds", ErrPlanDamaged, PlanHeadKey)
+	c, err := s.Get(ctx, planCopyKey)
+	if err != nil {
+		return h, 0, nil, err
+	}
+	if h, err = decodeHead(c.Value); c.Version != 0 && err == nil {
+		return h, e.Version, trouble, nil
+	}
+	trouble = fmt.Errorf("%w: neither %s nor %s can be read, the newest text holds", ErrPlanDamaged, PlanHeadKey, planCopyKey)
+	h, err = planFromTexts(ctx, s)
+	return h, e.Version, trouble, err
+}
+
+// decodeHead reads a head; one without a version is damaged, since none is ever
+// written.
+func decodeHead(raw wire.Raw) (PlanHead, error) {
+	var h PlanHead
+	if err := wire.Unmarshal(raw, &h); err != nil {
+		return PlanHead{}, err
+	}
+	if len(h.Versions) == 0 || len(h.Versions) > planVersions {
+		return PlanHead{}, ErrPlanDamaged
+	}
+	for i, v := range h.Versions {
+		if v.Number < 1 || v.Pieces < 1 || i > 0 && v.Number >= h.Versions[i-1].Number {
+			return PlanHead{}, ErrPlanDamaged
+		}
+	}
+	return h, nil
+}
+
+// ReadPlanText reads the text of a version. ErrPlanDamaged: it is not there as it
+// was written.
+func ReadPlanText(ctx context.Context, s Store, v PlanVersion) (string, error) {
+	var b strings.Builder
+	for k := range v.Pieces {
+		e, err := s.Get(ctx, pieceKey(v.Draft, k))
+		if err != nil {
+			return "", err
+		}
+		var p planPiece
+		if e.Version == 0 || wire.Unmarshal(e.Value, &p) != nil {
+			return "", fmt.Errorf("%w: piece %d of version %d", ErrPlanDamaged, k, v.Number)
+		}
+		b.WriteString(p.Text)
+	}
+	if xxh3.HashString(b.String()) != v.Digest {
+		return "", fmt.Errorf("%w: version %d is not what was written", ErrPlanDamaged, v.Number)
+	}
+	return b.String(), nil
+}
+
+// pieces cuts a text so that each piece fits into a value of so many bytes, in
+// the form in which the service counts them.
+func pieces(text string, most int) []string {
+	var out []string
+	from, size := 0, 0
+	for i, r := range text {
+		cost := utf8.RuneLen(r)
+		if r < 0x20 || r >= 0x80 || strings.ContainsRune(`"\<>&`, r) {
+			cost = 6 * max(1, cost) // as escapes, at most
+		}
+		if size+cost > most && i > from {
+			out = append(out, text[from:i])
+			from, size = i, 0
+		}
+		size += cost
+	}
+	return append(out, text[from:])
+}
+
+// PlanChange is a new version, and the one that it builds on (0: none).
+type PlanChange struct {
+	Base     int
+	Text     string
+	By, Note string
+	At       time.Time
+}
+
+// ApplyPlan makes a text the version that holds, and says which number it has. Of
+// two at once one wins, and the other is told (*PlanMoved). With an error of
+// package state the outcome is unknown: the history tells.
+func ApplyPlan(ctx context.Context, s Store, limits Limits, c PlanChange) (PlanVersion, error) {
+	form, err := planForm(ctx, s)
+	if err != nil {
+		return PlanVersion{}, err
+	}
+	h, version, _, err := ReadPlanHead(ctx, s)
+	if err != nil {
+		return PlanVersion{}, err
+	}
+	if h.Current() != c.Base {
+		return PlanVersion{}, &PlanMoved{c.Base, h.Current()}
+	}
+	// A draft of the same number, of somebody who failed halfway, is never taken
+	// for this one.
+	v := PlanVersion{Number: h.Current() + 1, Digest: xxh3.HashString(c.Text), AtMs: c.At.UnixMilli(), By: clip(c.By), Note: clip(c.Note)}
+	v.Draft = fmt.Sprintf("%d-%08x", v.Number, rand.Uint32())
+	text := pieces(c.Text, min(limits.valueBytes(), 18<<10)-256) // the heads and one of them fit into a transaction
+	v.Pieces = len(text)
+	var puts []wire.Op
+	for k, t := range text {
+		puts = append(puts, wire.Op{Put: pieceKey(v.Draft, k), Value: planPiece{t, v.Pieces, v.Digest}})
+	}
+	next := PlanHead{Versions: append([]PlanVersion{v}, h.Versions...)}
+	next.Versions = next.Versions[:min(len(next.Versions), planVersions)]
+	for len(next.Versions) > 1 && next.size() > min(limits.valueBytes(), 18<<10)-256 {
+		next.Versions = next.Versions[:len(next.Versions)-1]
+	}
+	heads := []wire.Op{{Put: PlanHeadKey, Value: next}, {Put: planCopyKey, Value: next}}
+	if len(puts) > 1 {
+		// What is too large for one transaction goes ahead of the head that
+		// names it.
+		for _, p := range puts {
+			if err := surely(ctx, s, []wire.Guard{{Key: p.Put}}, []wire.Op{p}, func() bool { return isThere(ctx, s, p.Put) }); err != nil {
+				return PlanVersion{}, fmt.Errorf("the plan's text: %w", err)
+			}
+		}
+	} else {
+		heads = append(heads, puts...)
+	}
+	guards := []wire.Guard{{Key: PlanHeadKey, Version: version}, {Key: FormKey, Version: form}}
+	err = surely(ctx, s, guards, heads, func() bool {
+		h, _, _, err := ReadPlanHead(ctx, s)
+		got, ok := h.Find(v.Number)
+		return err == nil && ok && got.Draft == v.Draft
+	})
+	var conflict *state.Conflict
+	if errors.As(err, &conflict) {
+		now, _, _, rerr := ReadPlanHead(ctx, s)
+		if rerr == nil && now.Current() != c.Base {
+			err = &PlanMoved{c.Base, now.Current()}
+		}
+	}
+	if err != nil {
+		return PlanVersion{}, err
+	}
+	sweepPlans(ctx, s, next)
+	return v, nil
+}
+
+// size is what a head takes, in the form in which the service counts.
+func (h PlanHead) size() int {
+	raw, err := wire.Marshal(h)
+	if err != nil {
+		return 0 // numbers and text: the commit tells
+	}
+	return wire.JSONSize(raw)
+}
+
+// clip bounds what people say of a version.
+func clip(s string) string {
+	const most = 120
+	if len(s) <= most {
+		return s
+	}
+	return strings.ToValidUTF8(s[:most], "")
+}
+
+func isThere(ctx context.Context, s Store, key string) bool {
+	e, err := s.Get(ctx, key)
+	return err == nil && e.Version != 0
+}
+
+// surely commits what its conditions let happen once only. A lost answer is made
+// up for by asking again; a conflict may be the first try's doing, which done finds
+// out.
+func surely(ctx context.Context, s Store, guards []wire.Guard, ops []wire.Op, done func() bool) error {
+	var err error
+	for wait := 200 * time.Millisecond; ; wait = min(2*wait, 2*time.Second) {
+		_, err = s.Commit(ctx, guards, ops)
+		var c *state.Conflict
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &c):
+			if done() {
+				return nil
+			}
+			return err
+		case errors.Is(err, state.ErrInvalid):
+			return err
+		}
+		if !call.Pause(ctx, wait/2+rand.N(wait)) {
+			return err
+		}
+	}
+}
+
+// planForm makes sure that records are in a form that says that there may be a
+// plan: a program that knows of none refuses to lead from then on. It returns the
+// version of the form's record.
+func planForm(ctx context.Context, s Store) (uint64, error) {
+	for try := 0; ; try++ {
+		e, err := s.Get(ctx, FormKey)
+		if err != nil {
+			return 0, err
+		}
+		var form FormRecord
+		if e.Version != 0 {
+			if err := wire.Unmarshal(e.Value, &form); err != nil {
+				return 0, fmt.Errorf("%s: %w", FormKey, err)
+			}
+		}
+		if form.Form > Form {
+			return 0, ErrNewer
+		}
+		if form.Form >= FormPlan {
+			return e.Version, nil
+		}
+		if try == 0 {
+			_, err := s.Commit(ctx, []wire.Guard{{Key: PlanAskedKey}}, []wire.Op{{Put: PlanAskedKey, Value: true}})
+			var c *state.Conflict
+			if err != nil && !errors.As(err, &c) {
+				return 0, err
+			}
+		}
+		if try == 30 {
+			return 0, ErrPlanForm
+		}
+		if !call.Pause(ctx, 500*time.Millisecond) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// planFromTexts finds the versions by their texts alone, where neither head can be
+// read: those that are whole and the only one of their number. A draft whose
+// writer failed before it named it can't be told from a version there.
+func planFromTexts(ctx context.Context, s Store) (PlanHead, error) {
+	texts, _, err := s.List(ctx, planTexts)
+	if err != nil {
+		return PlanHead{}, err
+	}
+	drafts := map[string]PlanVersion{}
+	of := map[int]int{} // drafts of a number
+	for _, e := range texts {
+		n, draft, ok := draftNumber(e.Key)
+		var p planPiece
+		if !ok || wire.Unmarshal(e.Value, &p) != nil || p.Pieces < 1 {
+			continue
+		}
+		if _, ok := drafts[draft]; !ok {
+			of[n]++
+		}
+		drafts[draft] = PlanVersion{Number: n, Draft: draft, Pieces: p.Pieces, Digest: p.Digest}
+	}
+	var h PlanHead
+	for _, v := range drafts {
+		if of[v.Number] == 1 {
+			h.Versions = append(h.Versions, v)
+		}
+	}
+	slices.SortFunc(h.Versions, func(a, b PlanVersion) int { return b.Number - a.Number })
+	h.Versions = h.Versions[:min(len(h.Versions), planVersions)]
+	return h, nil
+}
+
+// PlanState is the version of the plan that holds.
+type PlanState struct {
+	PlanVersion        // the zero value: there is no plan
+	Head        uint64 // the version of PlanHeadKey, which decisions by the plan have as their condition
+	Text        string
+	Troubles    []error // what could not be read, newer than this version
+}
+
+// LoadPlan reads the newest version that can be read and that readable takes.
+// ErrPlanDamaged: there is a plan, and no version of it can be read.
+func LoadPlan(ctx context.Context, s Store, readable func(text string) error) (PlanState, error) {
+	h, version, trouble, err := ReadPlanHead(ctx, s)
+	if err != nil {
+		return PlanState{}, err
+	}
+	st := PlanState{Head: version}
+	if version == 0 {
+		return st, nil
+	}
+	if trouble != nil {
+		st.Troubles = append(st.Troubles, trouble)
+	}
+	for _, v := range h.Versions {
+		text, err := ReadPlanText(ctx, s, v)
+		if err == nil {
+			if err = readable(text); err != nil {
+				err = fmt.Errorf("%w: version %d: %v", ErrPlanDamaged, v.Number, err)
+			}
+		}
+		switch {
+		case errors.Is(err, ErrPlanDamaged):
+			st.Troubles = append(st.Troubles, err)
+			continue
+		case err != nil:
+			return PlanState{}, err // not reached: that says nothing of the plan
+		}
+		st.PlanVersion, st.Text = v, text
+		return st, nil
+	}
+	return st, fmt.Errorf("%w: no version of it can be read", ErrPlanDamaged)
+}
+
+// sweepPlans removes the texts that no version names. A draft can be committed only
+// as the next version, so that those up to the current one are nobody's.
+func sweepPlans(ctx context.Context, s Store, h PlanHead) {
+	texts, _, err := s.List(ctx, planTexts)
+	if err != nil {
+		return // the next one that is applied sweeps
+	}
+	for _, e := range texts {
+		n, draft, ok := draftNumber(e.Key)
+		if !ok || n > h.Current() || slices.ContainsFunc(h.Versions, func(v PlanVersion) bool { return v.Draft == draft }) {
+			continue
+		}
+		if _, err := s.Commit(ctx, []wire.Guard{{Key: e.Key, Version: e.Version}}, []wire.Op{{Delete: e.Key}}); err != nil {
+			return
+		}
+	}
+}
