The plan: stories of failing leaders, damaged records and versions that read no plans

The fakes' state service refuses every placement that is not on condition of the plan; 10 at once, lost and minute-late transactions, writers that die at each piece, each record damaged.

--- /dev/null
+++ b/controller/plan_test.go
@@ -0,0 +1,167 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// tryApply applies a plan as the operators' command does.
+func tryApply(w *fake.World, base int, text string) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
+	v, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16}, ledger.PlanChange{Base: base, Text: text, By: "ops", At: time.Now()})
+	return v.Number, err
+}
+
+func applyPlan(t *testing.T, w *fake.World, base int, text string) {
+	t.Helper()
+	if n, err := tryApply(w, base, text); err != nil || n != base+1 {
+		t.Fatalf("version %d on %d: %v", n, base, err)
+	}
+}
+
+// knows waits until every node that is up knows a version of the plan.
+func knows(t *testing.T, w *fake.World, version int, nodes ...int) {
+	t.Helper()
+	for _, i := range nodes {
+		for k := 0; ; k++ {
+			o := overview(t, w, i)
+			if o.Orders != nil && o.Orders.Version == version && !o.Orders.Lost {
+				break
+			}
+			if k == 60 {
+				t.Fatalf("node %d knows %+v, not version %d", i, o.Orders, version)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+}
+
+// Each leader in turn is killed, stood still or cut off as a plan is applied, and a
+// transaction of one comes a minute late. The store's checker sees that nothing is
+// placed but on condition of the plan in force; every job is done, once.
+func TestPlansAreAppliedWhileLeadersFail(t *testing.T) {
+	story(t, fake.Options{Machines: 6, Metrics: true, Nodes: 5}, func(t *testing.T, w *fake.World) {
+		next := 1
+		submit := func(n int) {
+			for range n {
+				mustSubmit(t, w, job(next, func(j *wire.Job) { j.EstimateS = 12 }))
+				next++
+			}
+		}
+		submit(4)
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, `note = "before"`) // the first one takes every node to be up
+		version := 1
+		for round, trouble := range []func(l int) func(){
+			func(l int) func() { w.KillNode(l); return func() { w.StartNode(l) } },
+			func(l int) func() { w.Stop(l, true); return func() { w.Stop(l, false) } },
+			func(l int) func() { w.CutNode(l, true, "state:1"); return func() { w.CutNode(l, false, "state:1") } },
+			func(l int) func() { w.State.LateNext(time.Minute); submit(2); w.KillNode(l); return func() { w.StartNode(l) } },
+		} {
+			submit(3)
+			end := trouble(w.Leader())
+			for range 2 { // twice, while it lasts
+				applyPlan(t, w, version, fmt.Sprintf("note = \"round %d\"", round))
+				version++
+				submit(2)
+			}
+			time.Sleep(12 * time.Second)
+			end()
+			time.Sleep(8 * time.Second)
+		}
+		time.Sleep(time.Minute)
+		knows(t, w, version, 0, 1, 2, 3, 4)
+		for n := 1; n < next; n++ {
+			mustReach(t, w, job(n, nil).ID, wire.JobDone, 3*time.Minute)
+		}
+		if w.Repeated() > 0 {
+			t.Errorf("%d tasks were done twice", w.Repeated())
+		}
+	})
+}
+
+// All nodes are killed at once just after a plan is applied: whoever leads next
+// reads it before it places anything, also where its newest record is damaged.
+func TestANewLeaderReadsThePlanBeforeItPlaces(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Metrics: true}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, `note = "one"`)
+		applyPlan(t, w, 1, `note = "two"`)
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		for _, k := range w.State.Keys("plan/t/2-") {
+			w.State.Damage(k)
+		}
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		mustSubmit(t, w, job(1, nil))
+		mustReach(t, w, job(1, nil).ID, wire.JobDone, 2*time.Minute)
+		knows(t, w, 1, 0, 1, 2)
+		applyPlan(t, w, 2, `note = "three"`)
+		knows(t, w, 3, 0, 1, 2)
+	})
+}
+
+// Where no version can be read any more, what runs goes on and submissions are
+// taken, but nothing is placed as if there were no plan, until one is applied.
+func TestNothingIsPlacedByALostPlan(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Metrics: true}, func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, `note = "one"`)
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		for _, k := range w.State.Keys("plan/t/") {
+			w.State.Damage(k)
+		}
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		mustSubmit(t, w, job(2, nil))
+		mustReach(t, w, job(1, nil).ID, wire.JobDone, 2*time.Minute)
+		if n := w.Load()[job(2, nil).ID]; n > 0 || w.Started() > 2 {
+			t.Errorf("%d tasks were started by a plan that nobody can read", w.Started())
+		}
+		if o := overview(t, w, 0); o.Orders == nil || !o.Orders.Lost {
+			t.Errorf("status says %+v", o.Orders)
+		}
+		applyPlan(t, w, 1, `note = "two"`)
+		mustReach(t, w, job(2, nil).ID, wire.JobDone, 2*time.Minute)
+	})
+}
+
+// As long as one node reads no plans none is applied. Once one is, the records have
+// a form by which that version does not lead: it would place by no order at all.
+func TestNoPlanIsAppliedBeforeEveryNodeReadsPlans(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Metrics: true, Older: []int{2}}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		if _, err := tryApply(w, 0, `note = "one"`); !errors.Is(err, ledger.ErrPlanForm) {
+			t.Fatalf("with a node that reads no plans: %v", err)
+		}
+		if o := overview(t, w, 0); o.Orders != nil {
+			t.Fatalf("refused, and known: %+v", o.Orders)
+		}
+		w.KillNode(2)
+		w.Upgrade(2)
+		w.StartNode(2)
+		time.Sleep(10 * time.Second)
+		applyPlan(t, w, 0, `note = "one"`)
+		var form ledger.FormRecord
+		if err := wire.Unmarshal(w.State.Value(ledger.FormKey), &form); err != nil || form.Form != ledger.FormPlan {
+			t.Fatalf("form %+v, %v", form, err)
+		}
+	})
+}
--- a/controller/status.go
+++ b/controller/status.go
@@ -131,6 +131,9 @@
 	n.mu.Unlock()
 	o.Reports = metrics.Reports{Passed: c.passed, Failed: c.passFailed, Moved: c.moved, Waiting: n.reports.Waiting(),
 		Refused: n.reports.Shed(), Served: n.answered.Recent(now, config.Seconds(n.cfg.Cluster.Workers.LeaseS))}
+	if p := n.orders(); p.Head > 0 {
+		o.Orders = &metrics.Orders{Version: p.Number, Lost: p.Lost}
+	}
 	if p := n.currentPlan(o.Leader); p != nil {
 		o.Plan = planOf(&p.Plan)
 	}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -36,6 +37,7 @@
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
 	busy    int // requests refused for being too many
+	breaks  func(format string, args ...any)
 }
 
 // LimitRequests makes the service refuse what is more than so many requests a
@@ -347,6 +349,7 @@
 		reply(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
 		return
 	}
+	s.checkOrders(&t)
 	if len(t.Then) > 0 {
 		s.rev++
 		for _, op := range t.Then {
@@ -365,6 +368,41 @@
 	reply(w, http.StatusOK, wire.TxnAnswer{Revision: s.rev})
 }
 
+// checkOrders sees to it that no task is placed but on condition of the plan in
+// force: the condition held, since the transaction is being applied.
+func (s *State) checkOrders(t *txn) {
+	if s.breaks == nil || slices.ContainsFunc(t.If, func(g wire.Guard) bool { return g.Key == ledger.PlanHeadKey }) {
+		return
+	}
+	for _, op := range t.Then {
+		if _, ok := ledger.ParsePageKey(op.Put); !ok {
+			continue
+		}
+		var was, is ledger.PageRecord
+		if wire.Unmarshal(op.Value, &is) != nil {
+			s.breaks("unreadable page %s", op.Put)
+			continue
+		}
+		if e, ok := s.keys[op.Put]; ok && wire.Unmarshal(e.Value, &was) != nil {
+			continue // a story has damaged it
+		}
+		there := map[string]bool{}
+		name := func(job string, p ledger.Placement) string { return fmt.Sprint(job, p.Task, p.Attempt, p.Machine) }
+		for _, c := range was.Chunks {
+			for _, p := range c.Placed {
+				there[name(c.Job, p)] = true
+			}
+		}
+		for _, c := range is.Chunks {
+			for _, p := range c.Placed {
+				if !there[name(c.Job, p)] {
+					s.breaks("%s/%d is placed on no condition of the plan", c.Job, p.Task)
+				}
+			}
+		}
+	}
+}
+
 func (s *State) follow(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -133,6 +133,7 @@
 	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
 		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}}
+	w.State.breaks = w.breaks
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
 		answers: map[string][]string{}, machines: map[string]*machine{}}
 	w.serve("state:1", w.State)
--- /dev/null
+++ b/ledger/plan_test.go
@@ -0,0 +1,262 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/quick"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+func applyPlan(s *store, base int, text string) (ledger.PlanVersion, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return ledger.ApplyPlan(ctx, s, limits, ledger.PlanChange{Base: base, Text: text, By: "somebody", At: time.Now()})
+}
+
+func loadPlan(t *testing.T, s *store) ledger.PlanState {
+	t.Helper()
+	st, err := ledger.LoadPlan(context.Background(), s, func(text string) error {
+		if strings.HasPrefix(text, "unknown") {
+			return errors.New("a field that is not known")
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return st
+}
+
+// damage overwrites the keys with a prefix.
+func (s *store) damage(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			e.Value = wire.Raw{0xdd, 0xff, 0xff, 0xff, 0xff}
+			s.keys[k] = e
+		}
+	}
+}
+
+// Ten people apply at once, again and again, while transactions are lost, their
+// answers too, and some come up to a minute late. Each of those who are told that
+// theirs holds has a number of its own, and the text of that number is theirs.
+func TestOfPlansAppliedAtOnceOneWins(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore(seed)
+			s.raise(1)
+			s.late, s.lost, s.lateBy = 0.1, 0.2, time.Minute
+			var mu sync.Mutex
+			won, moved, texts := 0, 0, map[int]string{}
+			var wg sync.WaitGroup
+			for who := range 10 {
+				wg.Go(func() {
+					for k := range 4 {
+						text := fmt.Sprintf("note = \"%d-%d %s\"", who, k, strings.Repeat("x", 9000*(k%3)))
+						v, err := applyPlan(s, loadPlan(t, s).Number, text)
+						var m *ledger.PlanMoved
+						mu.Lock()
+						switch {
+						case err == nil:
+							if texts[v.Number] != "" {
+								t.Errorf("seed %d: version %d twice", seed, v.Number)
+							}
+							texts[v.Number] = text
+							won++
+						case errors.As(err, &m):
+							moved++
+						}
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			s.wg.Wait() // the late ones as well
+			if won == 0 || moved == 0 {
+				t.Fatalf("seed %d: %d won, %d were told that another came between", seed, won, moved)
+			}
+			h, _, trouble, err := ledger.ReadPlanHead(context.Background(), s)
+			if err != nil || trouble != nil || h.Current() < won {
+				t.Fatalf("seed %d: version %d after %d that won, %v, %v", seed, h.Current(), won, trouble, err)
+			}
+			for _, v := range h.Versions {
+				text, err := ledger.ReadPlanText(context.Background(), s, v)
+				if err != nil || texts[v.Number] != "" && texts[v.Number] != text {
+					t.Errorf("seed %d: version %d has another text, %v", seed, v.Number, err)
+				}
+			}
+		})
+	}
+}
+
+// Whoever applies a plan that needs many pieces dies after any of them: the version
+// before holds, whole, and the next one that is applied sweeps what was left.
+func TestAPlanIsTakenInAsAWholeOrNotAtAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		if _, err := applyPlan(s, 0, "note = \"first\""); err != nil {
+			t.Fatal(err)
+		}
+		large := "note = \"" + strings.Repeat("\\\"é", 9000) + "\""
+		for dies := 1; dies <= 24; dies++ {
+			ctx, cancel := context.WithCancel(context.Background())
+			n := 0
+			s.answering = func([]wire.Op) {
+				if n++; n == dies {
+					cancel()
+					s.mu.Lock()
+					s.late = 1 // nothing more is done in its name
+					s.lateBy = 1
+					s.mu.Unlock()
+				}
+			}
+			base := loadPlan(t, s).Number
+			_, err := ledger.ApplyPlan(ctx, dying{s, ctx}, limits, ledger.PlanChange{Base: base, Text: large, At: time.Now()})
+			s.answering = nil
+			s.mu.Lock()
+			s.late = 0
+			s.mu.Unlock()
+			cancel()
+			switch st := loadPlan(t, s); {
+			case st.Number == base && st.Text == "note = \"first\"":
+				if err == nil {
+					t.Fatalf("died after %d: told that it holds, and it does not", dies)
+				}
+			case st.Number == base+1 && st.Text == large && dies > 12:
+				goto whole
+			default:
+				t.Fatalf("died after %d: version %d of %d bytes holds", dies, st.Number, len(st.Text))
+			}
+		}
+		t.Fatal("it was never applied")
+	whole:
+		st := loadPlan(t, s)
+		if _, err := applyPlan(s, st.Number, "note = \"last\""); err != nil {
+			t.Fatal(err)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		drafts := map[string]bool{}
+		for k := range s.keys {
+			if rest, ok := strings.CutPrefix(k, "plan/t/"); ok {
+				drafts[strings.Split(rest, "/")[0]] = true
+			}
+		}
+		if len(drafts) != 3 {
+			t.Errorf("texts of %v for three versions", drafts)
+		}
+	})
+}
+
+// dying is a store that is there as long as its context.
+type dying struct {
+	*store
+	context.Context
+}
+
+func (d dying) Commit(ctx context.Context, g []wire.Guard, o []wire.Op) (uint64, error) {
+	if d.Err() != nil {
+		return 0, state.ErrUnknown
+	}
+	return d.store.Commit(ctx, g, o)
+}
+
+// Whatever of the records is damaged, the newest version that can be read holds,
+// and what could not be read is named.
+func TestTheNewestReadablePlanHolds(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		damage string
+		newest string // the text of version 3
+		holds  int
+	}{
+		{"nothing", "none", "note = \"3\"", 3},
+		{"the head", "plan/head", "note = \"3\"", 3},
+		{"both heads", "plan/head plan/copy", "note = \"3\"", 3},
+		{"the newest text", "plan/t/3-", "note = \"3\"", 2},
+		{"two texts and the head", "plan/t/3- plan/t/2- plan/head", "note = \"3\"", 1},
+		{"a field of a later version", "none", "unknown = 3", 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore(1)
+			s.raise(1)
+			for n, text := range []string{"note = \"1\"", "note = \"2\"", c.newest} {
+				if _, err := applyPlan(s, n, text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, k := range strings.Fields(c.damage) {
+				s.damage(k)
+			}
+			st := loadPlan(t, s)
+			if st.Number != c.holds || st.Head == 0 || (len(st.Troubles) == 0) != (c.name == "nothing") {
+				t.Errorf("%s: version %d holds, head %d, named %v", c.name, st.Number, st.Head, st.Troubles)
+			}
+			// A version that builds on what can be read gets a number of its own.
+			if strings.Contains(c.damage, "plan/t/3-") {
+				return
+			}
+			if v, err := applyPlan(s, 3, "note = \"4\""); err != nil || v.Number != 4 || loadPlan(t, s).Number != 4 {
+				t.Errorf("%s: applied after it: version %d, %v", c.name, v.Number, err)
+			}
+		})
+	}
+}
+
+// With nothing readable left there is no plan to decide by, and that is said: it is
+// not as if there had never been one.
+func TestAPlanOfWhichNothingIsLeftIsNotNoPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		if _, err := applyPlan(s, 0, "note = \"1\""); err != nil {
+			t.Fatal(err)
+		}
+		s.damage("plan/t/")
+		st, err := ledger.LoadPlan(context.Background(), s, func(string) error { return nil })
+		if !errors.Is(err, ledger.ErrPlanDamaged) || st.Head == 0 {
+			t.Errorf("head %d, %v", st.Head, err)
+		}
+	})
+}
+
+// Any text comes back as it was, and no piece is larger than a value.
+func TestPlanTextsFitIntoValues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		n := 0
+		err := quick.Check(func(words []string, times uint8) bool {
+			text := strings.ToValidUTF8(strings.Repeat(strings.Join(words, " \"<\n"), 1+int(times)), "")
+			v, err := applyPlan(s, n, text)
+			if err != nil {
+				t.Log(err)
+				return false
+			}
+			n = v.Number
+			s.mu.Lock()
+			for k, e := range s.keys {
+				if size := wire.JSONSize(e.Value); size > int(limits.ValueKB*1024) {
+					t.Errorf("%s has %d bytes", k, size)
+				}
+			}
+			s.mu.Unlock()
+			return loadPlan(t, s).Text == text
+		}, &quick.Config{MaxCount: 40})
+		if err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -23,6 +23,7 @@
 	Connections Connections `json:"connections"`
 	Reports     Reports     `json:"reports"`
 	Plan        *Plan       `json:"plan,omitempty"`
+	Orders      *Orders     `json:"orders,omitempty"`
 	Fleet       *Fleet      `json:"fleet,omitempty"`
 	Troubles    []Trouble   `json:"troubles,omitempty"`
 }
@@ -54,6 +55,12 @@
 	Relays  []string `json:"relays"`
 }
 
+// Orders is which version of the operators' plan this node knows.
+type Orders struct {
+	Version int  `json:"version"`
+	Lost    bool `json:"lost"` // no version can be read: nothing is placed
+}
+
 // Fleet is the leader's view.
 type Fleet struct {
 	Node       string             `json:"node"`
@@ -96,6 +103,12 @@
 	if p := o.Plan; p != nil {
 		row("workers report", "%d, %d of them to the leader, the rest by way of %s", p.Workers, p.Direct, strings.Join(p.Relays, ", "))
 	}
+	if p := o.Orders; p != nil {
+		row("plan", "version %d", p.Version)
+		if p.Lost {
+			row("", "no version can be read: nothing new is placed until one is applied")
+		}
+	}
 	c := o.Connections
 	row("connections", "users %d, workers %d, other %d, at most %d; %d closed for want of room", c.Users, c.Workers, c.Other, c.Most, c.Closed)
 	r := o.Reports
