--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -115,10 +115,16 @@
 	return fmt.Sprintf("it builds on version %d, and version %d holds: look at what came between, and apply again", e.Base, e.Current)
 }
 
+// ReadStore is what reading the plan needs of the state service.
+type ReadStore interface {
+	Get(ctx context.Context, key string) (wire.Entry, error)
+	List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error)
+}
+
 // ReadPlanHead reads which versions there are. version is the head key's own, 0
 // where there is no plan. A head that can't be read is named in trouble, and its
 // copy holds.
-func ReadPlanHead(ctx context.Context, s Store) (h PlanHead, version uint64, trouble error, err error) {
+func ReadPlanHead(ctx context.Context, s ReadStore) (h PlanHead, version uint64, trouble error, err error) {
 	e, err := s.Get(ctx, PlanHeadKey)
 	if err != nil {
 		return h, 0, nil, err
@@ -162,7 +168,7 @@
 
 // ReadPlanText reads the text of a version. ErrPlanDamaged: it is not there as it
 // was written.
-func ReadPlanText(ctx context.Context, s Store, v PlanVersion) (string, error) {
+func ReadPlanText(ctx context.Context, s ReadStore, v PlanVersion) (string, error) {
 	var b strings.Builder
 	for k := range v.Pieces {
 		e, err := s.Get(ctx, pieceKey(v.Draft, k))
@@ -288,7 +294,7 @@
 	return strings.ToValidUTF8(s[:most], "")
 }
 
-func isThere(ctx context.Context, s Store, key string) bool {
+func isThere(ctx context.Context, s ReadStore, key string) bool {
 	e, err := s.Get(ctx, key)
 	return err == nil && e.Version != 0
 }
@@ -358,7 +364,7 @@
 // planFromTexts finds the versions by their texts alone, where neither head can be
 // read: those that are whole and the only one of their number. A draft whose
 // writer failed before it named it can't be told from a version there.
-func planFromTexts(ctx context.Context, s Store) (PlanHead, error) {
+func planFromTexts(ctx context.Context, s ReadStore) (PlanHead, error) {
 	texts, _, err := s.List(ctx, planTexts)
 	if err != nil {
 		return PlanHead{}, err
@@ -397,7 +403,7 @@
 
 // LoadPlan reads the newest version that can be read and that readable takes.
 // ErrPlanDamaged: there is a plan, and no version of it can be read.
-func LoadPlan(ctx context.Context, s Store, readable func(text string) error) (PlanState, error) {
+func LoadPlan(ctx context.Context, s ReadStore, readable func(text string) error) (PlanState, error) {
 	h, version, trouble, err := ReadPlanHead(ctx, s)
 	if err != nil {
 		return PlanState{}, err
--- /dev/null
+++ b/snapshot/plan.go
@@ -0,0 +1,55 @@
+package snapshot
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// plan says what of the operators' plan is not as it was written: its versions are
+// read as a node reads them.
+func (v *verifier) plan() {
+	ctx := context.Background()
+	h, version, trouble, err := ledger.ReadPlanHead(ctx, held(v.all))
+	if err != nil || version == 0 {
+		return // there is no plan: a snapshot's reads do not fail
+	}
+	if trouble != nil {
+		v.say(ledger.PlanHeadKey, "%v", trouble)
+	}
+	if v.form.Form < ledger.FormPlan {
+		v.say(ledger.PlanHeadKey, "there is a plan, and the form is %d", v.form.Form)
+	}
+	for _, ver := range h.Versions {
+		if _, err := ledger.ReadPlanText(ctx, held(v.all), ver); err != nil {
+			v.say(ledger.PlanHeadKey, "%v", err)
+		}
+	}
+}
+
+// held is a snapshot as a store that is only read.
+type held map[string]wire.Raw
+
+// Get implements ledger.ReadStore. What a snapshot holds has no version of its own.
+func (h held) Get(_ context.Context, key string) (wire.Entry, error) {
+	raw, ok := h[key]
+	if !ok {
+		return wire.Entry{}, nil
+	}
+	return wire.Entry{Key: key, Value: raw, Version: 1}, nil
+}
+
+// List implements ledger.ReadStore.
+func (h held) List(_ context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var out []wire.Entry
+	for _, k := range slices.Sorted(maps.Keys(h)) {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, wire.Entry{Key: k, Value: h[k], Version: 1})
+		}
+	}
+	return out, 1, nil
+}
--- /dev/null
+++ b/snapshot/plan_test.go
@@ -0,0 +1,69 @@
+package snapshot_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/snapshot"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// The plan's versions are in a snapshot, a damaged one is named, and in a state
+// service that was filled from it the same version holds.
+func TestAPlanIsExportedVerifiedAndImported(t *testing.T) {
+	var file bytes.Buffer
+	limits := ledger.Limits{TxnOps: 12, ValueKB: 16}
+	text := "note = \"" + strings.Repeat("two ", 9000) + "\""
+	tell.Story(t, fake.Options{Machines: 2}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		for n, text := range []string{"note = \"one\"", text} {
+			if _, err := ledger.ApplyPlan(t.Context(), client(w), limits, ledger.PlanChange{Base: n, Text: text, At: time.Now()}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, _, err := snapshot.Take(t.Context(), client(w), 20, &file, "test"); err != nil {
+			t.Fatal(err)
+		}
+	})
+	r, err := snapshot.NewReader(&file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, err := r.All()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, found := snapshot.Verify(all); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(fake.Options{Machines: 1, Outside: true})
+		defer w.Close()
+		w.State.Wipe()
+		if _, err := snapshot.Restore(t.Context(), client(w), r.Header, all, 12); err != nil {
+			t.Fatal(err)
+		}
+		st, err := ledger.LoadPlan(t.Context(), client(w), func(string) error { return nil })
+		if err != nil || st.Number != 2 || st.Text != text || len(st.Troubles) > 0 {
+			t.Errorf("version %d of %d bytes, %v, %v", st.Number, len(st.Text), st.Troubles, err)
+		}
+		if v, err := ledger.ApplyPlan(t.Context(), client(w), limits, ledger.PlanChange{Base: 2, Text: "note = \"three\"", At: time.Now()}); err != nil || v.Number != 3 {
+			t.Errorf("applied after it: %+v, %v", v, err)
+		}
+	})
+	for k := range all {
+		if strings.HasPrefix(k, "plan/t/2-") {
+			all[k] = wire.Raw{0xc1}
+			break
+		}
+	}
+	if _, found := snapshot.Verify(all); len(found) != 1 || !strings.Contains(found[0].String(), "version 2") {
+		t.Errorf("damaged: found %v", found)
+	}
+}
--- a/snapshot/verify.go
+++ b/snapshot/verify.go
@@ -38,6 +38,7 @@
 			v.page(key)
 		}
 	}
+	v.plan()
 	slices.SortStableFunc(v.found, func(a, b Finding) int { return strings.Compare(a.Key, b.Key) })
 	return v.totals, v.found
 }
