--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -17,6 +17,7 @@
 // Store is what this package needs of the state service.
 type Store interface {
 	Get(ctx context.Context, key string) (wire.Entry, error)
+	List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error)
 	// Span reads at most so many keys with a prefix that come after a key.
 	Span(ctx context.Context, prefix, after string, most int) (entries []wire.Entry, more bool, rev uint64, err error)
 	Commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error)
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -80,6 +80,11 @@
 	return out[:min(most, len(out))], len(out) > most, s.rev, nil
 }
 
+func (s *store) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	entries, _, rev, err := s.Span(ctx, prefix, "", 1<<20)
+	return entries, rev, err
+}
+
 func (s *store) Follow(_ context.Context, prefix string, after uint64, _ time.Duration) (wire.Events, error) {
 	s.pause()
 	s.mu.Lock()
