The state service of the stories lists no more than 512 KiB at once

A listing of 2 MiB was refused by its reader as too long: no node of a story with 6,000 jobs that shared pages could read them after a restart.

--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -279,12 +279,20 @@
 	if page > 0 && len(keys) > page {
 		keys, l.More = keys[:page], true
 	}
+	size := 0
 	for _, k := range keys {
+		if size += len(k) + len(s.keys[k].Value) + 40; size > listingMax {
+			l.More = true
+			break
+		}
 		l.Items = append(l.Items, s.keys[k])
 	}
 	reply(w, http.StatusOK, l)
 }
 
+// listingMax is about the most that an answer to a listing holds, in bytes.
+const listingMax = 512 << 10
+
 // valueMax is the most that a value may take, as text.
 const valueMax = 16 << 10
 
