--- a/ledger/ends.go
+++ b/ledger/ends.go
@@ -174,6 +174,7 @@
 			left = append(left, a)
 		}
 	}
+	r.keepNear(entries)
 	covered := len(asks) - len(left)
 	if covered == 0 {
 		// Something else lies before the first one's key.
@@ -192,6 +193,20 @@
 	r.putBack(left)
 }
 
+// keepNear keeps what was read beside what was asked for: its users ask next, after a
+// restart of all nodes. It takes no more than half of what is kept.
+func (r *Reader) keepNear(entries []wire.Entry) {
+	r.mu.Lock()
+	room := finalMax/2 - len(r.order)
+	r.mu.Unlock()
+	for _, e := range entries[:min(max(room, 0), len(entries))] {
+		var rec JobRecord
+		if id, ok := ParseFinalKey(e.Key); ok && wire.Unmarshal(e.Value, &rec) == nil {
+			r.keepFinal(id, rec)
+		}
+	}
+}
+
 // before is a key that comes before another, with few between them: an id ends in
 // a digit.
 func before(key string) string {
