--- /dev/null
+++ b/cluster/bound.go
@@ -0,0 +1,280 @@
+package cluster
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+)
+
+// This file is the bound: whoever is put off, for whatever reason, begins
+// within a time of its acceptance for which the fleet has room at all. Triage
+// and the order of aims put the same jobs off again and again: those that cost
+// the most. The bound asks when a job must hold room to begin in time, and from
+// then on it is served before the aims of its priority. It stops nothing that
+// could not be stopped anyhow.
+//
+// It rests on when a job was accepted, whether it has begun, and where tasks
+// are, all of which a next leader reads or is told.
+
+const (
+	boundAgain = 2 * time.Second  // a verdict stands for so long
+	boundGuard = 10 * time.Second // by which a job should be early
+	// largestEarlier is the share of the bound by which the largest of a class
+	// must begin earlier: what they wait for is the hardest to foresee.
+	largestEarlier = 0.15
+	// arrayEarlier is the share of the bound that an array's first task is early
+	// by. It takes a single place; waiting for the last moment saves nothing.
+	arrayEarlier = 0.5
+	// boundSlack and boundShare are how late a job may seem to be able to wait:
+	// a time, and a share of how long its room takes to come free.
+	boundSlack = 10 * time.Second
+	boundShare = 0.25
+	holdLong   = 150 // seconds ahead that room is kept for a job that must begin
+	boundHeads = 100 // jobs are served by the bound in a pass
+	sizesKept  = 200 // of a class's last jobs
+	largestOf  = 10  // one in so many is among the largest of its class
+	settledFor = 30 * time.Second
+)
+
+// begun says whether a task of the job has run. A task that is done may have
+// run in an earlier leader's time.
+func (j *Job) begun() bool { return !j.FirstRun.IsZero() || j.Done > 0 }
+
+// toBegin is how many places the job needs to begin: a gang all at once, others
+// one. 0: it has begun, or has its room already.
+func (j *Job) toBegin() int {
+	switch {
+	case j.begun():
+		return 0
+	case j.Gang():
+		return len(j.Tasks)
+	case j.Placed > 0:
+		return 0
+	}
+	return 1
+}
+
+// beginning says whether the job's only task must be left alone: it was begun by
+// the bound, and a start that is stopped at once is none.
+func (m *Model) beginning(j *Job, now time.Time) bool {
+	return m.BeginWithin > 0 && j.owed && !j.Gang() && j.Placed == 1 && (j.FirstRun.IsZero() || now.Sub(j.FirstRun) < settledFor)
+}
+
+// sized takes in how many tasks a job of the class has.
+func (c *class) sized(tasks int) {
+	if len(c.sizes) < sizesKept {
+		c.sizes = append(c.sizes, tasks)
+	} else {
+		c.sizes[c.sized0] = tasks
+		c.sized0 = (c.sized0 + 1) % sizesKept
+	}
+	c.large = 0
+}
+
+// largest says whether a job of so many tasks is among the largest of its class.
+func (c *class) largest(tasks int) bool {
+	if c.large == 0 {
+		v := slices.Clone(c.sizes)
+		slices.Sort(v)
+		c.large = v[len(v)-max(1, len(v)/largestOf)]
+	}
+	return tasks >= c.large
+}
+
+// bound marks the waiting jobs that must hold room now in order to begin in
+// time. The verdicts stand for a while; a job that came since waits for the next.
+func (m *Model) bound(out []*ranked, now time.Time) {
+	if m.BeginWithin <= 0 || now.Before(m.boundAt) {
+		return
+	}
+	m.boundAt = now.Add(boundAgain)
+	byClass := map[string][]*ranked{}
+	var names []string
+	for _, k := range out {
+		if k.j.toBegin() == 0 {
+			continue
+		}
+		c := k.j.Spec.Class
+		if byClass[c] == nil {
+			names = append(names, c)
+		}
+		byClass[c] = append(byClass[c], k)
+	}
+	for _, c := range names {
+		m.boundClass(byClass[c], now)
+	}
+}
+
+// latestBegin is when a job must have its room to begin in time: the image, the
+// start and a guard come after that.
+func (m *Model) latestBegin(j *Job) time.Time {
+	fetch := math.Inf(1)
+	for i := range m.Types {
+		if t := &m.Types[i]; j.Types[i] && t.Fetch > 0 {
+			fetch = min(fetch, j.Spec.ImageGB/t.Fetch)
+		}
+	}
+	if math.IsInf(fetch, 1) {
+		fetch = 0
+	}
+	at := j.At.Add(m.BeginWithin - boundGuard - config.Seconds(fetch+m.spreadOf(j).delay()))
+	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
+		at = at.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
+	}
+	return at
+}
+
+// boundClass plays the jobs of a class that have not begun through, the first
+// to be late first, as if nothing else were served from now on. Those that can
+// be in time so, and not by much, must be served now, and with them all before
+// them. One that can't be in time even so takes nothing away from the others.
+func (m *Model) boundClass(jobs []*ranked, now time.Time) {
+	type verdict struct {
+		slack, wait time.Duration
+		hope        bool
+	}
+	latest := make([]time.Time, len(jobs))
+	order := make([]int, len(jobs))
+	for i, k := range jobs {
+		latest[i], order[i] = m.latestBegin(k.j), i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return latest[order[a]].Before(latest[order[b]]) })
+	rooms := m.roomsOf(jobs[0].j, now)
+	out := make([]verdict, len(jobs))
+	for _, i := range order {
+		k := jobs[i]
+		n := k.j.toBegin()
+		at, zone := rooms.first(k.j, n)
+		v := &out[i]
+		v.wait = config.Seconds(min(at, 1e6))
+		v.slack = latest[i].Sub(now) - v.wait
+		// What it is early by counts for the others' sake; late is only who
+		// begins after the bound itself.
+		v.hope = now.Add(v.wait).Before(k.j.At.Add(m.BeginWithin))
+		if v.hope {
+			rooms.take(zone, n, at+k.left)
+		}
+	}
+	least := time.Duration(math.MaxInt64)
+	for o := len(order) - 1; o >= 0; o-- {
+		i := order[o]
+		j, v := jobs[i].j, out[i]
+		enough := boundSlack + time.Duration(boundShare*float64(v.wait))
+		switch {
+		case !j.Gang():
+			j.owed = v.slack <= time.Duration(arrayEarlier*float64(m.BeginWithin))
+		case v.hope:
+			least = min(least, v.slack)
+			j.owed = least <= enough
+		default:
+			j.owed = !now.Before(latest[i])
+		}
+		j.latest, j.hopeless = latest[i], !v.hope
+	}
+}
+
+// rooms is after how many seconds there is a place for a task, once for each,
+// by zone. Where a class's jobs need no zone of their own, it is one list.
+type rooms struct {
+	byZone []times
+	whole  bool // one list for all zones
+}
+
+func (m *Model) roomsOf(j *Job, now time.Time) *rooms {
+	r := &rooms{whole: !j.Spec.OneZone && j.Zone < 0}
+	if r.whole {
+		r.byZone = []times{m.places(j, -1, now)}
+	} else {
+		for z := range m.Zones {
+			r.byZone = append(r.byZone, m.places(j, z, now))
+		}
+	}
+	for _, t := range r.byZone {
+		slices.Sort(t)
+	}
+	return r
+}
+
+// first is after how many seconds a job has n places at once, and in which
+// zone; infinite where there never are so many.
+func (r *rooms) first(j *Job, n int) (at float64, zone int) {
+	at, zone = math.Inf(1), -1
+	for z, t := range r.byZone {
+		if !r.whole && j.Zone >= 0 && j.Zone != z || len(t) < n {
+			continue
+		}
+		if t[n-1] < at {
+			at, zone = t[n-1], z
+		}
+	}
+	return at, zone
+}
+
+// take holds the first n places of a zone until they are free again.
+func (r *rooms) take(zone, n int, until float64) {
+	t := r.byZone[zone]
+	for i := range n {
+		t[i] = until
+	}
+	slices.Sort(t)
+}
+
+// byBound brings what must begin before the aims of its priority. Of an array
+// that is its first task; the others keep their turn. At most so many requests
+// are left, those of the bound among them.
+func (m *Model) byBound(out []*ranked, most int) []*ranked {
+	heads := 0
+	var list []*ranked
+	for lo := 0; lo < len(out); {
+		hi := lo + 1
+		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
+			hi++
+		}
+		var first, rest []*ranked
+		for _, k := range out[lo:hi] {
+			if m.BeginWithin <= 0 || !k.j.owed || k.j.toBegin() == 0 || heads >= boundHeads {
+				rest = append(rest, k)
+				continue
+			}
+			heads++
+			head := *k
+			head.owed = true
+			head.req.Hold, head.req.HoldFor = true, holdLong
+			if !k.j.Gang() {
+				head.req.Tasks = k.req.Tasks[:1]
+				// Two requests of a job whose tasks must be in one zone, or in
+				// several, don't know of each other's places.
+				if len(k.req.Tasks) > 1 && !k.j.Spec.OneZone && !k.j.Spec.Spread {
+					tail := *k
+					tail.req.Tasks = k.req.Tasks[1:]
+					tail.req.ZoneUsed = slices.Clone(k.req.ZoneUsed)
+					rest = append(rest, &tail)
+				}
+			}
+			first = append(first, &head)
+		}
+		sort.SliceStable(first, func(a, b int) bool {
+			x, y := first[a].j, first[b].j
+			if x.hopeless != y.hopeless {
+				return y.hopeless
+			}
+			return x.latest.Before(y.latest)
+		})
+		list = append(append(list, first...), rest...)
+		lo = hi
+	}
+	if len(list) <= most {
+		return list
+	}
+	cut := len(list) - most
+	for i := len(list) - 1; i >= 0 && cut > 0; i-- {
+		if !list[i].owed {
+			list = slices.Delete(list, i, i+1)
+			cut--
+		}
+	}
+	return list
+}
--- a/cluster/classes.go
+++ b/cluster/classes.go
@@ -21,6 +21,9 @@
 	waits   bool        // an aim speaks of how soon its jobs start
 	runs    estimator
 	spread  spread
+	sizes   []int // tasks of the last jobs, the oldest at sized0 once there are enough
+	sized0  int
+	large   int // from how many tasks on a job is among the largest; 0: not worked out
 }
 
 const (
@@ -51,6 +54,7 @@
 	}
 	c.spec, c.seen = j, now
 	c.runs.came(j.Spec.EstimateS)
+	c.sized(len(j.Tasks))
 	if now.Sub(j.At) < recentFor && len(c.recent) < 1000 {
 		c.recent = append(c.recent, j.At)
 	}
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -104,6 +104,9 @@
 	off       bool // given up by the last triage
 	putOff    bool
 	due       time.Time // by the last triage
+	owed      bool      // by the bound's last verdict it must hold room, and
+	hopeless  bool      // can't begin in time; latest is when it should have its room
+	latest    time.Time
 	Started   bool      // gang: the current attempt was seen running
 	Ending    bool      // gang: the current attempt is coming to its end
 	NotBefore time.Time // a job that fails everywhere is not tried before
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -25,8 +25,11 @@
 	Cycles   map[string]*Cycle
 	Tuning   config.Rebalance
 	Headroom float64
-	Freed    uint64 // counts the places that have become free
-	Timings  Timings
+	// BeginWithin is how soon after its acceptance a job begins at the latest; 0:
+	// there is no such bound.
+	BeginWithin time.Duration
+	Freed       uint64 // counts the places that have become free
+	Timings     Timings
 
 	loaded bool // an earlier leader's records
 
@@ -67,6 +70,7 @@
 	refBuf   []Ref
 	playBuf  times
 	triageAt time.Time // not before then again
+	boundAt  time.Time
 }
 
 type offerKey struct {
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -78,6 +78,7 @@
 	missed bool
 	putOff bool // from an aim it could still meet, for others' sake
 	urgent bool
+	owed   bool    // must begin now, before the aims of its priority
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
 	req    placement.Request
@@ -178,9 +179,8 @@
 		return x.due.Before(y.due)
 	})
 	m.triage(out, now)
-	if len(out) > maxRequests {
-		out = out[:maxRequests]
-	}
+	m.bound(out, now)
+	out = m.byBound(out, maxRequests)
 	m.keepOffGPUs(out, jobs)
 	return append(out, last...)
 }
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -41,9 +41,11 @@
 	reserved := map[string]bool{}
 	job := make([]*Job, 0, len(reqs)+4)
 	for k := range reqs {
-		for _, r := range m.reserves(reqs[k], reserved, now) {
-			in.Requests = append(in.Requests, r)
-			job = append(job, nil)
+		if !reqs[k].owed { // the bound goes before room that is kept for an aim
+			for _, r := range m.reserves(reqs[k], reserved, now) {
+				in.Requests = append(in.Requests, r)
+				job = append(job, nil)
+			}
 		}
 		job = append(job, reqs[k].j)
 		r := reqs[k].req
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -94,7 +94,7 @@
 // put off, the smallest first, whether it can meet a later aim without making
 // any of the others late.
 func (m *Model) triageClass(jobs []*ranked, now time.Time) {
-	places := times(m.places(jobs[0].j, now))
+	places := times(m.places(jobs[0].j, jobs[0].j.Zone, now))
 	if len(places) == 0 {
 		return
 	}
@@ -206,18 +206,18 @@
 	return -1
 }
 
-// places says after how many seconds there is a place for a task like the
-// job's, once for each. Places that tasks of higher priority hold are not
+// places says after how many seconds there is a place in a zone (-1: in any)
+// for a task like the job's, once for each. Places that tasks of higher priority hold are not
 // counted, since others of theirs are likely to follow; those of lower
 // priority can be had at once.
-func (m *Model) places(j *Job, now time.Time) []float64 {
+func (m *Model) places(j *Job, zone int, now time.Time) []float64 {
 	var out []float64
 	type end struct {
 		at   float64
 		need placement.Res
 	}
 	for _, mc := range m.Machines {
-		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || zone >= 0 && zone != mc.Zone {
 			continue
 		}
 		room := m.Types[mc.Type].Cap
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -145,7 +145,7 @@
 		}
 		m.taskBuf = append(m.taskBuf, placement.Occupant{
 			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref],
-			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1,
+			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1 || m.beginning(j, now),
 		})
 	}
 	for _, im := range mc.images {
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -17,6 +17,14 @@
 	Metrics   Metrics   `toml:"metrics"`
 	Launching Launching `toml:"launching"`
 	Ledger    Ledger    `toml:"ledger"`
+	Serving   Serving   `toml:"serving"`
+}
+
+// Serving tunes in which order jobs are served.
+type Serving struct {
+	// BeginWithinS is how soon after its acceptance every job begins for which
+	// there is room, in seconds, whatever the aims. 0: there is no such bound.
+	BeginWithinS float64 `toml:"begin_within_s"`
 }
 
 // Ledger tunes how records are kept.
@@ -74,6 +82,7 @@
 		Renting:   Renting{IdleS: 240, Headroom: 0.35},
 		Launching: Launching{Summon: true},
 		Ledger:    Ledger{Intake: true},
+		Serving:   Serving{BeginWithinS: 240},
 	}
 }
 
@@ -150,6 +159,9 @@
 	if !(t.Renting.Headroom >= 0 && t.Renting.Headroom <= 5) {
 		bad("renting.headroom must be from 0 to 5")
 	}
+	if b := t.Serving.BeginWithinS; b != 0 && !(b >= 30 && b <= 86400) {
+		bad("serving.begin_within_s must be 0, or from 30 to 86400")
+	}
 	if l := t.Metrics.Listen; l != "" {
 		if _, _, err := net.SplitHostPort(l); err != nil {
 			bad("metrics.listen must be a host and a port: %v", err)
--- a/controller/load.go
+++ b/controller/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -34,6 +35,7 @@
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
+	m.BeginWithin = config.Seconds(l.n.tuning.Serving.BeginWithinS)
 	if l.n.metrics != nil {
 		m.Timings = timings{l.n.metrics}
 	}
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -3,7 +3,7 @@
 // This file keeps machines from smaller tasks until a larger one fits.
 
 // holdWithin is how soon a machine must have room for it to be kept from
-// smaller tasks until then.
+// smaller tasks until then, in seconds, where the request does not say.
 const holdWithin = 45
 
 // hold keeps the machines that will have room soonest from later requests:
@@ -35,7 +35,7 @@
 			return 0, false
 		}
 		in, ok := p.roomIn(r, m)
-		return in, ok && in <= holdWithin
+		return in, ok && in <= max(holdWithin, r.HoldFor)
 	}, func(i int) bool {
 		last, _ = p.roomIn(r, &p.in.Machines[i])
 		p.book(r, i, 1)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -89,11 +89,12 @@
 	Spot      bool
 	Avoid     map[int]bool // machines this job stays away from for now
 	Prefer    map[int32]int
-	Phantom   bool   // no job's: room to be kept free
-	Reserve   bool   // a phantom for which room is kept from later requests, and nothing rented
-	Hold      bool   // machines are kept from later requests until they have room for this one
-	Spare     bool   // takes free room only: nothing is kept, stopped or rented for it
-	First     []bool // types to be tried first, also by stopping others there
+	Phantom   bool    // no job's: room to be kept free
+	Reserve   bool    // a phantom for which room is kept from later requests, and nothing rented
+	Hold      bool    // machines are kept from later requests until they have room for this one
+	HoldFor   float64 // with Hold: seconds ahead that room is kept; 0: as usual
+	Spare     bool    // takes free room only: nothing is kept, stopped or rented for it
+	First     []bool  // types to be tried first, also by stopping others there
 }
 
 // Offer is a kind of machine that may be rented.
