--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -21,17 +21,17 @@
 
 const (
 	boundAgain = 2 * time.Second  // a verdict stands for so long
-	boundGuard = 10 * time.Second // by which a job should be early
+	boundGuard = 8 * time.Second // by which a job should be early
 	// largestEarlier is the share of the bound by which the largest of a class
 	// must begin earlier: what they wait for is the hardest to foresee.
-	largestEarlier = 0.15
+	largestEarlier = 0.06
 	// arrayEarlier is the share of the bound that an array's first task is early
 	// by. It takes a single place; waiting for the last moment saves nothing.
 	arrayEarlier = 0.5
 	// boundSlack and boundShare are how late a job may seem to be able to wait:
 	// a time, and a share of how long its room takes to come free.
-	boundSlack = 10 * time.Second
-	boundShare = 0.25
+	boundSlack = 5 * time.Second
+	boundShare = 0.15
 	holdLong   = 150 // seconds ahead that room is kept for a job that must begin
 	boundHeads = 100 // jobs are served by the bound in a pass
 	sizesKept  = 200 // of a class's last jobs
