--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -21,21 +21,28 @@
 
 const (
 	boundAgain = 2 * time.Second  // a verdict stands for so long
-	boundGuard = 8 * time.Second // by which a job should be early
+	boundGuard = 10 * time.Second // by which a job should be early
 	// largestEarlier is the share of the bound by which the largest of a class
 	// must begin earlier: what they wait for is the hardest to foresee.
-	largestEarlier = 0.06
+	largestEarlier = 0.1
 	// arrayEarlier is the share of the bound that an array's first task is early
-	// by. It takes a single place; waiting for the last moment saves nothing.
+	// by, where it has manyTasks: waiting for the last moment saves nothing.
 	arrayEarlier = 0.5
+	manyTasks    = 8
 	// boundSlack and boundShare are how late a job may seem to be able to wait:
 	// a time, and a share of how long its room takes to come free.
-	boundSlack = 5 * time.Second
-	boundShare = 0.15
-	holdLong   = 150 // seconds ahead that room is kept for a job that must begin
-	boundHeads = 100 // jobs are served by the bound in a pass
-	sizesKept  = 200 // of a class's last jobs
-	largestOf  = 10  // one in so many is among the largest of its class
+	boundSlack = 10 * time.Second
+	boundShare = 0.25
+	holdLong   = 150       // seconds ahead that room is kept for a job that must begin
+	boundHeads = 100       // jobs are served by the bound in a pass
+	sizesKept  = 200       // of a class's last jobs
+	largestOf  = 10        // one in so many is among the largest of its class
+	never      = time.Hour // what is further away is not counted on
+	// lastCall is how long before it must have its room a job goes before fresh
+	// starts of higher priority; lastCallOf is of how many machines one may have
+	// a place for such jobs.
+	lastCall   = 20 * time.Second
+	lastCallOf = 50
 	settledFor = 30 * time.Second
 )
 
@@ -106,6 +113,8 @@
 	for _, c := range names {
 		m.boundClass(byClass[c], now)
 	}
+	m.floor(out, now)
+	m.nameUnbegun(now)
 }
 
 // latestBegin is when a job must have its room to begin in time: the image, the
@@ -133,8 +142,8 @@
 // them. One that can't be in time even so takes nothing away from the others.
 func (m *Model) boundClass(jobs []*ranked, now time.Time) {
 	type verdict struct {
-		slack, wait time.Duration
-		hope        bool
+		slack, wait, alone time.Duration // alone: its wait if it were served first
+		hope               bool
 	}
 	latest := make([]time.Time, len(jobs))
 	order := make([]int, len(jobs))
@@ -144,16 +153,20 @@
 	sort.SliceStable(order, func(a, b int) bool { return latest[order[a]].Before(latest[order[b]]) })
 	rooms := m.roomsOf(jobs[0].j, now)
 	out := make([]verdict, len(jobs))
+	for i, k := range jobs {
+		at, _ := rooms.first(k.j, k.j.toBegin())
+		out[i].alone = config.Seconds(min(at, 2*never.Seconds()))
+	}
 	for _, i := range order {
 		k := jobs[i]
 		n := k.j.toBegin()
 		at, zone := rooms.first(k.j, n)
 		v := &out[i]
-		v.wait = config.Seconds(min(at, 1e6))
+		v.wait = config.Seconds(min(at, 2*never.Seconds()))
 		v.slack = latest[i].Sub(now) - v.wait
 		// What it is early by counts for the others' sake; late is only who
 		// begins after the bound itself.
-		v.hope = now.Add(v.wait).Before(k.j.At.Add(m.BeginWithin))
+		v.hope = v.wait < never && now.Add(v.wait).Before(k.j.At.Add(m.BeginWithin))
 		if v.hope {
 			rooms.take(zone, n, at+k.left)
 		}
@@ -162,17 +175,20 @@
 	for o := len(order) - 1; o >= 0; o-- {
 		i := order[o]
 		j, v := jobs[i].j, out[i]
-		enough := boundSlack + time.Duration(boundShare*float64(v.wait))
+		enough := func(wait time.Duration) time.Duration { return boundSlack + time.Duration(boundShare*float64(wait)) }
 		switch {
-		case !j.Gang():
+		case !j.Gang() && len(j.Tasks) >= manyTasks:
 			j.owed = v.slack <= time.Duration(arrayEarlier*float64(m.BeginWithin))
 		case v.hope:
 			least = min(least, v.slack)
-			j.owed = least <= enough
+			j.owed = least <= enough(v.wait)
+		case v.alone > never:
+			j.owed = latest[i].Sub(now) <= lastCall
 		default:
-			j.owed = !now.Before(latest[i])
+			// Should one of those before it need less, it may still be in time.
+			j.owed = latest[i].Sub(now)-v.alone <= enough(v.alone)
 		}
-		j.latest, j.hopeless = latest[i], !v.hope
+		j.latest, j.hopeless, j.roomless = latest[i], !v.hope, v.alone > never
 	}
 }
 
@@ -225,7 +241,10 @@
 // byBound brings what must begin before the aims of its priority. Of an array
 // that is its first task; the others keep their turn. At most so many requests
 // are left, those of the bound among them.
-func (m *Model) byBound(out []*ranked, most int) []*ranked {
+func (m *Model) byBound(out []*ranked, most int, now time.Time) []*ranked {
+	if m.BeginWithin <= 0 {
+		return out[:min(len(out), most)]
+	}
 	heads := 0
 	var list []*ranked
 	for lo := 0; lo < len(out); {
@@ -233,10 +252,14 @@
 		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
 			hi++
 		}
-		var first, rest []*ranked
+		var first, floored, rest []*ranked
 		for _, k := range out[lo:hi] {
-			if m.BeginWithin <= 0 || !k.j.owed || k.j.toBegin() == 0 || heads >= boundHeads {
-				rest = append(rest, k)
+			tail := &rest
+			if k.j.floored {
+				tail = &floored
+			}
+			if !k.j.owed || k.j.toBegin() == 0 || heads >= boundHeads {
+				*tail = append(*tail, k)
 				continue
 			}
 			heads++
@@ -248,10 +271,10 @@
 				// Two requests of a job whose tasks must be in one zone, or in
 				// several, don't know of each other's places.
 				if len(k.req.Tasks) > 1 && !k.j.Spec.OneZone && !k.j.Spec.Spread {
-					tail := *k
-					tail.req.Tasks = k.req.Tasks[1:]
-					tail.req.ZoneUsed = slices.Clone(k.req.ZoneUsed)
-					rest = append(rest, &tail)
+					others := *k
+					others.req.Tasks = k.req.Tasks[1:]
+					others.req.ZoneUsed = slices.Clone(k.req.ZoneUsed)
+					*tail = append(*tail, &others)
 				}
 			}
 			first = append(first, &head)
@@ -263,9 +286,11 @@
 			}
 			return x.latest.Before(y.latest)
 		})
-		list = append(append(list, first...), rest...)
+		sort.SliceStable(floored, func(a, b int) bool { return floored[a].j.At.Before(floored[b].j.At) })
+		list = append(append(append(list, floored...), first...), rest...)
 		lo = hi
 	}
+	list = m.lastCalls(list, now)
 	if len(list) <= most {
 		return list
 	}
@@ -278,3 +303,38 @@
 	}
 	return list
 }
+
+// lastCalls brings the few that have no time left before fresh starts of higher
+// priority, after all that is within a guarantee. Nothing is stopped for them,
+// and they are few: at any time a place for each so many machines, one at least,
+// counting those that were begun so and must be left alone.
+func (m *Model) lastCalls(list []*ranked, now time.Time) []*ranked {
+	at := slices.IndexFunc(list, func(k *ranked) bool { return !k.within })
+	if at < 0 || list[at].j.Priority == list[len(list)-1].j.Priority {
+		return list
+	}
+	ready, settling := 0, 0
+	for _, mc := range m.Machines {
+		if !m.ready(mc, now) {
+			continue
+		}
+		ready++
+		for ref := range mc.Tasks {
+			if m.beginning(m.Jobs[ref.Job], now) {
+				settling++
+			}
+		}
+	}
+	places := max(1, ready/lastCallOf) - settling
+	var called, others []*ranked
+	for _, k := range list[at:] {
+		n := len(k.req.Tasks)
+		if k.owed && k.j.Priority > list[at].j.Priority && n <= places && k.j.latest.Sub(now) < lastCall {
+			places -= n
+			called = append(called, k)
+		} else {
+			others = append(others, k)
+		}
+	}
+	return append(append(list[:at:at], called...), others...)
+}
--- /dev/null
+++ b/cluster/bound_test.go
@@ -0,0 +1,345 @@
+package cluster
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// shop is a few machines that report every second and run what they are told to
+// for as long as its owner expects.
+type shop struct {
+	t     *testing.T
+	m     *Model
+	hosts []*host
+	began map[string]float64
+	stops []string
+	comes func(now float64) // jobs that come in this second
+}
+
+type host struct {
+	rep  *wire.Report
+	runs map[string]*wire.TaskReport
+	from map[string]float64
+}
+
+// newShop is a shop with machines of 8 CPUs in zones a and b, in turn.
+func newShop(t *testing.T, machines int, bound time.Duration) *shop {
+	s := &shop{t: t, m: newModel(5), began: map[string]float64{}}
+	s.m.BeginWithin = bound
+	for i := range machines {
+		r := rep(0, 5)
+		r.Machine, r.Addr, r.Zone = fmt.Sprintf("host-%d", i), fmt.Sprintf("h:%d", i), []string{"a", "b"}[i%2]
+		s.hosts = append(s.hosts, &host{rep: r, runs: map[string]*wire.TaskReport{}, from: map[string]float64{}})
+	}
+	return s
+}
+
+// put submits a job of the test's class with so many tasks, changed by with.
+func (s *shop) put(id string, now float64, tasks int, with func(j *wire.Job)) {
+	rec := arrayJob(id, tasks)
+	rec.AtMs = at(now).UnixMilli()
+	rec.Job.CPUs, rec.Job.ImageGB = 4, 0
+	if with != nil {
+		with(&rec.Job)
+	}
+	s.m.PutJob(id, rec, 1, at(now))
+}
+
+// run lets time pass, second by second.
+func (s *shop) run(from, to float64) {
+	for now := from; now < to; now++ {
+		if s.comes != nil {
+			s.comes(now)
+		}
+		for _, h := range s.hosts {
+			s.report(h, now)
+		}
+		s.m.Tick(at(now))
+		s.m.Schedule(at(now), 1000)
+		commit(s.t, s.m, at(now))
+	}
+}
+
+func (s *shop) report(h *host, now float64) {
+	h.rep.Seq++
+	h.rep.Token = s.m.Token
+	h.rep.Tasks = nil
+	for _, name := range slices.Sorted(maps.Keys(h.runs)) {
+		r := h.runs[name]
+		id, _, _ := wire.SplitTask(name)
+		if j := s.m.Job(id); j != nil && r.State == wire.TaskRunning && now >= h.from[name]+j.Spec.EstimateS {
+			r.State, r.Why = wire.TaskExited, wire.WhyDone
+		}
+		h.rep.Tasks = append(h.rep.Tasks, *r)
+	}
+	for _, c := range answer(s.t, s.m, h.rep, at(now)) {
+		switch c.Op {
+		case wire.OpStart:
+			h.runs[c.Task] = &wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}
+			h.from[c.Task] = now
+			if id, _, _ := wire.SplitTask(c.Task); s.began[id] == 0 {
+				s.began[id] = now
+			}
+		case wire.OpStop:
+			s.stops = append(s.stops, c.Task)
+			if r := h.runs[c.Task]; r != nil {
+				r.State, r.Why = wire.TaskExited, wire.WhyStopped
+			}
+		case wire.OpForget:
+			delete(h.runs, c.Task)
+		}
+	}
+}
+
+const bound = 240 * time.Second
+
+// beganBy plays a story without the bound and with it: without, the job must not
+// have begun by then, or the story shows nothing.
+func beganBy(t *testing.T, id string, story func(bound time.Duration) *shop) *shop {
+	t.Helper()
+	if s := story(0); s.began[id] > 0 && s.began[id] <= bound.Seconds() {
+		t.Fatalf("without the bound the job has begun after %v s", s.began[id])
+	}
+	s := story(bound)
+	if b := s.began[id]; b == 0 || b > bound.Seconds() {
+		t.Errorf("the job began after %v s", b)
+	}
+	return s
+}
+
+// crowd is small jobs that fill the machines to begin with and keep coming, a
+// little faster than they can be done.
+func crowd(s *shop, every int, with func(j *wire.Job)) func(now float64) {
+	return func(now float64) {
+		n := 0
+		if int(now)%every == 0 {
+			n = 1
+		}
+		if now == 0 {
+			n = 3 * len(s.hosts)
+		}
+		for i := range n {
+			s.put(fmt.Sprintf("wk-%d%05d", 1+i, int(now)), now, 1, func(j *wire.Job) {
+				d := 150.0
+				j.DeadlineS, j.EstimateS = &d, 40
+				if with != nil {
+					with(j)
+				}
+			})
+		}
+	}
+}
+
+func TestALargeArrayThatIsPutOffBeginsByTheBound(t *testing.T) {
+	s := beganBy(t, "wk-000001", func(bound time.Duration) *shop {
+		s := newShop(t, 2, bound)
+		s.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+		s.comes = crowd(s, 8, nil)
+		s.run(0, 1)
+		s.put("wk-000001", 1, 30, func(j *wire.Job) { d := 100.0; j.DeadlineS = &d })
+		s.run(1, 400)
+		return s
+	})
+	if len(s.stops) > 0 {
+		t.Errorf("stopped for it: %v", s.stops)
+	}
+	if j := s.m.Job("wk-000001"); j.Placed+j.Done > 10 {
+		t.Errorf("%d of its tasks were served before others' aims, not one", j.Placed+j.Done)
+	}
+}
+
+func TestAGangHoldsRoomInOneZoneAndBegins(t *testing.T) {
+	s := beganBy(t, "wk-000001", func(bound time.Duration) *shop {
+		s := newShop(t, 6, bound)
+		s.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+		s.comes = crowd(s, 3, nil)
+		s.run(0, 1)
+		s.put("wk-000001", 1, 3, func(j *wire.Job) {
+			j.Kind, j.CPUs, j.OneZone, j.Class = wire.KindGang, 8, true, "gangs"
+		})
+		s.run(1, 400)
+		return s
+	})
+	if len(s.stops) > 0 {
+		t.Errorf("stopped for it: %v", s.stops)
+	}
+}
+
+func TestWorkOfLowerPriorityBeginsAndStopsNothing(t *testing.T) {
+	s := beganBy(t, "wk-000001", func(bound time.Duration) *shop {
+		s := newShop(t, 2, bound)
+		s.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+		s.comes = crowd(s, 5, nil)
+		s.run(0, 1)
+		s.put("wk-000001", 1, 4, func(j *wire.Job) { j.Priority, j.Class = wire.PriorityLow, "low" })
+		s.run(1, 400)
+		return s
+	})
+	for _, name := range s.stops {
+		if id, _, _ := wire.SplitTask(name); id != "wk-000001" {
+			t.Errorf("%s was stopped for work of lower priority", name)
+		}
+	}
+	// A start that is stopped within 30 s is none.
+	if j := s.m.Job("wk-000001"); j.FirstRun.IsZero() {
+		t.Error("it has not run")
+	}
+}
+
+// What the bound asks for depends on when a job was accepted and on where tasks
+// are, which the next leader is told.
+func TestTheBoundOutlivesItsLeader(t *testing.T) {
+	beganBy(t, "wk-000001", func(bound time.Duration) *shop {
+		s := newShop(t, 2, bound)
+		aims := []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+		s.m.cfg.Cluster.Objectives = aims
+		s.comes = crowd(s, 8, nil)
+		s.run(0, 1)
+		s.put("wk-000001", 1, 30, func(j *wire.Job) { d := 100.0; j.DeadlineS = &d })
+		s.run(1, 100)
+		old := s.m
+		s.m = newModel(6)
+		s.m.Takeover, s.m.BeginWithin, s.m.cfg.Cluster.Objectives = at(100), bound, aims
+		var page ledger.PageRecord
+		for _, j := range old.Jobs {
+			if j == nil || j.Finished || j.Done == len(j.Tasks) {
+				continue
+			}
+			s.m.PutJob(j.ID, ledger.JobRecord{AtMs: j.At.UnixMilli(), Job: j.Spec}, 1, at(100))
+			c := ledger.ChunkRecord{Job: j.ID, Attempt: j.Attempt}
+			for i := range j.Tasks {
+				if p := j.Tasks[i].Place; p != nil {
+					c.Placed = append(c.Placed, ledger.Placement{Task: i, Attempt: p.Attempt, Machine: p.name})
+				}
+			}
+			page.Chunks = append(page.Chunks, c)
+		}
+		s.m.LoadPage(0, page, 2, at(100))
+		s.m.Loaded(at(100))
+		s.run(100, 103)
+		for _, j := range s.m.Jobs {
+			if j.Placed > 0 && !j.begun() {
+				t.Errorf("%s runs, and the next leader takes it for one that has not begun", j.ID)
+			}
+		}
+		s.run(103, 400)
+		return s
+	})
+}
+
+// Jobs that can't begin are named, each with what stands in its way; those that
+// can are not.
+func TestJobsThatCannotBeginAreNamedWithTheReason(t *testing.T) {
+	s := newShop(t, 1, bound) // of zone a
+	s.m.teams[0].Max.CPU = 8
+	offer := func() {
+		for ti := range s.m.Types {
+			for z := range s.m.Zones {
+				for _, spot := range []bool{false, true} {
+					s.m.refused[offerKey{ti, z, spot}] = at(1000)
+				}
+			}
+		}
+	}
+	offer()
+	s.put("wk-000001", 0, 1, func(j *wire.Job) { j.Zone = "b"; j.Team = "" })
+	s.put("wk-000002", 0, 3, func(j *wire.Job) { j.Kind, j.CPUs, j.Team = wire.KindGang, 4, "" })
+	s.put("wk-000003", 0, 1, func(j *wire.Job) { j.EstimateS = 2000 })
+	s.put("wk-000004", 0, 1, func(j *wire.Job) { j.EstimateS = 2000 })
+	s.run(0, 50)
+	s.put("wk-000005", 50, 1, func(j *wire.Job) { j.Types = []string{"none"}; j.Team = "" })
+	s.put("wk-000006", 50, 1, nil)
+	s.run(50, 300)
+	got := map[string]string{}
+	sum := s.m.Summary(at(300))
+	for _, u := range sum.Unbegun {
+		got[u.ID] = u.InWay
+	}
+	want := map[string]string{"wk-000001": inWayZone, "wk-000002": inWayGang, "wk-000005": inWayMachines, "wk-000006": inWayTeam}
+	if !maps.Equal(got, want) || sum.UnbegunN != len(want) {
+		t.Errorf("named: %v", got)
+	}
+}
+
+// The bound changes nothing until a job must begin: with one that is far away, all
+// decisions are those made without any.
+func TestWithNothingDueDecisionsAreThoseWithoutABound(t *testing.T) {
+	for seed := range uint64(8) {
+		play := func(bound time.Duration) (out []string) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			s := newShop(t, 4, bound)
+			s.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}, {Kind: "wait", Class: "gangs", WithinS: 50}}
+			s.comes = func(now float64) {
+				if rnd.IntN(4) == 0 {
+					s.put(fmt.Sprintf("wk-1%05d", int(now)), now, 1+rnd.IntN(12), func(j *wire.Job) {
+						d := 100 + 100*rnd.Float64()
+						j.DeadlineS, j.EstimateS = &d, 10+60*rnd.Float64()
+						j.Priority = []string{wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow}[rnd.IntN(3)]
+						if rnd.IntN(3) == 0 {
+							j.Class, j.Kind, j.OneZone, j.Tasks = "gangs", wire.KindGang, true, min(j.Tasks, 4)
+						}
+					})
+				}
+			}
+			s.run(0, 150)
+			for _, j := range s.m.Jobs {
+				if j == nil {
+					out = append(out, "over")
+					continue
+				}
+				var b strings.Builder
+				fmt.Fprint(&b, j.ID, j.Attempt, j.Done, j.FirstRun)
+				for i := range j.Tasks {
+					if p := j.Tasks[i].Place; p != nil {
+						fmt.Fprint(&b, " ", i, p.name, p.At)
+					}
+				}
+				out = append(out, b.String())
+			}
+			return out
+		}
+		if without, with := play(0), play(24*time.Hour); !reflect.DeepEqual(without, with) {
+			t.Errorf("seed %d: decisions differ", seed)
+		}
+	}
+}
+
+// Where more comes than can ever be done, what is old is done in the end, at
+// least half of a team's.
+func TestHalfOfATeamsJobsAreDoneWhateverComes(t *testing.T) {
+	story := func(bound time.Duration) (done, all int) {
+		s := newShop(t, 4, bound)
+		s.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}
+		small := crowd(s, 4, nil)
+		s.comes = func(now float64) {
+			small(now)
+			if int(now)%100 == 50 && now < 1500 {
+				s.put(fmt.Sprintf("wk-99%04d", int(now)), now, 12, func(j *wire.Job) { d := 100.0; j.DeadlineS, j.Team = &d, "large" })
+			}
+		}
+		s.run(0, 2400)
+		for now := 50; now < 1500; now += 100 {
+			all++
+			if j := s.m.Job(fmt.Sprintf("wk-99%04d", now)); j == nil || j.Done == 12 {
+				done++
+			}
+		}
+		return done, all
+	}
+	if done, all := story(0); 2*done >= all {
+		t.Fatalf("without the bound %d of %d are done: the story shows nothing", done, all)
+	}
+	if done, all := story(60 * time.Second); 2*done < all {
+		t.Errorf("%d of %d are done", done, all)
+	}
+}
--- /dev/null
+++ b/cluster/floor.go
@@ -0,0 +1,68 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+)
+
+// This file keeps a class, a team and a class's largest jobs from falling under
+// half. The bound lets each job begin; where more comes than can ever be done,
+// the same ones would still never be done: those that triage gives up.
+
+const (
+	// floorAfter is after how many times the bound a job counts as one that must
+	// be done. Before that, order is for the aims: what is put off for a while
+	// is mostly done when less comes.
+	floorAfter = 3
+	// floorMemory is how many jobs that are done count for their group. It bounds
+	// how many of its jobs may wait that long before one must be done.
+	floorMemory = 1000
+)
+
+// groups are what must not fall under half of which a job counts for.
+func (m *Model) groups(j *Job) []string {
+	out := []string{"class " + j.Spec.Class, "team " + j.Spec.Team}
+	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
+		out = append(out, "largest "+j.Spec.Class)
+	}
+	return out
+}
+
+// served takes in that a job is done.
+func (m *Model) served(j *Job) {
+	if m.BeginWithin <= 0 {
+		return
+	}
+	for _, g := range m.groups(j) {
+		if m.done[g] < floorMemory && len(m.done) < 1000 {
+			m.done[g]++
+		}
+	}
+}
+
+// floor marks the jobs that are not to be put off any longer: of each group of
+// which less than half is done, of what came long ago, the oldest that are
+// missing to that.
+func (m *Model) floor(out []*ranked, now time.Time) {
+	long := floorAfter * m.BeginWithin
+	old := map[string][]*ranked{}
+	for _, k := range out {
+		k.j.floored = false
+		if now.Sub(k.j.At) <= long {
+			continue
+		}
+		for _, g := range m.groups(k.j) {
+			old[g] = append(old[g], k)
+		}
+	}
+	for g, jobs := range old {
+		missing := (len(jobs) - m.done[g] + 1) / 2
+		if missing <= 0 {
+			continue
+		}
+		slices.SortStableFunc(jobs, func(a, b *ranked) int { return a.j.At.Compare(b.j.At) })
+		for _, k := range jobs[:min(missing, len(jobs))] {
+			k.j.floored = true
+		}
+	}
+}
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -71,6 +71,7 @@
 	playBuf  times
 	triageAt time.Time // not before then again
 	boundAt  time.Time
+	done     map[string]int // of late, by group
 }
 
 type offerKey struct {
@@ -84,7 +85,7 @@
 		Token: token, Takeover: now, Zones: cfg.Cluster.Zones, cfg: cfg, log: log, drift: 0.0005,
 		zoneIdx: map[string]int{}, teamIdx: map[string]int{}, typeIdx: map[string]int{},
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, imageIdx: map[string]int32{},
-		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, intakes: map[string]*intake{},
+		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, done: map[string]int{}, intakes: map[string]*intake{},
 		Timings: untimed{},
 	}
 	for i, z := range cfg.Cluster.Zones {
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -180,7 +180,7 @@
 	})
 	m.triage(out, now)
 	m.bound(out, now)
-	out = m.byBound(out, maxRequests)
+	out = m.byBound(out, maxRequests, now)
 	m.keepOffGPUs(out, jobs)
 	return append(out, last...)
 }
--- a/cluster/place.go
+++ b/cluster/place.go
@@ -91,6 +91,7 @@
 	m.touch(j, task)
 	if j.Done == len(j.Tasks) {
 		m.learn(j)
+		m.served(j)
 		m.log.Info("job's tasks done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
 	}
 }
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -9,7 +9,9 @@
 	Jobs      int            // that are not over
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
-	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
+	Unbegun   []Unbegun // can't begin within the bound: those that wait for longest, and how
+	UnbegunN  int       // many there are
+	LeaseLeft float64   // seconds, of the machine whose lease is nearest its end
 }
 
 // Summary counts what is there; its cost grows with machines and open tasks.
@@ -38,6 +40,7 @@
 		}
 	}
 	s.LeaseLeft = max(least, 0)
+	s.Unbegun, s.UnbegunN = m.unbegun(now)
 	for _, j := range m.Jobs {
 		if j == nil || j.Finished {
 			continue
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -100,6 +100,7 @@
 	}
 	slices.Sort(places) // a sorted list is a heap
 	m.log.Debug("triage", "class", jobs[0].j.Spec.Class, "places", len(places), "first", places[0], "median", places[len(places)/2], "last", places[len(places)-1], "jobs", len(jobs))
+	jobs = m.afterOwed(jobs, places)
 	var off []*ranked
 	p := m.newPlayed(places, now)
 	for same := 0; ; {
@@ -134,6 +135,27 @@
 	}
 }
 
+// afterOwed plays those that begin by the bound first, on the places given, and
+// returns the others: they get what is left. Counted on twice, a place makes
+// two jobs late.
+func (m *Model) afterOwed(jobs []*ranked, places times) []*ranked {
+	if m.BeginWithin <= 0 {
+		return jobs
+	}
+	var out []*ranked
+	for _, k := range jobs {
+		n := k.j.toBegin()
+		if !k.j.owed || n == 0 {
+			out = append(out, k)
+			continue
+		}
+		for range min(n, triageTasks) {
+			places.later(k.left + m.spreadOf(k.j).delay())
+		}
+	}
+	return out
+}
+
 type times []float64
 
 // later moves the earliest place back, to when it is free again. This is the
--- /dev/null
+++ b/cluster/unbegun.go
@@ -0,0 +1,178 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file names the jobs that can't begin within the bound, and what stands in
+// the way of each.
+
+const (
+	namedAgain = 30 * time.Second // a job is logged again, for another reason, not before
+	namedMost  = 20               // jobs in a summary
+)
+
+// What stands in a job's way.
+const (
+	inWayMistake  = "it fails wherever it starts"
+	inWayRecords  = "its placements can't be read"
+	inWayTeam     = "its team's limit"
+	inWayZone     = "no machine of its zone answers"
+	inWayMachines = "no machine that it may use answers, and none is to be had"
+	inWayRented   = "machines that it may use are still to come"
+	inWayGang     = "no zone or fleet with room for all of its tasks at once"
+	inWayStart    = "its tasks are placed and have not started"
+	inWayPause    = "its tasks failed and wait to be tried again"
+	inWayHigher   = "work of higher priority has the room"
+	inWayOthers   = "others that are due have the room"
+)
+
+// Unbegun is a job that has not begun in time, or won't.
+type Unbegun struct {
+	ID     string
+	Class  string
+	Team   string
+	Tasks  int
+	InWay  string  // what stands in its way
+	WaitsS float64 // since it was accepted
+}
+
+// nameUnbegun works out what stands in the way of each open job that can't begin
+// within the bound, and logs it where that is new.
+func (m *Model) nameUnbegun(now time.Time) {
+	for _, idx := range m.live {
+		j := m.Jobs[idx]
+		if j == nil {
+			continue
+		}
+		why := ""
+		if !j.Cancelled && !j.Finished && !j.begun() && m.tooLate(j, now) {
+			why = m.inWay(j, now)
+		}
+		if why != "" && why != j.inWay && now.Sub(j.named) >= namedAgain {
+			j.named = now
+			m.log.Info("job can't begin in time", "id", j.ID, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", len(j.Tasks),
+				"inTheWay", why, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
+		}
+		j.inWay = why
+	}
+}
+
+// tooLate says whether a job can't begin within the bound any more, as far as can
+// be foreseen: the places it needs are not there at all, or it is past the time
+// at which it should have had them.
+func (m *Model) tooLate(j *Job, now time.Time) bool {
+	if j.Placed > 0 && !j.Gang() || j.Placed == len(j.Tasks) {
+		return now.Sub(j.At) > m.BeginWithin
+	}
+	if now.Before(m.latestBegin(j)) {
+		return j.roomless && now.Sub(j.At) > m.BeginWithin/4
+	}
+	return true
+}
+
+// inWay says what stands in the way of a job.
+func (m *Model) inWay(j *Job, now time.Time) string {
+	switch {
+	case j.aside:
+		return inWayRecords
+	case j.record.atFault():
+		return inWayMistake
+	case j.Placed == len(j.Tasks) || j.Placed > 0 && !j.Gang():
+		return inWayStart
+	case !m.limitAllows(j):
+		return inWayTeam
+	}
+	up, coming := m.usableBy(j, now)
+	switch {
+	case up > 0:
+	case coming:
+		return inWayRented
+	case j.Zone >= 0:
+		return inWayZone
+	default:
+		return inWayMachines
+	}
+	if j.roomless {
+		if coming {
+			return inWayRented
+		}
+		return inWayGang
+	}
+	if _, ok := m.request(j, now); !ok {
+		return inWayPause
+	}
+	if m.heldByHigher(j, now) {
+		return inWayHigher
+	}
+	return inWayOthers
+}
+
+// limitAllows says whether the team's limit lets the job begin.
+func (m *Model) limitAllows(j *Job) bool {
+	if j.Team < 0 {
+		return true
+	}
+	t := &m.teams[j.Team]
+	want := t.Used.Add(j.Need, float64(j.toBegin()))
+	over := func(want, need, most float64) bool { return most > 0 && need > 0 && want > most+1e-6 }
+	return !over(want.CPU, j.Need.CPU, t.Max.CPU) && !over(want.GPU, j.Need.GPU, t.Max.GPU)
+}
+
+// usableBy counts the machines that are up on which a task of the job may be, and
+// says whether others are on their way or may be rented.
+func (m *Model) usableBy(j *Job, now time.Time) (up int, coming bool) {
+	for _, mc := range m.Machines {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone || !j.Need.Fits(m.Types[mc.Type].Cap) {
+			continue
+		}
+		if m.ready(mc, now) {
+			up++
+		} else if _, ok := m.booting(mc, now); ok {
+			coming = true
+		}
+	}
+	if !coming && up == 0 {
+		offers, _ := m.offers(now)
+		coming = slices.ContainsFunc(offers, func(o placement.Offer) bool {
+			return j.Types[o.Type] && (j.Zone < 0 || j.Zone == o.Zone) && (!o.Spot || j.Spec.Spot) && j.Need.Fits(o.Machine.Cap)
+		})
+	}
+	return up, coming
+}
+
+// heldByHigher says whether nothing but work of higher priority runs where the
+// job may.
+func (m *Model) heldByHigher(j *Job, now time.Time) bool {
+	higher := false
+	for _, mc := range m.Machines {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone || !m.ready(mc, now) {
+			continue
+		}
+		for ref := range mc.Tasks {
+			if m.Jobs[ref.Job].Priority >= j.Priority {
+				return false
+			}
+			higher = true
+		}
+	}
+	return higher
+}
+
+// unbegun lists the jobs that can't begin in time, those that wait for longest
+// first, and how many there are.
+func (m *Model) unbegun(now time.Time) (out []Unbegun, all int) {
+	for _, idx := range m.live {
+		j := m.Jobs[idx]
+		if j == nil || j.inWay == "" || j.Cancelled || j.Finished || j.begun() {
+			continue
+		}
+		all++
+		out = append(out, Unbegun{ID: j.ID, Class: j.Spec.Class, Team: j.Spec.Team, Tasks: len(j.Tasks), InWay: j.inWay, WaitsS: now.Sub(j.At).Seconds()})
+	}
+	slices.SortStableFunc(out, func(a, b Unbegun) int { return int(1000 * (b.WaitsS - a.WaitsS)) })
+	return out[:min(len(out), namedMost)], all
+}
--- a/controller/status.go
+++ b/controller/status.go
@@ -154,7 +154,11 @@
 	l.mu.Lock()
 	s := l.m.Summary(now)
 	l.mu.Unlock()
-	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
+	var unbegun []metrics.Unbegun
+	for _, u := range s.Unbegun {
+		unbegun = append(unbegun, metrics.Unbegun(u))
+	}
+	return &metrics.Fleet{Unbegun: unbegun, UnbegunAll: s.UnbegunN, Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
 		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
 }
 
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -66,6 +66,19 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
+	// Jobs that can't begin in time: those that wait for longest, and how many.
+	Unbegun    []Unbegun `json:"unbegun"`
+	UnbegunAll int       `json:"unbegun_all"`
+}
+
+// Unbegun is a job that can't begin in time.
+type Unbegun struct {
+	ID     string  `json:"id"`
+	Class  string  `json:"class"`
+	Team   string  `json:"team"`
+	Tasks  int     `json:"tasks"`
+	InWay  string  `json:"in_the_way"`
+	WaitsS float64 `json:"waits_s"`
 }
 
 // Print writes an overview as a table.
@@ -91,6 +104,12 @@
 			waits = append(waits, fmt.Sprintf("%s %.1f s", k, f.LongestS[k]))
 		}
 		row("longest waits", "%s", strings.Join(waits, ", "))
+		if f.UnbegunAll > 0 {
+			row("can't begin in time", "%d jobs", f.UnbegunAll)
+		}
+		for _, u := range f.Unbegun {
+			row("", "%s (%s of %s, %d tasks) waits for %.0f s: %s", u.ID, u.Class, u.Team, u.Tasks, u.WaitsS, u.InWay)
+		}
 		row("least lease left", "%.1f s", f.LeaseLeftS)
 	}
 	if p := o.Plan; p != nil {
