--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -31,13 +31,14 @@
 	manyTasks    = 8
 	// boundSlack and boundShare are how late a job may seem to be able to wait:
 	// a time, and a share of how long its room takes to come free.
-	boundSlack = 10 * time.Second
-	boundShare = 0.25
-	holdLong   = 150       // seconds ahead that room is kept for a job that must begin
-	boundHeads = 100       // jobs are served by the bound in a pass
-	sizesKept  = 200       // of a class's last jobs
-	largestOf  = 10        // one in so many is among the largest of its class
-	never      = time.Hour // what is further away is not counted on
+	boundSlack  = 10 * time.Second
+	boundShare  = 0.25
+	holdLong    = 150       // seconds ahead that room is kept for a job that must begin
+	boundHeads  = 100       // jobs are served by the bound in a pass
+	sizesKept   = 200       // of a class's last jobs
+	largestOf   = 10        // one in so many is among the largest of its class
+	beganMemory = 400       // jobs of a class that have begun count
+	never       = time.Hour // what is further away is not counted on
 	// lastCall is how long before it must have its room a job goes before fresh
 	// starts of higher priority; lastCallOf is of how many machines one may have
 	// a place for such jobs.
@@ -133,6 +134,9 @@
 	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
 		at = at.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
 	}
+	if j.letGo {
+		at = at.Add(m.BeginWithin)
+	}
 	return at
 }
 
@@ -166,12 +170,12 @@
 		v.slack = latest[i].Sub(now) - v.wait
 		// What it is early by counts for the others' sake; late is only who
 		// begins after the bound itself.
-		v.hope = v.wait < never && now.Add(v.wait).Before(k.j.At.Add(m.BeginWithin))
+		v.hope = v.wait < never && v.slack > -boundGuard
 		if v.hope {
 			rooms.take(zone, n, at+k.left)
 		}
 	}
-	least := time.Duration(math.MaxInt64)
+	least, tight := time.Duration(math.MaxInt64), false
 	for o := len(order) - 1; o >= 0; o-- {
 		i := order[o]
 		j, v := jobs[i].j, out[i]
@@ -182,14 +186,62 @@
 		case v.hope:
 			least = min(least, v.slack)
 			j.owed = least <= enough(v.wait)
+			tight = tight || j.owed
 		case v.alone > never:
 			j.owed = latest[i].Sub(now) <= lastCall
 		default:
 			// Should one of those before it need less, it may still be in time.
 			j.owed = latest[i].Sub(now)-v.alone <= enough(v.alone)
+			tight = true
 		}
 		j.latest, j.hopeless, j.roomless = latest[i], !v.hope, v.alone > never
 	}
+	if tight {
+		m.letOneGo(jobs, now)
+	}
+}
+
+// letOneGo gives one job twice the time, the one whose beginning takes the most,
+// where more has come than can begin in time without everybody waiting nearly
+// as long as the bound. It is never one of the class's largest, and never more
+// than the share of the class's jobs that is not promised.
+func (m *Model) letOneGo(jobs []*ranked, now time.Time) {
+	c := m.classes[jobs[0].j.Spec.Class]
+	if c == nil {
+		return
+	}
+	late, most := c.late, -1
+	for i, k := range jobs {
+		j := k.j
+		past := now.Sub(j.At) > m.BeginWithin
+		if past || j.letGo {
+			late++
+			continue
+		}
+		if !c.largest(len(j.Tasks)) && (most < 0 || float64(j.toBegin())*k.left > float64(jobs[most].j.toBegin())*jobs[most].left) {
+			most = i
+		}
+	}
+	if most >= 0 && float64(late+1) <= (1-m.BeginShare)*float64(c.inTime+c.late+len(jobs)) {
+		jobs[most].j.letGo = true
+		m.log.Info("job let go", "id", jobs[most].j.ID, "class", jobs[most].j.Spec.Class, "sinceAccept", now.Sub(jobs[most].j.At).Seconds())
+	}
+}
+
+// firstRan takes in that a job has begun.
+func (m *Model) firstRan(j *Job, now time.Time) {
+	c := m.classes[j.Spec.Class]
+	if c == nil || m.BeginWithin <= 0 {
+		return
+	}
+	if c.inTime+c.late >= beganMemory {
+		c.inTime, c.late = c.inTime/2, c.late/2
+	}
+	if now.Sub(j.At) > m.BeginWithin {
+		c.late++
+	} else {
+		c.inTime++
+	}
 }
 
 // rooms is after how many seconds there is a place for a task, once for each,
@@ -232,10 +284,12 @@
 // take holds the first n places of a zone until they are free again.
 func (r *rooms) take(zone, n int, until float64) {
 	t := r.byZone[zone]
-	for i := range n {
+	at, _ := slices.BinarySearch(t, until)
+	at = max(at, n) // its places are the first, and free again no sooner than that
+	copy(t, t[n:at])
+	for i := at - n; i < at; i++ {
 		t[i] = until
 	}
-	slices.Sort(t)
 }
 
 // byBound brings what must begin before the aims of its priority. Of an array
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -108,6 +108,7 @@
 	hopeless  bool      // can't begin in time; latest is when it should have its room
 	latest    time.Time
 	roomless  bool   // there are not as many places as it needs to begin
+	letGo     bool   // has twice the time, for others' sake
 	floored   bool   // must be done for its group's sake
 	inWay     string // why it can't begin in time, and when that was last logged
 	named     time.Time
