--- a/cluster/bound_test.go
+++ b/cluster/bound_test.go
@@ -343,3 +343,35 @@
 		t.Errorf("%d of %d are done", done, all)
 	}
 }
+
+// Where not all can begin in time some are let go, but none of the largest, and
+// no more than the share that is not promised.
+func TestNoneOfTheLargestIsLetGoAndNoMoreThanTheShare(t *testing.T) {
+	story := func(share float64) (gone, largest int) {
+		s := newShop(t, 6, bound)
+		s.m.BeginShare = share
+		for i := range 60 {
+			s.put(fmt.Sprintf("wk-1%05d", i), 0, []int{1, 2, 1, 2, 1, 2, 1, 2, 1, 3}[i%10], func(j *wire.Job) { j.Kind = wire.KindGang })
+		}
+		for now := 0.0; now < 200; now++ {
+			s.run(now, now+1)
+			wait := 0
+			for _, j := range s.m.Jobs {
+				if j != nil && j.letGo && !j.begun() {
+					wait++
+					if len(j.Tasks) == 3 {
+						largest++
+					}
+				}
+			}
+			gone = max(gone, wait)
+		}
+		return gone, largest
+	}
+	if gone, _ := story(1); gone > 0 {
+		t.Errorf("%d let go where all are promised", gone)
+	}
+	if gone, largest := story(0.8); gone == 0 || gone > 12 || largest > 0 {
+		t.Errorf("%d of 60 let go at a time, %d of them among the largest", gone, largest)
+	}
+}
