--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -43,7 +43,7 @@
 	// starts of higher priority; lastCallOf is of how many machines one may have
 	// a place for such jobs.
 	lastCall   = 20 * time.Second
-	lastCallOf = 50
+	lastCallOf = 10
 	settledFor = 30 * time.Second
 )
 
@@ -134,9 +134,6 @@
 	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
 		at = at.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
 	}
-	if j.letGo {
-		at = at.Add(m.BeginWithin)
-	}
 	return at
 }
 
@@ -175,7 +172,7 @@
 			rooms.take(zone, n, at+k.left)
 		}
 	}
-	least, tight := time.Duration(math.MaxInt64), false
+	least := time.Duration(math.MaxInt64)
 	for o := len(order) - 1; o >= 0; o-- {
 		i := order[o]
 		j, v := jobs[i].j, out[i]
@@ -186,61 +183,13 @@
 		case v.hope:
 			least = min(least, v.slack)
 			j.owed = least <= enough(v.wait)
-			tight = tight || j.owed
 		case v.alone > never:
 			j.owed = latest[i].Sub(now) <= lastCall
 		default:
 			// Should one of those before it need less, it may still be in time.
 			j.owed = latest[i].Sub(now)-v.alone <= enough(v.alone)
-			tight = true
 		}
-		j.latest, j.hopeless, j.roomless = latest[i], !v.hope, v.alone > never
-	}
-	if tight {
-		m.letOneGo(jobs, now)
-	}
-}
-
-// letOneGo gives one job twice the time, the one whose beginning takes the most,
-// where more has come than can begin in time without everybody waiting nearly
-// as long as the bound. It is never one of the class's largest, and never more
-// than the share of the class's jobs that is not promised.
-func (m *Model) letOneGo(jobs []*ranked, now time.Time) {
-	c := m.classes[jobs[0].j.Spec.Class]
-	if c == nil {
-		return
-	}
-	late, most := c.late, -1
-	for i, k := range jobs {
-		j := k.j
-		past := now.Sub(j.At) > m.BeginWithin
-		if past || j.letGo {
-			late++
-			continue
-		}
-		if !c.largest(len(j.Tasks)) && (most < 0 || float64(j.toBegin())*k.left > float64(jobs[most].j.toBegin())*jobs[most].left) {
-			most = i
-		}
-	}
-	if most >= 0 && float64(late+1) <= (1-m.BeginShare)*float64(c.inTime+c.late+len(jobs)) {
-		jobs[most].j.letGo = true
-		m.log.Info("job let go", "id", jobs[most].j.ID, "class", jobs[most].j.Spec.Class, "sinceAccept", now.Sub(jobs[most].j.At).Seconds())
-	}
-}
-
-// firstRan takes in that a job has begun.
-func (m *Model) firstRan(j *Job, now time.Time) {
-	c := m.classes[j.Spec.Class]
-	if c == nil || m.BeginWithin <= 0 {
-		return
-	}
-	if c.inTime+c.late >= beganMemory {
-		c.inTime, c.late = c.inTime/2, c.late/2
-	}
-	if now.Sub(j.At) > m.BeginWithin {
-		c.late++
-	} else {
-		c.inTime++
+		j.latest, j.alone, j.hopeless, j.roomless = latest[i], v.alone, !v.hope, v.alone > never
 	}
 }
 
@@ -358,15 +307,11 @@
 	return list
 }
 
-// lastCalls brings the few that have no time left before fresh starts of higher
-// priority, after all that is within a guarantee. Nothing is stopped for them,
-// and they are few: at any time a place for each so many machines, one at least,
+// lastCalls brings the few that have no time left before fresh starts of work
+// within a guarantee or of higher priority. Nothing is stopped for them, and
+// they are few: at any time a place for each so many machines, or one job,
 // counting those that were begun so and must be left alone.
 func (m *Model) lastCalls(list []*ranked, now time.Time) []*ranked {
-	at := slices.IndexFunc(list, func(k *ranked) bool { return !k.within })
-	if at < 0 || list[at].j.Priority == list[len(list)-1].j.Priority {
-		return list
-	}
 	ready, settling := 0, 0
 	for _, mc := range m.Machines {
 		if !m.ready(mc, now) {
@@ -381,14 +326,15 @@
 	}
 	places := max(1, ready/lastCallOf) - settling
 	var called, others []*ranked
-	for _, k := range list[at:] {
-		n := len(k.req.Tasks)
-		if k.owed && k.j.Priority > list[at].j.Priority && n <= places && k.j.latest.Sub(now) < lastCall {
+	for _, k := range list {
+		n, j := len(k.req.Tasks), k.j
+		late := k.owed && j.latest.Sub(now) < lastCall+min(j.alone, holdLong*time.Second)
+		if late && places > 0 && (n <= places || len(called) == 0) && (list[0].within && !k.within || list[0].j.Priority < j.Priority) {
 			places -= n
 			called = append(called, k)
 		} else {
 			others = append(others, k)
 		}
 	}
-	return append(append(list[:at:at], called...), others...)
+	return append(called, others...)
 }
--- a/cluster/classes.go
+++ b/cluster/classes.go
@@ -21,8 +21,6 @@
 	waits   bool        // an aim speaks of how soon its jobs start
 	runs    estimator
 	spread  spread
-	inTime  int   // jobs that have begun within the bound, of late, and
-	late    int   // later
 	sizes   []int // tasks of the last jobs, the oldest at sized0 once there are enough
 	sized0  int
 	large   int // from how many tasks on a job is among the largest; 0: not worked out
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -107,10 +107,10 @@
 	owed      bool      // by the bound's last verdict it must hold room, and
 	hopeless  bool      // can't begin in time; latest is when it should have its room
 	latest    time.Time
-	roomless  bool   // there are not as many places as it needs to begin
-	letGo     bool   // has twice the time, for others' sake
-	floored   bool   // must be done for its group's sake
-	inWay     string // why it can't begin in time, and when that was last logged
+	alone     time.Duration // until it would have its room if it were served first
+	roomless  bool          // there are not as many places as it needs to begin
+	floored   bool          // must be done for its group's sake
+	inWay     string        // why it can't begin in time, and when that was last logged
 	named     time.Time
 	Started   bool      // gang: the current attempt was seen running
 	Ending    bool      // gang: the current attempt is coming to its end
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -28,11 +28,8 @@
 	// BeginWithin is how soon after its acceptance a job begins at the latest; 0:
 	// there is no such bound.
 	BeginWithin time.Duration
-	// BeginShare is the share of a class's jobs of which none is let go for the
-	// others' sake.
-	BeginShare float64
-	Freed      uint64 // counts the places that have become free
-	Timings    Timings
+	Freed       uint64 // counts the places that have become free
+	Timings     Timings
 
 	loaded bool // an earlier leader's records
 
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -135,7 +135,6 @@
 		}
 		if j.FirstRun.IsZero() {
 			j.FirstRun = now
-			m.firstRan(j, now)
 			m.log.Info("job runs", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
 		}
 		j.Started = true
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -25,10 +25,6 @@
 	// BeginWithinS is how soon after its acceptance every job begins for which
 	// there is room, in seconds, whatever the aims. 0: there is no such bound.
 	BeginWithinS float64 `toml:"begin_within_s"`
-	// BeginShare is the share of each class's jobs that is held to that where
-	// more comes than can be done; the others, never the largest, have twice the
-	// time. 1: all of them.
-	BeginShare float64 `toml:"begin_share"`
 }
 
 // Ledger tunes how records are kept.
@@ -86,7 +82,7 @@
 		Renting:   Renting{IdleS: 240, Headroom: 0.35},
 		Launching: Launching{Summon: true},
 		Ledger:    Ledger{Intake: true},
-		Serving:   Serving{BeginWithinS: 240, BeginShare: 0.95},
+		Serving:   Serving{BeginWithinS: 240},
 	}
 }
 
@@ -166,9 +162,6 @@
 	if b := t.Serving.BeginWithinS; b != 0 && !(b >= 30 && b <= 86400) {
 		bad("serving.begin_within_s must be 0, or from 30 to 86400")
 	}
-	if s := t.Serving.BeginShare; !(s >= 0.5 && s <= 1) {
-		bad("serving.begin_share must be from 0.5 to 1")
-	}
 	if l := t.Metrics.Listen; l != "" {
 		if _, _, err := net.SplitHostPort(l); err != nil {
 			bad("metrics.listen must be a host and a port: %v", err)
--- a/controller/load.go
+++ b/controller/load.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
-	m.BeginWithin, m.BeginShare = config.Seconds(l.n.tuning.Serving.BeginWithinS), l.n.tuning.Serving.BeginShare
+	m.BeginWithin = config.Seconds(l.n.tuning.Serving.BeginWithinS)
 	if l.n.metrics != nil {
 		m.Timings = timings{l.n.metrics}
 	}
