--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -92,6 +92,12 @@
 	return tasks >= c.large
 }
 
+// amongLargest says whether the job is one of the largest of its class.
+func (m *Model) amongLargest(j *Job) bool {
+	c := m.classes[j.Spec.Class]
+	return c != nil && c.largest(len(j.Tasks))
+}
+
 // bound marks the waiting jobs that must hold room now in order to begin in
 // time. The verdicts stand for a while; a job that came since waits for the next.
 func (m *Model) bound(out []*ranked, now time.Time) {
@@ -131,7 +137,7 @@
 		fetch = 0
 	}
 	at := j.At.Add(m.BeginWithin - boundGuard - config.Seconds(fetch+m.spreadOf(j).delay()))
-	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
+	if m.amongLargest(j) {
 		at = at.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
 	}
 	return at
@@ -307,10 +313,11 @@
 	return list
 }
 
-// lastCalls brings the few that have no time left before fresh starts of work
-// within a guarantee or of higher priority. Nothing is stopped for them, and
-// they are few: at any time a place for each so many machines, or one job,
-// counting those that were begun so and must be left alone.
+// lastCalls brings the few that have no time left before fresh starts of higher
+// priority, and the largest of a class also before those within a guarantee.
+// Nothing is stopped for them, and they are few: at any time a place for each so
+// many machines, or one job, counting those that were begun so and must be left
+// alone.
 func (m *Model) lastCalls(list []*ranked, now time.Time) []*ranked {
 	ready, settling := 0, 0
 	for _, mc := range m.Machines {
@@ -325,16 +332,35 @@
 		}
 	}
 	places := max(1, ready/lastCallOf) - settling
-	var called, others []*ranked
-	for _, k := range list {
+	guaranteed := slices.IndexFunc(list, func(k *ranked) bool { return !k.within })
+	if guaranteed < 0 {
+		guaranteed = len(list)
+	}
+	var called, within, after, others []*ranked
+	for i, k := range list {
 		n, j := len(k.req.Tasks), k.j
 		late := k.owed && j.latest.Sub(now) < lastCall+min(j.alone, holdLong*time.Second)
-		if late && places > 0 && (n <= places || len(called) == 0) && (list[0].within && !k.within || list[0].j.Priority < j.Priority) {
+		before := 0 // where it may go: all the way, or after what is within a guarantee
+		if !k.within && !m.amongLargest(j) {
+			before = guaranteed
+		}
+		if late && places > 0 && (n <= places || len(called)+len(after) == 0) && before < i && list[before].ahead(k) {
 			places -= n
-			called = append(called, k)
+			if before == 0 {
+				called = append(called, k)
+			} else {
+				after = append(after, k)
+			}
+		} else if k.within {
+			within = append(within, k)
 		} else {
 			others = append(others, k)
 		}
 	}
-	return append(called, others...)
+	return slices.Concat(called, within, after, others)
+}
+
+// ahead says whether a request's group is served before another's.
+func (k *ranked) ahead(o *ranked) bool {
+	return k.within && !o.within || k.within == o.within && k.j.Priority < o.j.Priority
 }
--- a/cluster/floor.go
+++ b/cluster/floor.go
@@ -22,7 +22,7 @@
 // groups are what must not fall under half of which a job counts for.
 func (m *Model) groups(j *Job) []string {
 	out := []string{"class " + j.Spec.Class, "team " + j.Spec.Team}
-	if c := m.classes[j.Spec.Class]; c != nil && c.largest(len(j.Tasks)) {
+	if m.amongLargest(j) {
 		out = append(out, "largest "+j.Spec.Class)
 	}
 	return out
