--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -31,14 +31,14 @@
 	manyTasks    = 8
 	// boundSlack and boundShare are how late a job may seem to be able to wait:
 	// a time, and a share of how long its room takes to come free.
-	boundSlack  = 10 * time.Second
-	boundShare  = 0.25
-	holdLong    = 150       // seconds ahead that room is kept for a job that must begin
-	boundHeads  = 100       // jobs are served by the bound in a pass
-	sizesKept   = 200       // of a class's last jobs
-	largestOf   = 10        // one in so many is among the largest of its class
-	beganMemory = 400       // jobs of a class that have begun count
-	never       = time.Hour // what is further away is not counted on
+	boundSlack = 10 * time.Second
+	boundShare = 0.25
+	holdLong   = 150       // seconds ahead that room is kept for a job that must begin
+	boundHeads = 100       // jobs are served by the bound in a pass
+	sizesKept  = 200       // of a class's last jobs
+	boundDrops = 50        // times a class is played again without the costliest
+	largestOf  = 10        // one in so many is among the largest of its class
+	never      = time.Hour // what is further away is not counted on
 	// lastCall is how long before it must have its room a job goes before fresh
 	// starts of higher priority; lastCallOf is of how many machines one may have
 	// a place for such jobs.
@@ -124,9 +124,9 @@
 	m.nameUnbegun(now)
 }
 
-// latestBegin is when a job must have its room to begin in time: the image, the
-// start and a guard come after that.
-func (m *Model) latestBegin(j *Job) time.Time {
+// latestBegin is when a job must have its room to begin in time, since the image
+// and the start come after that, and when it should have it.
+func (m *Model) latestBegin(j *Job) (should, must time.Time) {
 	fetch := math.Inf(1)
 	for i := range m.Types {
 		if t := &m.Types[i]; j.Types[i] && t.Fetch > 0 {
@@ -136,69 +136,108 @@
 	if math.IsInf(fetch, 1) {
 		fetch = 0
 	}
-	at := j.At.Add(m.BeginWithin - boundGuard - config.Seconds(fetch+m.spreadOf(j).delay()))
+	must = j.At.Add(m.BeginWithin - config.Seconds(fetch+m.spreadOf(j).delay()))
+	should = must.Add(-boundGuard)
 	if m.amongLargest(j) {
-		at = at.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
+		should = should.Add(-time.Duration(largestEarlier * float64(m.BeginWithin)))
 	}
-	return at
+	return should, must
+}
+
+// verdict is what playing says of a job.
+type verdict struct {
+	latest, must time.Time
+	alone        time.Duration // until it has its room if it is served first
+	wait         time.Duration // and after all that must begin before it
+	dropped      bool          // it can't be in time beside the others
 }
 
 // boundClass plays the jobs of a class that have not begun through, the first
 // to be late first, as if nothing else were served from now on. Those that can
 // be in time so, and not by much, must be served now, and with them all before
-// them. One that can't be in time even so takes nothing away from the others.
+// them. Where one would be late, the job that takes the most so far is dropped,
+// the largest of the class last: so that as few as possible are late.
 func (m *Model) boundClass(jobs []*ranked, now time.Time) {
-	type verdict struct {
-		slack, wait, alone time.Duration // alone: its wait if it were served first
-		hope               bool
-	}
-	latest := make([]time.Time, len(jobs))
-	order := make([]int, len(jobs))
-	for i, k := range jobs {
-		latest[i], order[i] = m.latestBegin(k.j), i
-	}
-	sort.SliceStable(order, func(a, b int) bool { return latest[order[a]].Before(latest[order[b]]) })
-	rooms := m.roomsOf(jobs[0].j, now)
+	all := m.roomsOf(jobs[0].j, now)
 	out := make([]verdict, len(jobs))
+	order := make([]int, len(jobs))
 	for i, k := range jobs {
-		at, _ := rooms.first(k.j, k.j.toBegin())
-		out[i].alone = config.Seconds(min(at, 2*never.Seconds()))
-	}
-	for _, i := range order {
-		k := jobs[i]
-		n := k.j.toBegin()
-		at, zone := rooms.first(k.j, n)
 		v := &out[i]
-		v.wait = config.Seconds(min(at, 2*never.Seconds()))
-		v.slack = latest[i].Sub(now) - v.wait
-		// What it is early by counts for the others' sake; late is only who
-		// begins after the bound itself.
-		v.hope = v.wait < never && v.slack > -boundGuard
-		if v.hope {
-			rooms.take(zone, n, at+k.left)
+		at, _ := all.first(k.j, k.j.toBegin())
+		v.alone = config.Seconds(min(at, 2*never.Seconds()))
+		v.latest, v.must = m.latestBegin(k.j)
+		v.dropped = v.alone > never || now.Add(v.alone).After(v.must)
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return out[order[a]].latest.Before(out[order[b]].latest) })
+	for drops := 0; ; drops++ {
+		late := m.playBound(jobs, out, order, all.clone(), now)
+		if late < 0 {
+			break
+		}
+		if drops < boundDrops {
+			late = m.costliest(jobs, out, order, late)
 		}
+		out[late].dropped = true
 	}
 	least := time.Duration(math.MaxInt64)
 	for o := len(order) - 1; o >= 0; o-- {
-		i := order[o]
-		j, v := jobs[i].j, out[i]
+		j, v := jobs[order[o]].j, out[order[o]]
 		enough := func(wait time.Duration) time.Duration { return boundSlack + time.Duration(boundShare*float64(wait)) }
+		slack := v.latest.Sub(now) - v.wait
 		switch {
 		case !j.Gang() && len(j.Tasks) >= manyTasks:
-			j.owed = v.slack <= time.Duration(arrayEarlier*float64(m.BeginWithin))
-		case v.hope:
-			least = min(least, v.slack)
+			j.owed = slack <= time.Duration(arrayEarlier*float64(m.BeginWithin))
+		case !v.dropped:
+			least = min(least, slack)
 			j.owed = least <= enough(v.wait)
 		case v.alone > never:
-			j.owed = latest[i].Sub(now) <= lastCall
+			j.owed = v.latest.Sub(now) <= lastCall
 		default:
 			// Should one of those before it need less, it may still be in time.
-			j.owed = latest[i].Sub(now)-v.alone <= enough(v.alone)
+			j.owed = v.latest.Sub(now)-v.alone <= enough(v.alone)
 		}
-		j.latest, j.alone, j.hopeless, j.roomless = latest[i], v.alone, !v.hope, v.alone > never
+		j.latest, j.alone, j.hopeless, j.roomless = v.latest, v.alone, v.dropped, v.alone > never
 	}
 }
 
+// playBound serves the jobs that are not dropped in their order, and says which
+// is the first that can't be in time, or -1.
+func (m *Model) playBound(jobs []*ranked, out []verdict, order []int, r *rooms, now time.Time) int {
+	for _, i := range order {
+		k, v := jobs[i], &out[i]
+		if v.dropped {
+			v.wait = v.alone
+			continue
+		}
+		n := k.j.toBegin()
+		at, zone := r.first(k.j, n)
+		v.wait = config.Seconds(min(at, 2*never.Seconds()))
+		if now.Add(v.wait).After(v.must) {
+			return i
+		}
+		r.take(zone, n, at+k.left)
+	}
+	return -1
+}
+
+// costliest is the job whose beginning takes the most of those up to the late
+// one, and is none of the largest of its class while there are others.
+func (m *Model) costliest(jobs []*ranked, out []verdict, order []int, late int) int {
+	best, most := late, -1.0
+	for _, i := range order {
+		if k := jobs[i]; !out[i].dropped && !m.amongLargest(k.j) {
+			if cost := float64(k.j.toBegin()) * k.left; cost > most {
+				best, most = i, cost
+			}
+		}
+		if i == late {
+			break
+		}
+	}
+	return best
+}
+
 // rooms is after how many seconds there is a place for a task, once for each,
 // by zone. Where a class's jobs need no zone of their own, it is one list.
 type rooms struct {
@@ -221,6 +260,14 @@
 	return r
 }
 
+func (r *rooms) clone() *rooms {
+	out := &rooms{whole: r.whole}
+	for _, t := range r.byZone {
+		out.byZone = append(out.byZone, slices.Clone(t))
+	}
+	return out
+}
+
 // first is after how many seconds a job has n places at once, and in which
 // zone; infinite where there never are so many.
 func (r *rooms) first(j *Job, n int) (at float64, zone int) {
--- a/cluster/unbegun.go
+++ b/cluster/unbegun.go
@@ -68,7 +68,7 @@
 	if j.Placed > 0 && !j.Gang() || j.Placed == len(j.Tasks) {
 		return now.Sub(j.At) > m.BeginWithin
 	}
-	if now.Before(m.latestBegin(j)) {
+	if should, _ := m.latestBegin(j); now.Before(should) {
 		return j.roomless && now.Sub(j.At) > m.BeginWithin/4
 	}
 	return true
