--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -361,11 +361,14 @@
 }
 
 // lastCalls brings the few that have no time left before fresh starts of higher
-// priority, and the largest of a class also before those within a guarantee.
-// Nothing is stopped for them, and they are few: at any time a place for each so
-// many machines, or one job, counting those that were begun so and must be left
-// alone.
+// priority, after all that is within a guarantee. Nothing is stopped for them,
+// and they are few: at any time a place for each so many machines, or one job,
+// counting those that were begun so and must be left alone.
 func (m *Model) lastCalls(list []*ranked, now time.Time) []*ranked {
+	at := slices.IndexFunc(list, func(k *ranked) bool { return !k.within })
+	if at < 0 || list[at].j.Priority == list[len(list)-1].j.Priority {
+		return list
+	}
 	ready, settling := 0, 0
 	for _, mc := range m.Machines {
 		if !m.ready(mc, now) {
@@ -379,35 +382,16 @@
 		}
 	}
 	places := max(1, ready/lastCallOf) - settling
-	guaranteed := slices.IndexFunc(list, func(k *ranked) bool { return !k.within })
-	if guaranteed < 0 {
-		guaranteed = len(list)
-	}
-	var called, within, after, others []*ranked
-	for i, k := range list {
+	var called, others []*ranked
+	for _, k := range list[at:] {
 		n, j := len(k.req.Tasks), k.j
 		late := k.owed && j.latest.Sub(now) < lastCall+min(j.alone, holdLong*time.Second)
-		before := 0 // where it may go: all the way, or after what is within a guarantee
-		if !k.within && !m.amongLargest(j) {
-			before = guaranteed
-		}
-		if late && places > 0 && (n <= places || len(called)+len(after) == 0) && before < i && list[before].ahead(k) {
+		if late && j.Priority > list[at].j.Priority && places > 0 && (n <= places || len(called) == 0) {
 			places -= n
-			if before == 0 {
-				called = append(called, k)
-			} else {
-				after = append(after, k)
-			}
-		} else if k.within {
-			within = append(within, k)
+			called = append(called, k)
 		} else {
 			others = append(others, k)
 		}
 	}
-	return slices.Concat(called, within, after, others)
-}
-
-// ahead says whether a request's group is served before another's.
-func (k *ranked) ahead(o *ranked) bool {
-	return k.within && !o.within || k.within == o.within && k.j.Priority < o.j.Priority
+	return slices.Concat(list[:at], called, others)
 }
