--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -194,8 +194,9 @@
 		case v.alone > never:
 			j.owed = v.latest.Sub(now) <= lastCall
 		default:
-			// Should one of those before it need less, it may still be in time.
-			j.owed = v.latest.Sub(now)-v.alone <= enough(v.alone)
+			// Served first, it would make others late in its turn: it has twice
+			// the time.
+			j.owed = v.latest.Add(m.BeginWithin).Sub(now)-v.alone <= enough(v.alone)
 		}
 		j.latest, j.alone, j.hopeless, j.roomless = v.latest, v.alone, v.dropped, v.alone > never
 	}
