The morning calendar: nights go first, are forecast, and come out once, whoever leads

Cause: offices open at an hour, and the rebuild that they wait for was one job among others. Change: the plan's calendar says which jobs are a region's night; these go ahead of other work of their priority, by opening, and what takes longest first. Forecasts are made again when machines are lost, more comes, the plan changes or another leader leads, and recorded with their cause. A night's record holds what is open and what is whole, so that the next leader counts each job once (it reads the final records of those that ended unnoted, which say when); the outcome is decided once. umberdeal plan nights, status and gauges show it.

--- a/calendar/book.go
+++ b/calendar/book.go
@@ -76,9 +76,9 @@
 	By        uint64 `msgpack:"by" json:"by"` // the token of the leader that decided
 }
 
-// Bounds of a record: with all of them reached it takes about 8 KB.
+// Bounds of a record: with all of them reached it takes about 8 KB, the ids of
+// open jobs left out.
 const (
-	maxOpen    = 300
 	maxPast    = 20
 	maxReplans = 8
 	maxNights  = 4
@@ -240,7 +240,7 @@
 func (b *Book) Replan(r *Region, now time.Time) {
 	was := b.rec.Nights
 	b.rec.Nights, b.open = nil, map[string]map[string]bool{}
-	b.gen++
+	b.gen += uint64(len(was))
 	for i := range was {
 		h := was[i]
 		n, ok := Night{}, false
@@ -281,6 +281,10 @@
 		return
 	}
 	was := h.Forecast
+	if b.left(h) == 0 {
+		// Nothing of it is left, as far as it has come.
+		f = Forecast{Finish: time.UnixMilli(h.LastMs), Latest: f.Latest}
+	}
 	h.Forecast = Expected{AtMs: now.UnixMilli(), FinishMs: ms(f.Finish), LatestMs: ms(f.Latest), AtRisk: f.AtRisk, Why: f.Why}
 	if k := len(h.Replans); cause == "" && was.AtRisk != f.AtRisk && k > 0 && now.UnixMilli()-h.Replans[k-1].AtMs > flipsApart.Milliseconds() {
 		cause = "goes faster than expected"
@@ -372,26 +376,31 @@
 	return o
 }
 
-// Record is the book as it is to be committed, a copy.
-func (b *Book) Record(now time.Time) Record {
+// Record is the book as it is to be committed, a copy. The ids of open jobs take
+// at most so many bytes.
+func (b *Book) Record(now time.Time, most int) Record {
 	rec := b.rec
 	rec.AtMs = now.UnixMilli()
 	rec.Nights, rec.Past = slices.Clone(rec.Nights), slices.Clone(rec.Past)
 	for i := range rec.Nights {
 		n := &rec.Nights[i]
 		n.Replans = slices.Clone(n.Replans)
-		n.Open = nil
+		var ids []string
 		for id := range b.open[n.Date] {
-			n.Open = append(n.Open, id)
+			ids = append(ids, id)
 		}
 		for id, date := range b.ask {
 			if date == n.Date {
-				n.Open = append(n.Open, id)
+				ids = append(ids, id)
 			}
 		}
-		slices.Sort(n.Open)
-		n.More = max(0, len(n.Open)-maxOpen)
-		n.Open = n.Open[:len(n.Open)-n.More]
+		slices.Sort(ids)
+		fit := 0
+		for fit < len(ids) && len(ids[fit])+3 <= most {
+			most -= len(ids[fit]) + 3
+			fit++
+		}
+		n.Open, n.More = ids[:fit], len(ids)-fit
 	}
 	return rec
 }
@@ -411,3 +420,26 @@
 	}
 	return s
 }
+
+// UnderWay says whether a night is not decided yet.
+func (b *Book) UnderWay() bool { return len(b.rec.Nights) > 0 }
+
+// Promised lists the nights that are not decided yet.
+func (b *Book) Promised() []Night {
+	var out []Night
+	for i := range b.rec.Nights {
+		h := &b.rec.Nights[i]
+		out = append(out, Night{Date: h.Date, From: time.UnixMilli(h.FromMs), Promise: time.UnixMilli(h.PromiseMs), Opening: time.UnixMilli(h.OpeningMs)})
+	}
+	return out
+}
+
+// Count is how many jobs are known of a night, those cancelled left out, and how
+// many of them are not known to be over.
+func (b *Book) Count(date string) (all, left int) {
+	h := b.find(date)
+	if h == nil {
+		return 0, 0
+	}
+	return b.all(h), b.left(h)
+}
--- a/calendar/forecast.go
+++ b/calendar/forecast.go
@@ -52,7 +52,7 @@
 	}
 	for _, i := range order {
 		l, f := &loads[i], &out[i]
-		if l.Stuck != "" || len(places) == 0 {
+		if l.Stuck != "" || len(places) == 0 && len(l.Batches) > 0 {
 			f.AtRisk, f.Why = true, l.Stuck
 			if f.Why == "" {
 				f.Why = "no machine can take it"
@@ -83,7 +83,7 @@
 		if end.IsZero() || l.Promise.Before(end) {
 			end = l.Promise
 		}
-		if len(places) > 0 {
+		if len(places) > 0 || len(l.Batches) == 0 {
 			end = end.Add(-seconds(l.alone(len(places))))
 			out[i].Latest = end
 		}
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -210,7 +210,7 @@
 
 // batchDone ends a job, if its page fits in beside what is there already.
 func (m *Model) batchDone(b *Batch, j *Job) bool {
-	rec := ledger.JobRecord{Job: j.Spec, AtMs: j.At.UnixMilli(), State: wire.JobDone, Ended: j.ends(0, len(j.Tasks))}
+	rec := ledger.JobRecord{Job: j.Spec, AtMs: j.At.UnixMilli(), State: wire.JobDone, Ended: j.ends(0, len(j.Tasks)), EndMs: m.endMs(j)}
 	if j.res != nil {
 		rec.Reserve = &j.res.Reserve
 	}
@@ -337,6 +337,9 @@
 	if m.Jobs[j.Idx] == nil || j.Placed > 0 {
 		return
 	}
+	if j.Finished {
+		m.nightEnded(j)
+	}
 	for n := range j.Chunks {
 		m.takeOff(&j.Chunks[n])
 	}
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -111,6 +111,8 @@
 
 	aside  bool    // its placements can't be read
 	home   *intake // the page that its record shares with others, if it does
+	night  jobNight
+	endMs  int64 // when its end was last written, of a night's job
 	cursor int
 	dirty  bool
 	avoid  map[int32]time.Time
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -61,6 +61,7 @@
 	plan       Plan
 	notes      notes
 	classes    map[string]*class
+	nights     nights
 
 	// Reused from pass to pass.
 	viewBuf  []placement.Machine
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -81,6 +81,8 @@
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
 	req    placement.Request
+
+	nightRank
 }
 
 // next takes a job's next aim as what it is due for.
@@ -162,6 +164,7 @@
 		}
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
+		m.nightly(k)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
 		out = append(out, k)
 	}
@@ -172,6 +175,8 @@
 			return x.within
 		case x.j.Priority != y.j.Priority:
 			return x.j.Priority < y.j.Priority
+		case x.night || y.night:
+			return byNight(x, y)
 		case x.missed != y.missed:
 			return y.missed
 		}
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -449,6 +449,7 @@
 
 // Tick takes the passing of time in: leases that are over, notices.
 func (m *Model) Tick(now time.Time) {
+	m.tickNights(now)
 	for _, mc := range m.Machines {
 		if mc.Gone {
 			continue
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "time"
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
+)
 
 // Summary is the model in numbers, for those who watch it.
 type Summary struct {
@@ -9,6 +13,7 @@
 	Jobs      int            // that are not over
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
+	Nights    []calendar.View
 	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
 }
 
@@ -38,6 +43,7 @@
 		}
 	}
 	s.LeaseLeft = max(least, 0)
+	s.Nights = m.Nights(now)
 	for _, j := range m.Jobs {
 		if j == nil || j.Finished {
 			continue
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -76,6 +76,8 @@
 		sort.SliceStable(group, func(a, b int) bool {
 			x, y := group[a], group[b]
 			switch {
+			case x.night || y.night:
+				return byNight(x, y)
 			case x.missed != y.missed:
 				return y.missed
 			case x.putOff != y.putOff:
--- /dev/null
+++ b/cmd/umberdeal/nights.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+type planNightsCmd struct {
+	stateFlags
+	Past int  `default:"5" placeholder:"N" help:"How many past nights of each region to show."`
+	JSON bool `name:"json" help:"Print JSON instead of a table."`
+}
+
+// Run shows what is committed: also where no controller runs, and then called stale.
+func (c *planNightsCmd) Run() error {
+	ctx, stop, _, st, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	var p *plan.Plan
+	state, err := ledger.LoadPlan(ctx, st, func(text string) error {
+		p, err = plan.Parse(text)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if state.Number == 0 || p == nil {
+		return ledger.ErrNoPlan
+	}
+	cal, err := calendar.New(&p.Calendar)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	var views []calendar.View
+	for _, r := range cal.Regions {
+		e, err := st.Get(ctx, ledger.Notes+calendar.NoteOf(r.Name))
+		if err != nil {
+			return err
+		}
+		var rec calendar.Record
+		if e.Version != 0 {
+			if err := wire.Unmarshal(e.Value, &rec); err != nil {
+				fmt.Fprintf(os.Stderr, "%s can't be read: %v\n", e.Key, err)
+				continue
+			}
+		}
+		views = append(views, r.View(rec, now))
+	}
+	if c.JSON {
+		return printJSON(os.Stdout, views)
+	}
+	if len(views) == 0 {
+		fmt.Printf("version %d of the plan has no calendar\n", state.Number)
+		return nil
+	}
+	return calendar.Print(os.Stdout, views, c.Past)
+}
--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -21,6 +21,7 @@
 type planCmd struct {
 	Apply   planApplyCmd   `cmd:"" help:"Make a file the plan that holds, on all nodes at once."`
 	Show    planShowCmd    `cmd:"" help:"Print the plan that holds, or an earlier version."`
+	Nights  planNightsCmd  `cmd:"" help:"Show each region's nights: opening, what is done, forecast, and how the last ones came out."`
 	History planHistoryCmd `cmd:"" help:"List the last versions: who, when, and what changed."`
 	Check   planCheckCmd   `cmd:"" help:"Check a file without applying it."`
 }
--- /dev/null
+++ b/controller/nights.go
@@ -0,0 +1,41 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// endsAtOnce is how many jobs' ends a new leader reads a second, of those that
+// the one before left open in its record of a night.
+const endsAtOnce = 5
+
+// tellEnds reads how jobs of the calendar's nights ended that an earlier leader
+// did not come to count.
+func (l *leadership) tellEnds(ctx context.Context) {
+	for call.Pause(ctx, time.Second) {
+		l.mu.Lock()
+		ids := l.m.UnknownEnds(endsAtOnce)
+		l.mu.Unlock()
+		for _, id := range ids {
+			e, err := l.n.state.Get(ctx, ledger.FinalKey(id))
+			if err != nil {
+				break // asked again
+			}
+			var rec *ledger.JobRecord
+			if e.Version != 0 {
+				rec = &ledger.JobRecord{}
+				if err := wire.Unmarshal(e.Value, rec); err != nil {
+					l.log.Error("unreadable job record", "key", e.Key, "err", err)
+					rec = nil
+				}
+			}
+			l.mu.Lock()
+			l.m.ToldEnd(id, rec, time.Now())
+			l.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/controller/nights_test.go
@@ -0,0 +1,369 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Nights in these stories are minutes long. Simulated time begins at midnight UTC,
+// 1 January 2000, a Saturday.
+
+const nightPlan = `
+[[calendar.regions]]
+name = "here"
+zone = "UTC"
+open = { fri = "23:30", sat = "00:12", sun = "08:00" }
+evening = "00:00"
+margin_s = 120
+work = [ { class = "tiles" } ]
+
+[[calendar.regions]]
+name = "empty"
+zone = "UTC"
+open = { fri = "23:30", sat = "00:12", sun = "08:00" }
+evening = "00:00"
+margin_s = 120
+work = [ { class = "nobody's" } ]
+`
+
+// applyPlan makes a text the plan that holds, as the command does.
+func applyPlan(t *testing.T, w *fake.World, base int, text string) {
+	t.Helper()
+	c := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
+	for end := time.Now().Add(30 * time.Second); ; {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		sl := w.Settings.Cluster.State
+		_, err := ledger.ApplyPlan(ctx, c, ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB}, ledger.PlanChange{Base: base, Text: text, By: "story", At: time.Now()})
+		cancel()
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ledger.ErrPlanForm) || time.Now().After(end) {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// nights is what is committed of a region.
+func nights(t *testing.T, w *fake.World, region string) (rec calendar.Record) {
+	t.Helper()
+	if raw := w.State.Value(ledger.Notes + calendar.NoteOf(region)); raw != nil {
+		if err := wire.Unmarshal(raw, &rec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return rec
+}
+
+// clock waits until a time of the first day.
+func clock(s string) {
+	at, err := time.Parse("2006-01-02 15:04:05", "2000-01-01 "+s)
+	if err != nil {
+		panic(err) // a story is told wrong
+	}
+	time.Sleep(time.Until(at))
+}
+
+// outcome waits until a night's outcome is committed, and looks whether it stays
+// the only one.
+func outcome(t *testing.T, w *fake.World, region string) calendar.Outcome {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Minute); len(nights(t, w, region).Past) == 0; {
+		if time.Now().After(end) {
+			t.Fatalf("no outcome: %+v", nights(t, w, region))
+		}
+		time.Sleep(time.Second)
+	}
+	first := nights(t, w, region)
+	time.Sleep(time.Minute)
+	last := nights(t, w, region)
+	if len(last.Past) != 1 || last.Past[0] != first.Past[0] {
+		t.Errorf("outcomes %+v, and then %+v", first.Past, last.Past)
+	}
+	return last.Past[0]
+}
+
+func tiles(n, tasks int, estimate float64) wire.Job {
+	return job(n, func(j *wire.Job) {
+		j.Class, j.Tasks, j.CPUs, j.EstimateS = "tiles", tasks, 4, estimate
+	})
+}
+
+// finishOf is when the last of some jobs is done.
+func finishOf(t *testing.T, w *fake.World, ids ...string) time.Time {
+	t.Helper()
+	for _, id := range ids {
+		mustReach(t, w, id, wire.JobDone, 20*time.Minute)
+	}
+	return time.Now()
+}
+
+// nightOf plays a night of 24 layers on four machines, with as much day work of
+// the same priority that was there before, and says when it was finished.
+func nightOf(t *testing.T, trouble func(w *fake.World)) (finish time.Duration) {
+	t.Helper()
+	story(t, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, nightPlan)
+		for i := range 4 {
+			mustSubmit(t, w, job(100+i, func(j *wire.Job) { j.Class, j.Tasks, j.CPUs, j.EstimateS = "day", 8, 4, 45 }))
+		}
+		var ids []string
+		for i := range 12 {
+			j := tiles(i, 2, 40)
+			mustSubmit(t, w, j)
+			ids = append(ids, j.ID)
+		}
+		time.Sleep(20 * time.Second)
+		promise := nights(t, w, "here").Nights[0].PromiseMs
+		go trouble(w)
+		finish = finishOf(t, w, ids...).Sub(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC))
+		if n := nights(t, w, "here").Nights; len(n) != 1 || n[0].PromiseMs != promise {
+			t.Errorf("promised for %d, and then %+v", promise, n)
+		}
+		unfinished := 0
+		for i := range 4 {
+			if w.Finished(fmt.Sprintf("wk-%06d", 100+i)) < 8 {
+				unfinished++
+			}
+		}
+		if unfinished == 0 {
+			t.Error("the day's work was over before the night's")
+		}
+		o := outcome(t, w, "here")
+		if o.How != calendar.Met || o.Done != 12 || o.All != 12 {
+			t.Errorf("%+v", o)
+		}
+		for i := range 4 {
+			mustReach(t, w, fmt.Sprintf("wk-%06d", 100+i), wire.JobDone, 10*time.Minute)
+		}
+		if n := w.Started(); n != 24+32 {
+			t.Errorf("%d starts of %d tasks", n, 24+32)
+		}
+		if rec := nights(t, w, "empty"); rec.AtMs != 0 {
+			t.Errorf("written of a region nothing belongs to: %+v", rec)
+		}
+	})
+	return finish
+}
+
+// All controllers are replaced one by one while the night's work is under way: the
+// same promises, no work repeated, and the finish that of a night untroubled but
+// for the time in which there was no leader.
+func TestAllControllersAreReplacedInTheNight(t *testing.T) {
+	calm := nightOf(t, func(*fake.World) {})
+	replaced := nightOf(t, func(w *fake.World) {
+		for range 3 {
+			i := w.Leader()
+			w.KillNode(i)
+			time.Sleep(12 * time.Second)
+			w.StartNode(i)
+			time.Sleep(12 * time.Second)
+		}
+	})
+	t.Logf("finished after %v, and with all controllers replaced after %v (simulated)", calm, replaced)
+	if replaced > calm+30*time.Second {
+		t.Errorf("finished after %v, and untroubled after %v", replaced, calm)
+	}
+}
+
+// The leader stands still across the opening, crashes before it, or nobody can
+// write: the outcome is decided once, by when layers were whole and known to be.
+func TestTheOutcomeIsDecidedOnceWhateverHappensAtTheOpening(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		ends   string // about when the last layer's tasks end
+		begin  func(w *fake.World) (end func())
+		how    string
+		done   int
+		within time.Duration // it is late by that at most
+	}{
+		{"the leader stands still, all was done", "00:07:00", standStill, calendar.Met, 3, 0},
+		{"the leader stands still, not all is done", "00:14:00", standStill, calendar.Incomplete, 2, 0},
+		{"the leader stands still, the last is late", "00:10:40", standStill, calendar.Late, 3, 90 * time.Second},
+		{"the leader crashes, all was done", "00:07:00", crash, calendar.Met, 3, 0},
+		{"the leader crashes, not all is done", "00:14:00", crash, calendar.Incomplete, 2, 0},
+		{"the state service is out, all was done", "00:07:00", outage, calendar.Met, 3, 0},
+		{"the state service is out, the last was not known in time", "00:11:00", outage, calendar.Incomplete, 2, 0},
+		{"the state service is out, not all is done", "00:14:00", outage, calendar.Incomplete, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, fake.Options{Machines: 4, Lease: 200}, func(t *testing.T, w *fake.World) {
+				applyPlan(t, w, 0, nightPlan)
+				at, err := time.Parse("15:04:05", c.ends)
+				if err != nil {
+					t.Fatal(err)
+				}
+				long := at.Sub(at.Truncate(24*time.Hour)) - time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC))
+				mustSubmit(t, w, tiles(1, 3, 60), tiles(2, 2, 100), tiles(3, 1, long.Seconds()-8))
+				clock("00:09:50")
+				end := c.begin(w)
+				clock("00:12:30")
+				end()
+				o := outcome(t, w, "here")
+				if o.How != c.how || o.Done != c.done || o.All != 3 || time.Duration(o.LateMs)*time.Millisecond > c.within || c.how == calendar.Late && o.LateMs <= 0 {
+					t.Errorf("%+v", o)
+				}
+				mustReach(t, w, "wk-000003", wire.JobDone, 20*time.Minute)
+			})
+		})
+	}
+}
+
+func standStill(w *fake.World) func() {
+	i := w.Leader()
+	w.Stop(i, true)
+	return func() { w.Stop(i, false) }
+}
+
+func crash(w *fake.World) func() {
+	i := w.Leader()
+	w.KillNode(i)
+	return func() { w.StartNode(i) }
+}
+
+func outage(w *fake.World) func() {
+	w.State.SetOutage(true)
+	return func() { w.State.SetOutage(false) }
+}
+
+// A plan is applied in the night that makes the opening earlier, and the leader
+// crashes: what counts is the new promise.
+func TestAPlanMakesAnOpeningEarlier(t *testing.T) {
+	story(t, fake.Options{Machines: 2, Capacity: 2}, func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, nightPlan)
+		mustSubmit(t, w, tiles(1, 2, 60), tiles(2, 1, 420))
+		clock("00:03:00")
+		if n := nights(t, w, "here").Nights; len(n) != 1 || n[0].PromiseMs%3600_000 != 600_000 || n[0].Forecast.AtRisk {
+			t.Fatalf("%+v", n)
+		}
+		applyPlan(t, w, 1, strings.ReplaceAll(nightPlan, "00:12", "00:09"))
+		w.KillNode(w.Leader())
+		clock("00:04:00")
+		n := nights(t, w, "here").Nights
+		if len(n) != 1 || n[0].PromiseMs%3600_000 != 420_000 || !n[0].Forecast.AtRisk {
+			t.Fatalf("%+v", n)
+		}
+		said := ""
+		for _, r := range n[0].Replans {
+			said += r.Cause + "; "
+		}
+		if !strings.Contains(said, "the night began") || !strings.Contains(said, "the plan changed") && !strings.Contains(said, "another leader leads") {
+			t.Errorf("forecasts were made again because %s", said)
+		}
+		if o := outcome(t, w, "here"); o.How != calendar.Late || o.Done != 2 || o.OpeningMs%3600_000 != 540_000 {
+			t.Errorf("%+v", o)
+		}
+	})
+}
+
+// Half of the machines are gone at once, and with them the leader: the forecast is
+// made again and says so, and the night's work is done first on what is left.
+func TestHalfOfTheMachinesAreGone(t *testing.T) {
+	story(t, fake.Options{Machines: 6, Capacity: 6}, func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, nightPlan)
+		var ids []string
+		for i := range 6 {
+			j := tiles(i, 4, 60)
+			mustSubmit(t, w, j)
+			ids = append(ids, j.ID)
+		}
+		mustSubmit(t, w, job(100, func(j *wire.Job) { j.Class, j.Tasks, j.CPUs, j.EstimateS = "day", 24, 4, 60 }))
+		clock("00:01:00")
+		for _, m := range w.Cloud.Machines()[:3] {
+			w.KillMachine(m)
+		}
+		w.Cloud.SetBoots(func(int) time.Duration { return -1 })
+		clock("00:01:50")
+		said := ""
+		for _, r := range nights(t, w, "here").Nights[0].Replans {
+			said += r.Cause + "; "
+		}
+		if !strings.Contains(said, "machines lost: 3 of 6 are left") {
+			t.Errorf("forecasts were made again because %s", said)
+		}
+		w.KillNode(w.Leader())
+		finishOf(t, w, ids...)
+		if w.Finished("wk-000100") >= 12 {
+			t.Errorf("%d tasks of the day's work were done first", w.Finished("wk-000100"))
+		}
+		if o := outcome(t, w, "here"); o.How != calendar.Met || o.Done != 6 {
+			t.Errorf("%+v", o)
+		}
+	})
+}
+
+// Nights of special dates, each with all controllers replaced one by one across
+// the opening.
+func TestNightsOfSpecialDates(t *testing.T) {
+	for _, c := range []struct {
+		name, begin, zone, region string
+		want                      string // the opening, or none that night
+	}{
+		{"daylight saving begins", "2000-03-26T00:40:00Z", "Europe/Brussels", `open = { sat = "23:00", sun = "03:05" }
+evening = "01:40"`, "2000-03-26T03:05:00+02:00"},
+		{"daylight saving ends", "2000-10-29T00:10:00Z", "Europe/Brussels", `open = { sat = "23:00", sun = "02:30" }
+evening = "02:05"`, "2000-10-29T02:30:00+02:00"},
+		{"no daylight saving", "2000-03-26T01:10:00Z", "Africa/Tunis", `open = { sat = "23:00", sun = "02:30" }
+evening = "02:05"`, "2000-03-26T02:30:00+01:00"},
+		{"just after midnight", "2000-03-27T21:50:00Z", "Europe/Brussels", `open = { mon = "00:05", tue = "00:05" }
+evening = "23:45"`, "2000-03-28T00:05:00+02:00"},
+		{"a holiday", "2000-04-24T05:50:00Z", "Europe/Brussels", `open = { mon = "08:10", tue = "08:10" }
+holidays = "be"
+evening = "07:45"`, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				at, err := time.Parse(time.RFC3339, c.begin)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Until(at))
+				w := fake.New(fake.Options{Machines: 2})
+				defer w.Close()
+				time.Sleep(5 * time.Second)
+				applyPlan(t, w, 0, fmt.Sprintf("[[calendar.regions]]\nname = \"here\"\nzone = %q\n%s\nmargin_s = 120\nwork = [ { class = \"tiles\" } ]\n", c.zone, c.region))
+				mustSubmit(t, w, tiles(1, 2, 60))
+				finishOf(t, w, "wk-000001")
+				time.Sleep(time.Until(at.Add(11 * time.Minute)))
+				for range 3 {
+					i := w.Leader()
+					w.KillNode(i)
+					time.Sleep(2 * time.Minute)
+					w.StartNode(i)
+					time.Sleep(90 * time.Second)
+				}
+				if c.want == "" {
+					if rec := nights(t, w, "here"); len(rec.Past) > 0 || len(rec.Nights) != 1 || rec.Nights[0].Date != "2000-04-25" || rec.Nights[0].Done != 1 {
+						t.Errorf("%+v", rec)
+					}
+				} else if o := outcome(t, w, "here"); o.How != calendar.Met || o.Done != 1 || time.UnixMilli(o.OpeningMs).Format(time.RFC3339) != parse(t, c.want).Local().Format(time.RFC3339) {
+					t.Errorf("%+v, opens %v", o, time.UnixMilli(o.OpeningMs))
+				}
+				for _, b := range w.Broken() {
+					t.Errorf("rule broken: %s", b)
+				}
+			})
+		})
+	}
+}
+
+func parse(t *testing.T, s string) time.Time {
+	t.Helper()
+	at, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
--- a/controller/status.go
+++ b/controller/status.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/umberdeal/umberdeal/admission"
+	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/metrics"
 	"github.com/umberdeal/umberdeal/routing"
@@ -68,6 +69,55 @@
 		}
 		return 0
 	})
+	n.watchNights()
+}
+
+// watchNights adds what is known of the calendar's nights while this node leads.
+func (n *Node) watchNights() {
+	for name, read := range map[string]func(v *calendar.View) float64{
+		"night_jobs_open": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				k += float64(v.Nights[i].All() - v.Nights[i].Done)
+			}
+			return k
+		},
+		"night_jobs_done": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				k += float64(v.Nights[i].Done)
+			}
+			return k
+		},
+		"nights_at_risk": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				if v.Nights[i].Forecast.AtRisk {
+					k++
+				}
+			}
+			return k
+		},
+		"nights_not_met": func(v *calendar.View) (k float64) {
+			for i := range v.Past {
+				if how := v.Past[i].How; how == calendar.Late || how == calendar.Incomplete {
+					k++
+				}
+			}
+			return k
+		},
+	} {
+		n.metrics.Gauge(name, "Of the calendar's regions together; the leader's. Of past nights, the last of each region are counted.", func() (sum float64) {
+			l := n.leadership()
+			if l == nil {
+				return 0
+			}
+			l.mu.Lock()
+			views := l.m.Nights(time.Now())
+			l.mu.Unlock()
+			for i := range views {
+				sum += read(&views[i])
+			}
+			return sum
+		})
+	}
 }
 
 // serveOperators serves metrics and overviews until ctx ends.
@@ -155,7 +205,7 @@
 	s := l.m.Summary(now)
 	l.mu.Unlock()
 	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
-		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
+		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft, Nights: s.Nights}
 }
 
 // Overview implements mesh.Handler.
--- a/controller/writing.go
+++ b/controller/writing.go
@@ -51,6 +51,7 @@
 			return
 		}
 		l.mu.Lock()
+		l.m.EndsAt(time.Now())
 		b := l.m.NextBatch(want)
 		l.writing = b != nil
 		l.turn()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -66,6 +66,7 @@
 
 	Reserve *Reserve `msgpack:"rv,omitempty"`
 	Ended   []int    `msgpack:"en,omitempty"` // of a reserved job that is over: task, how, task, how
+	EndMs   int64    `msgpack:"em,omitempty"` // of a night's job that is done: when, Unix milliseconds
 }
 
 // PageRecord is the value of a page.
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
 )
 
 // Overview is what an operator asks of a node. Everything in it is of the moment
@@ -66,6 +68,7 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
+	Nights     []calendar.View    `json:"nights,omitempty"`
 }
 
 // Print writes an overview as a table.
@@ -107,9 +110,16 @@
 		}
 		row(name, "%s %s", t.At.Format("15:04:05"), t.Text)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || o.Fleet == nil || len(o.Fleet.Nights) == 0 {
+		return err
+	}
+	fmt.Fprintln(out, "nights, as the leader knows them now:")
+	return calendar.Print(out, o.Fleet.Nights, nightsShown)
 }
 
+// nightsShown is how many of a region's past nights an overview shows.
+const nightsShown = 2
+
 func list(counts map[string]int) string {
 	var out []string
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
