--- a/controller/nights_test.go
+++ b/controller/nights_test.go
@@ -1,8 +1,6 @@
 package controller_test
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,7 +14,6 @@
 	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/ledger"
-	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -41,25 +38,6 @@
 work = [ { class = "nobody's" } ]
 `
 
-// applyPlan makes a text the plan that holds, as the command does.
-func applyPlan(t *testing.T, w *fake.World, base int, text string) {
-	t.Helper()
-	c := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
-	for end := time.Now().Add(30 * time.Second); ; {
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		sl := w.Settings.Cluster.State
-		_, err := ledger.ApplyPlan(ctx, c, ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB}, ledger.PlanChange{Base: base, Text: text, By: "story", At: time.Now()})
-		cancel()
-		if err == nil {
-			return
-		}
-		if !errors.Is(err, ledger.ErrPlanForm) || time.Now().After(end) {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Second)
-	}
-}
-
 // nights is what is committed of a region.
 func nights(t *testing.T, w *fake.World, region string) (rec calendar.Record) {
 	t.Helper()
@@ -427,7 +405,7 @@
 			if i == 6 || i == 14 {
 				l := w.Leader()
 				w.KillNode(l)
-				defer w.StartNode(l)
+				go func() { time.Sleep(20 * time.Second); w.StartNode(l) }()
 			}
 			for until := time.Now().Add(14 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
 				got.watch(w, came)
@@ -437,6 +415,9 @@
 			}
 		}
 		for len(came) > 0 || finish.IsZero() {
+			if time.Since(end) > time.Hour {
+				t.Fatalf("%d day jobs have not begun", len(came))
+			}
 			time.Sleep(2 * time.Second)
 			got.watch(w, came)
 			if finish.IsZero() && !slices.ContainsFunc(layers, func(id string) bool { return w.Poll(w.Any(), id) != wire.JobDone }) {
