--- a/cluster/nights_test.go
+++ b/cluster/nights_test.go
@@ -313,3 +313,36 @@
 		t.Errorf("%+v", v[1])
 	}
 }
+
+// What nights cost a leader of a large fleet: every second a look, every ten a
+// forecast.
+func BenchmarkNights(b *testing.B) {
+	for _, forecast := range []bool{false, true} {
+		b.Run(fmt.Sprintf("forecast %v", forecast), func(b *testing.B) {
+			m := newModel(5)
+			p, err := plan.Parse(twoRegions)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.SetPlan(Plan{Plan: p, Number: 1, Head: 1}, at(0))
+			for i := range 2000 {
+				id := fmt.Sprintf("wk-%06d", i)
+				m.PutJob(id, nightJob(id, []string{"tiles", "halls", "day"}[i%3], 20, 0, 300), 1, at(0))
+			}
+			for i := range 1300 {
+				r := rep(1, 5)
+				r.Machine, r.Addr = fmt.Sprintf("host-%d", i), fmt.Sprintf("h-%d:1", i)
+				m.Observe(r, at(1))
+			}
+			s := 5.0
+			for b.Loop() {
+				m.nights.looked = time.Time{}
+				m.nights.guessed = at(s)
+				if forecast {
+					m.nights.guessed = time.Time{}
+				}
+				m.tickNights(at(s))
+			}
+		})
+	}
+}
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -1,10 +1,6 @@
 package cluster
 
-import (
-	"time"
-
-	"github.com/umberdeal/umberdeal/calendar"
-)
+import "time"
 
 // Summary is the model in numbers, for those who watch it.
 type Summary struct {
@@ -13,7 +9,6 @@
 	Jobs      int            // that are not over
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
-	Nights    []calendar.View
 	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
 }
 
@@ -43,7 +38,6 @@
 		}
 	}
 	s.LeaseLeft = max(least, 0)
-	s.Nights = m.Nights(now)
 	for _, j := range m.Jobs {
 		if j == nil || j.Finished {
 			continue
--- a/controller/nights_test.go
+++ b/controller/nights_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/controller"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
@@ -223,7 +224,7 @@
 // A plan is applied in the night that makes the opening earlier, and the leader
 // crashes: what counts is the new promise.
 func TestAPlanMakesAnOpeningEarlier(t *testing.T) {
-	story(t, fake.Options{Machines: 2, Capacity: 2}, func(t *testing.T, w *fake.World) {
+	story(t, fake.Options{Machines: 2, Capacity: 2, Metrics: true}, func(t *testing.T, w *fake.World) {
 		applyPlan(t, w, 0, nightPlan)
 		mustSubmit(t, w, tiles(1, 2, 60), tiles(2, 1, 420))
 		clock("00:03:00")
@@ -231,7 +232,8 @@
 			t.Fatalf("%+v", n)
 		}
 		applyPlan(t, w, 1, strings.ReplaceAll(nightPlan, "00:12", "00:09"))
-		w.KillNode(w.Leader())
+		lost := w.Leader()
+		w.KillNode(lost)
 		clock("00:04:00")
 		n := nights(t, w, "here").Nights
 		if len(n) != 1 || n[0].PromiseMs%3600_000 != 420_000 || !n[0].Forecast.AtRisk {
@@ -244,6 +246,19 @@
 		if !strings.Contains(said, "the night began") || !strings.Contains(said, "the plan changed") && !strings.Contains(said, "another leader leads") {
 			t.Errorf("forecasts were made again because %s", said)
 		}
+		l := w.Leader()
+		for _, i := range []int{l, (l + 1) % 3, (l + 2) % 3} {
+			if i == lost {
+				continue
+			}
+			v := overview(t, w, i).Fleet.Nights
+			if len(v) != 2 || v[0].Region != "here" || v[0].Stale || v[0].Nights[0].PromiseMs != n[0].PromiseMs || v[0].Nights[0].Done != 1 || len(v[1].Nights) > 0 {
+				t.Errorf("node %d shows %+v", i, v)
+			}
+		}
+		if text := watchNode(t, w, l, controller.PathMetrics); !strings.Contains(text, "umberdeal_night_jobs_open 1") || !strings.Contains(text, "umberdeal_nights_at_risk 1") {
+			t.Error("the gauges don't show the night")
+		}
 		if o := outcome(t, w, "here"); o.How != calendar.Late || o.Done != 2 || o.OpeningMs%3600_000 != 540_000 {
 			t.Errorf("%+v", o)
 		}
@@ -364,9 +379,10 @@
 			got := mixedNight(t, seed+1, text)
 			sum.met, sum.day, sum.begun, sum.longest = sum.met+got.met, sum.day+got.day, sum.begun+got.begun, max(sum.longest, got.longest)
 			sum.finish += got.finish
+			sum.changes += got.changes
 		}
-		t.Logf("plan %v: %d of %d nights met, finished after %v on average; %d of %d day jobs begun within 240 s, the longest wait %v (simulated)",
-			text != "", sum.met, seeds, (sum.finish / time.Duration(seeds)).Round(time.Second), sum.begun, sum.day, sum.longest.Round(time.Second))
+		t.Logf("plan %v: %d of %d nights met, finished after %v on average; %d of %d day jobs begun within 240 s, the longest wait %v; %d changes (simulated)",
+			text != "", sum.met, seeds, (sum.finish / time.Duration(seeds)).Round(time.Second), sum.begun, sum.day, sum.longest.Round(time.Second), sum.changes)
 		if text != "" && (sum.met < int(seeds) || 2*sum.begun < sum.day) {
 			t.Errorf("with the calendar, %d of %d nights met, %d of %d day jobs begun in time", sum.met, seeds, sum.begun, sum.day)
 		}
@@ -376,6 +392,7 @@
 type mixed struct {
 	met, day, begun int
 	longest, finish time.Duration
+	changes         int // of the state service
 }
 
 // mixedNight plays a night in which two leaders crash.
@@ -424,7 +441,7 @@
 				finish = time.Now()
 			}
 		}
-		got.finish = finish.Sub(began)
+		got.finish, got.changes = finish.Sub(began), w.State.Changes()
 		if finish.Before(end) {
 			got.met = 1
 		}
--- a/controller/status.go
+++ b/controller/status.go
@@ -72,6 +72,18 @@
 	n.watchNights()
 }
 
+// nights is what the leader knows of the calendar's nights; nothing unless this node
+// leads.
+func (n *Node) nights(now time.Time) []calendar.View {
+	l := n.leadership()
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.m.Nights(now)
+}
+
 // watchNights adds what is known of the calendar's nights while this node leads.
 func (n *Node) watchNights() {
 	for name, read := range map[string]func(v *calendar.View) float64{
@@ -105,13 +117,7 @@
 		},
 	} {
 		n.metrics.Gauge(name, "Of the calendar's regions together; the leader's. Of past nights, the last of each region are counted.", func() (sum float64) {
-			l := n.leadership()
-			if l == nil {
-				return 0
-			}
-			l.mu.Lock()
-			views := l.m.Nights(time.Now())
-			l.mu.Unlock()
+			views := n.nights(time.Now())
 			for i := range views {
 				sum += read(&views[i])
 			}
@@ -184,6 +190,9 @@
 	if p := n.orders(); p.Head > 0 {
 		o.Orders = &metrics.Orders{Version: p.Number, Lost: p.Lost}
 	}
+	if o.Fleet != nil {
+		o.Fleet.Nights = n.nights(now)
+	}
 	if p := n.currentPlan(o.Leader); p != nil {
 		o.Plan = planOf(&p.Plan)
 	}
@@ -208,7 +217,7 @@
 	s := l.m.Summary(now)
 	l.mu.Unlock()
 	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
-		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft, Nights: s.Nights}
+		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
 }
 
 // Overview implements mesh.Handler.
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -65,6 +65,8 @@
 
 // Fleet is the leader's view.
 type Fleet struct {
+	Nights []calendar.View `json:"nights,omitempty"` // of the plan's calendar
+
 	Node       string             `json:"node"`
 	Token      uint64             `json:"token"`
 	Since      time.Time          `json:"since"`
@@ -75,7 +77,6 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
-	Nights     []calendar.View    `json:"nights,omitempty"`
 }
 
 // Print writes an overview as a table.
