--- a/controller/status.go
+++ b/controller/status.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/umberdeal/umberdeal/admission"
+	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/metrics"
 	"github.com/umberdeal/umberdeal/routing"
@@ -68,6 +69,61 @@
 		}
 		return 0
 	})
+	n.watchNights()
+}
+
+// nights is what the leader knows of the calendar's nights; nothing unless this node
+// leads.
+func (n *Node) nights(now time.Time) []calendar.View {
+	l := n.leadership()
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.m.Nights(now)
+}
+
+// watchNights adds what is known of the calendar's nights while this node leads.
+func (n *Node) watchNights() {
+	for name, read := range map[string]func(v *calendar.View) float64{
+		"night_jobs_open": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				k += float64(v.Nights[i].All() - v.Nights[i].Done)
+			}
+			return k
+		},
+		"night_jobs_done": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				k += float64(v.Nights[i].Done)
+			}
+			return k
+		},
+		"nights_at_risk": func(v *calendar.View) (k float64) {
+			for i := range v.Nights {
+				if v.Nights[i].Forecast.AtRisk {
+					k++
+				}
+			}
+			return k
+		},
+		"nights_not_met": func(v *calendar.View) (k float64) {
+			for i := range v.Past {
+				if how := v.Past[i].How; how == calendar.Late || how == calendar.Incomplete {
+					k++
+				}
+			}
+			return k
+		},
+	} {
+		n.metrics.Gauge(name, "Of the calendar's regions together; the leader's. Of past nights, the last of each region are counted.", func() (sum float64) {
+			views := n.nights(time.Now())
+			for i := range views {
+				sum += read(&views[i])
+			}
+			return sum
+		})
+	}
 }
 
 // serveOperators serves metrics and overviews until ctx ends.
@@ -134,6 +190,9 @@
 	if p := n.orders(); p.Head > 0 {
 		o.Orders = &metrics.Orders{Version: p.Number, Lost: p.Lost}
 	}
+	if o.Fleet != nil {
+		o.Fleet.Nights = n.nights(now)
+	}
 	if p := n.currentPlan(o.Leader); p != nil {
 		o.Plan = planOf(&p.Plan)
 	}
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
 )
 
 // Overview is what an operator asks of a node. Everything in it is of the moment
@@ -63,6 +65,8 @@
 
 // Fleet is the leader's view.
 type Fleet struct {
+	Nights []calendar.View `json:"nights,omitempty"` // of the plan's calendar
+
 	Node       string             `json:"node"`
 	Token      uint64             `json:"token"`
 	Since      time.Time          `json:"since"`
@@ -139,9 +143,16 @@
 		}
 		row(name, "%s %s", t.At.Format("15:04:05"), t.Text)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || o.Fleet == nil || len(o.Fleet.Nights) == 0 {
+		return err
+	}
+	fmt.Fprintln(out, "nights, as the leader knows them now:")
+	return calendar.Print(out, o.Fleet.Nights, nightsShown)
 }
 
+// nightsShown is how many of a region's past nights an overview shows.
+const nightsShown = 2
+
 func list(counts map[string]int) string {
 	var out []string
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
