A machine that does not hear gets no more work until it shows that it does

Launches went to a mute machine with every answer and waited there as long as it was mute; after a change of leader what stood there was waited for without end, since every report was answered and none showed the token. A machine's next report now shows whether it heard (token, launch, forget, a probe); one that missed is not ready, its launches are recalled, and it is returned like a silent one. Copies of reports of machines that are gone no longer make these look alive to a new leader, an exit in an unshown report waits, an older notice is not kept, and a node that reaches neither state service nor nodes sends workers on at once. Fakes, random stories and the model check know mute machines, late copies, nodes that keep only workers and quick returns.

--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -86,6 +86,8 @@
 			why = "silent"
 		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second:
 			why = "idle"
+		case m.mute(mc, now) && now.Sub(m.Takeover) > 30*time.Second:
+			why = "mute"
 		}
 		if why != "" {
 			mc.Returning = true
--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -52,8 +52,12 @@
 			}
 			names = append(names, fmt.Sprintf("e%s.%d,%t", k.name, k.attempt, committed))
 		}
+		h := &mc.hearing
+		for _, k := range append(h.forget, h.probe) {
+			names = append(names, fmt.Sprintf("f%s.%d", k.name, k.attempt))
+		}
 		slices.Sort(names)
-		fmt.Fprint(w, names, "|")
+		fmt.Fprint(w, names, h.told, h.shown, mc.deaf(), m.showing(mc, now), m.mute(mc, now), "|")
 	}
 	for _, j := range m.Jobs {
 		if j == nil {
--- /dev/null
+++ b/cluster/hearing.go
@@ -0,0 +1,153 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// A machine whose reports arrive need not hear the answers to them: one
+// direction of its traffic may be cut. Left to itself the leader would launch
+// there with every answer, and what was launched would wait in vain for as long
+// as the cut lasts. A worker keeps one report in flight at a time, and drops
+// answers that come late, so that its next report shows what it has heard: the
+// token, tasks launched, tasks forgotten. One that shows a miss gets no work
+// until it has shown that it hears.
+
+const (
+	// probeAttempt is a probe's: no job's attempts, which summonses name, come
+	// that far.
+	probeAttempt = 1 << 40
+	// muteMost is for how long, beyond a lease, an empty machine that does not
+	// hear is kept: as long as one that is silent.
+	muteMost = 40 * time.Second
+	// probeSearch bounds the search for a job that a probe can name.
+	probeSearch = 1000
+)
+
+// hearing is what is known of whether a machine hears.
+type hearing struct {
+	upAt  time.Time // when it began to report
+	shown bool      // it has shown this leader's token, now or before its lease ended
+	since time.Time // since when it shows that it does not hear; zero: it does, as far as is known
+	// What the last answer said that the next report must show.
+	told   bool
+	forget []exitKey
+	probe  exitKey
+}
+
+// deaf says whether the machine's reports show that it has not heard the last
+// that it was told.
+func (mc *Machine) deaf() bool { return !mc.hearing.since.IsZero() }
+
+func (m *Model) missed(mc *Machine, what string, now time.Time) {
+	if !mc.deaf() {
+		m.log.Info("machine does not hear", "machine", mc.Name, "session", mc.Session, "sign", what)
+		mc.hearing.since = now
+	}
+	mc.hearing.upAt = time.Time{}
+}
+
+func (m *Model) heard(mc *Machine, now time.Time) {
+	if mc.deaf() {
+		m.log.Info("machine hears again", "machine", mc.Name, "after", now.Sub(mc.hearing.since).Seconds())
+		mc.hearing.since = time.Time{}
+	}
+}
+
+// listen takes in what a newer report shows of the answers before it; mc is
+// still as the report before left it.
+func (m *Model) listen(mc *Machine, r *wire.Report, now time.Time) {
+	h := &mc.hearing
+	told, forget, probe := h.told, h.forget, h.probe
+	h.told, h.forget, h.probe = false, nil, exitKey{}
+	if !mc.Up {
+		h.upAt = now
+		if h.shown && !mc.deaf() {
+			h.since = now // it was silent for its lease: what it has shown is old
+		}
+	}
+	if r.Token < m.Token {
+		// No answer of this leader was heard, and none before this report can be
+		// any more: they have renewed nothing. A late copy of a report of a machine
+		// that is gone was answered, too; others would wait for it from then on.
+		mc.LastAnswer = time.Time{}
+		if told {
+			m.missed(mc, "token", now)
+		}
+		if (mc.Up || len(mc.Tasks) > 0) && now.After(m.leaseOver(mc)) {
+			m.dropTasks(mc, "its machine's lease is over", now)
+		}
+		return
+	}
+	if !h.shown {
+		h.shown = true
+		m.heard(mc, now)
+	}
+	if r.Session != mc.Session {
+		// Its lease has ended, though it was answered.
+		if told && now.Sub(mc.LastAnswer) < config.Seconds(m.cfg.Cluster.Workers.LeaseS/2) {
+			m.missed(mc, "session", now)
+			m.breakPromises(mc, now)
+		}
+		return
+	}
+	listed := make(map[exitKey]bool, len(forget))
+	for i := range r.Tasks {
+		k := exitKey{r.Tasks[i].Task, r.Tasks[i].Attempt}
+		if k == probe {
+			m.heard(mc, now)
+		}
+		listed[k] = true
+	}
+	for _, k := range forget {
+		if listed[k] {
+			m.missed(mc, "forget", now)
+		} else {
+			m.heard(mc, now)
+		}
+	}
+}
+
+// breakPromises gives reserved places up that have not been launched, once the
+// lease of a machine that does not hear has ended.
+func (m *Model) breakPromises(mc *Machine, now time.Time) {
+	for _, ref := range sortedRefs(mc.Tasks) {
+		j := m.Jobs[ref.Job]
+		if p := j.Tasks[ref.Task].Place; p != nil && !p.Sent && !p.Inherited && j.res != nil {
+			m.lost(j, ref.Task, "its machine does not hear", now)
+		}
+	}
+}
+
+// ask makes the command by which a machine that did not hear shows that it does:
+// a launch that it must refuse, and lists. Like a summons it does no harm. None is
+// needed where something is to be forgotten, which shows the same; so an earlier
+// probe is no longer listed.
+func (m *Model) ask(mc *Machine) (wire.Command, bool) {
+	if len(mc.hearing.forget) > 0 {
+		return wire.Command{}, false
+	}
+	for i := len(m.Jobs) - 1; i >= max(0, len(m.Jobs)-probeSearch); i-- {
+		if j := m.Jobs[i]; j != nil {
+			mc.hearing.probe = exitKey{wire.TaskName(j.ID, NoTask), probeAttempt}
+			return wire.Command{Op: wire.OpStart, Task: mc.hearing.probe.name, Attempt: mc.hearing.probe.attempt}, true
+		}
+	}
+	return wire.Command{}, false // nothing to be placed either
+}
+
+// showing says whether a machine has begun to report a moment ago, and should show
+// with its next report that it hears.
+func (m *Model) showing(mc *Machine, now time.Time) bool {
+	within := config.Seconds(1.25*m.cfg.Cluster.Workers.ReportS + 1)
+	return mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() &&
+		mc.Type >= 0 && mc.Zone >= 0 && now.Sub(mc.hearing.upAt) < within
+}
+
+// mute says whether a machine has not heard for so long that another had better
+// take its place.
+func (m *Model) mute(mc *Machine, now time.Time) bool {
+	return mc.deaf() && !m.showing(mc, now) && mc.Up && now.Sub(mc.hearing.since) > config.Seconds(m.cfg.Cluster.Workers.LeaseS)+muteMost
+}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -52,6 +52,7 @@
 	Used       placement.Res
 	IdleSince  time.Time
 	Held       int // answers to its reports that are being held back
+	hearing    hearing
 
 	orphans placement.Res // what tasks not in the model take
 	images  []int32       // most recently used last
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -26,6 +26,7 @@
 	if mc.Session == 0 {
 		m.cameUp(mc, now)
 	}
+	m.listen(mc, r, now)
 	if !mc.Up {
 		m.log.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
 		mc.IdleSince = now
@@ -36,7 +37,9 @@
 	mc.Up, mc.Session, mc.Seq, mc.Addr, mc.LastSeen = true, r.Session, r.Seq, r.Addr, now
 	mc.Shown = r.Token == m.Token
 	m.describe(mc, r.Type, r.Zone, r.Spot)
-	if r.NoticeS != nil && mc.Notice.IsZero() {
+	if r.NoticeS == nil {
+		mc.Notice = time.Time{} // what was known came with an older message
+	} else if mc.Notice.IsZero() {
 		mc.Notice = now.Add(config.Seconds(*r.NoticeS))
 		m.log.Info("notice", "machine", mc.Name, "seconds", *r.NoticeS)
 	}
@@ -71,6 +74,14 @@
 			continue
 		}
 		listed[ref] = true
+		if t.State == wire.TaskExited && t.Why != wire.WhyDone && p.Inherited && !mc.Shown {
+			// The report may be a late copy: a gang's task that was refused is tried
+			// again with the same attempt, and may be on the machine since.
+			continue
+		}
+		if p.Sent && p.Seen == seenNot && p.Session == r.Session {
+			m.heard(mc, now)
+		}
 		m.seen(j, int32(n), mc, p, t, now)
 	}
 	for k := range mc.exits {
@@ -104,6 +115,7 @@
 			// The answer with the launch was lost, and cannot be executed any
 			// more, since the worker has sent another report.
 			p.Sent = false
+			m.missed(mc, "launch", now)
 			continue
 		}
 		m.lost(j, ref.Task, "not on its machine", now)
@@ -309,7 +321,7 @@
 // noted as sent with it.
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
 	m.Timings.LeaseLeft(m.leaseOver(mc).Sub(now).Seconds())
-	mc.LastAnswer = now
+	mc.LastAnswer, mc.hearing.told = now, true
 	var out []wire.Command
 	stop := func(name string, attempt uint64, grace float64) {
 		g := grace
@@ -333,6 +345,12 @@
 					continue // the outcome is not committed yet
 				}
 			}
+			if e == nil && j != nil && n < len(j.Tasks) {
+				if p := j.Tasks[n].Place; p != nil && p.Machine == mc.Idx && p.Attempt == t.Attempt {
+					continue // and not taken in yet
+				}
+			}
+			mc.hearing.forget = append(mc.hearing.forget, exitKey{t.Task, t.Attempt})
 			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
 			continue
 		}
@@ -361,13 +379,18 @@
 			if p.Seen == seenNot {
 				stop(name, p.Attempt, p.Stop.Grace)
 			}
-		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero():
+		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero() && !mc.deaf():
 			p.Sent, p.SentAt, p.Session, p.Seq = true, now, r.Session, r.Seq
 			m.Timings.Launched(now.Sub(p.At).Seconds())
 			out = append(out, wire.Command{Op: wire.OpStart, Task: name, Attempt: p.Attempt})
 			m.log.Debug("launch", "task", name, "attempt", p.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
 	}
+	if mc.deaf() && mc.Shown {
+		if c, ok := m.ask(mc); ok {
+			out = append(out, c)
+		}
+	}
 	return out
 }
 
@@ -460,6 +483,7 @@
 			mc.Up, mc.Shown = false, false
 			mc.Session++ // whatever the ended session still sends is old
 			mc.Seq = 0
+			mc.orphans = placement.Res{}
 			m.dropTasks(mc, "its machine's lease is over", now)
 		}
 		if len(mc.Tasks) > 0 && !m.ready(mc, now) {
--- a/cluster/summon.go
+++ b/cluster/summon.go
@@ -43,7 +43,7 @@
 		if called[mc.Idx] {
 			p.Summoned = now
 		}
-		if len(out) >= most || called[mc.Idx] || mc.Held > 0 || mc.Addr == "" || !mc.Up || !mc.Notice.IsZero() ||
+		if len(out) >= most || called[mc.Idx] || mc.Held > 0 || mc.Addr == "" || !mc.Up || mc.deaf() || !mc.Notice.IsZero() ||
 			now.Sub(p.Summoned) < summonAgain || !launchable(j, ref.Task) {
 			continue
 		}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -14,7 +14,9 @@
 func (m *Model) ready(mc *Machine, now time.Time) bool {
 	w := m.cfg.Cluster.Workers
 	quiet := config.Seconds(min(w.ReportS*2.5+2, w.LeaseS/2))
-	return mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() && mc.Type >= 0 && mc.Zone >= 0 &&
+	// One that has not shown this leader's token may not hear, or be gone: what
+	// was heard of it may be a late copy of a report.
+	return mc.Up && mc.Shown && !mc.deaf() && !mc.Gone && !mc.Returning && mc.Notice.IsZero() && mc.Type >= 0 && mc.Zone >= 0 &&
 		m.silentFor(mc, now) < quiet
 }
 
@@ -23,13 +25,14 @@
 
 // Expecting is how many machines should be reporting. The list lags: of machines
 // that were returned a while ago it shows nothing. Leaders that expected those
-// gave leadership up in turn, every few seconds, when a day's work was over.
+// gave leadership up in turn, every few seconds, when a day's work was over. One
+// that has not shown the token may be known from a late copy of a report only.
 func (m *Model) Expecting(now time.Time) int {
 	n := 0
 	lag := config.Seconds(2*m.cfg.Cluster.Cloud.ListLagS + 10)
 	for _, mc := range m.Machines {
 		listed := mc.Listed == wire.MachineRunning && now.Sub(m.Takeover) > lag && now.Sub(mc.ListedAt) < lag
-		if !mc.Gone && !mc.Returning && (mc.Up || len(mc.Tasks) > 0 || listed) {
+		if !mc.Gone && !mc.Returning && (mc.Up && mc.Shown || len(mc.Tasks) > 0 || listed) {
 			n++
 		}
 	}
@@ -110,6 +113,8 @@
 	v := placement.Machine{Name: mc.Name, Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot}
 	if m.ready(mc, now) {
 		v.Ready = true
+	} else if m.showing(mc, now) {
+		v.ETA = 1
 	} else if eta, ok := m.booting(mc, now); ok {
 		v.ETA = eta
 	} else {
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -37,11 +37,11 @@
 		l.term.Resign()
 		return redirect("")
 	}
-	if own {
-		l.lastAny = now
-	}
 	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
+	if own && mc != nil {
+		l.lastAny = now // a late copy shows nothing of whether workers reach this node
+	}
 	l.gate.Leave()
 	if mc != nil && l.m.Freed != freed {
 		mc.Held++
--- a/controller/doubt.go
+++ b/controller/doubt.go
@@ -114,7 +114,7 @@
 		if name := n.elector.Leader(); name != "" && !n.doubts.of(name) && (name != n.cfg.Node || n.leads()) {
 			return name
 		}
-		if n.crowded() {
+		if n.crowded() || n.alone() {
 			return ""
 		}
 		select {
@@ -125,6 +125,21 @@
 	}
 }
 
+// alone says whether this node reaches neither the state service nor any other
+// node: of a leader it will learn nothing, and who waits here loses that much of
+// its lease. Workers that still reach it had better ask another.
+func (n *Node) alone() bool {
+	if len(n.peers) == 0 || n.stateOK() {
+		return false
+	}
+	for _, p := range n.peers {
+		if p.Missed().IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // leads says whether this node leads and is sure of it.
 func (n *Node) leads() bool {
 	l := n.leadership()
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -81,8 +81,10 @@
 		w.CutNode(i, false, everything...)
 		w.StartNode(i)
 	}
+	w.CopyReports(0)
 	for _, m := range w.Cloud.Machines() {
 		w.Hang(m, false)
+		w.Mute(m, false)
 	}
 	for _, id := range ids {
 		if broken[id] && !cancelled[id] {
@@ -135,7 +137,7 @@
 	if ms := w.Cloud.Machines(); len(ms) > 0 {
 		machine = ms[rnd.IntN(len(ms))]
 	}
-	switch rnd.IntN(20) {
+	switch rnd.IntN(25) {
 	case 0:
 		w.KillNode(n)
 	case 1, 2, 3:
@@ -182,5 +184,15 @@
 		shift := rnd.IntN(4)
 		w.Cloud.SetBoots(func(n int) time.Duration { return boots[(n+shift)%4] })
 		w.Cloud.SetSlow(time.Duration(rnd.IntN(4)) * time.Second)
+	case 20, 21:
+		if machine != "" {
+			w.Mute(machine, rnd.IntN(3) > 0)
+		}
+	case 22:
+		w.CopyReports(rnd.IntN(4))
+	case 23:
+		w.KeepOnlyWorkers(n, rnd.IntN(2) == 0)
+	case 24:
+		w.Bounce(n, time.Duration(rnd.IntN(900))*time.Millisecond)
 	}
 }
--- /dev/null
+++ b/controller/troubles_test.go
@@ -0,0 +1,217 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories of machines that do not hear, of reports that come twice, of nodes that
+// keep only their workers, and of what is back within a fraction of a second.
+
+// busy fills every machine but for 3 of its 8 CPUs, so that none is returned.
+func busy(t *testing.T, w *fake.World, machines int) {
+	t.Helper()
+	mustSubmit(t, w, job(900, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = machines, 5, 3600 }))
+	for range 40 {
+		if time.Sleep(time.Second); w.Running() == machines {
+			return
+		}
+	}
+	t.Fatalf("%d tasks run", w.Running())
+}
+
+// Launches went to a mute machine with every answer, and waited there for as long
+// as it was mute.
+func TestNothingWaitsForAMachineThatDoesNotHear(t *testing.T) {
+	story(t, fake.Options{Machines: 3, Capacity: 3}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 3)
+		at := w.Cloud.Machines()[0]
+		w.Mute(at, true)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 3, 10 }))
+		// Two rounds of 10 s, and at worst one wait of 4 s for an answer.
+		mustReach(t, w, "wk-000001", wire.JobDone, 35*time.Second)
+		time.Sleep(20 * time.Second) // its lease is over, and it is empty
+		before := w.Started()
+		mustSubmit(t, w, job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 6, 3, 10 }))
+		time.Sleep(3 * time.Second)
+		if n := w.Started() - before; n == 0 {
+			t.Error("nothing starts on the machines that hear")
+		}
+		if n := w.Load()[at]; n > 0 {
+			t.Errorf("%d tasks on the mute machine", n)
+		}
+		w.Mute(at, false)
+		for range 100 {
+			if time.Sleep(100 * time.Millisecond); w.Load()[at] > 0 {
+				break
+			}
+		}
+		if w.Load()[at] == 0 {
+			t.Error("10 s after it hears again it has no task")
+		}
+		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
+	})
+}
+
+// What the last leader had placed on a mute machine, launched or not, goes on
+// elsewhere once that machine's lease is over. It never shows the next one's
+// token, and each of its reports was answered: tasks waited without end.
+func TestAMachineIsMuteWhileTheLeaderChanges(t *testing.T) {
+	story(t, fake.Options{Machines: 3, Capacity: 4}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 3)
+		at := w.Cloud.Machines()[0]
+		w.Mute(at, true)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 3, 5 }))
+		time.Sleep(time.Second)
+		w.KillNode(w.Leader())
+		mustReach(t, w, "wk-000001", wire.JobDone, 60*time.Second)
+		time.Sleep(15 * time.Second)
+		if n := w.Running(); n != 3 {
+			t.Errorf("%d of 3 long tasks run", n)
+		}
+		if n := w.Load()[at]; n > 0 {
+			t.Errorf("%d tasks on the mute machine", n)
+		}
+	})
+}
+
+// A machine that stays mute is returned, and another rented.
+func TestAMachineThatStaysMuteIsReplaced(t *testing.T) {
+	story(t, fake.Options{Machines: 2, Capacity: 2}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 2)
+		at := w.Cloud.Machines()[0]
+		w.Mute(at, true)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 2, 3, 600 }))
+		time.Sleep(2*time.Minute + 30*time.Second)
+		if all := w.Cloud.Machines(); len(all) != 2 || all[0] == at {
+			t.Errorf("machines are %v", all)
+		}
+		if n := w.Running(); n != 4 {
+			t.Errorf("%d of 4 tasks run", n)
+		}
+	})
+}
+
+// Copies of reports of a machine that is gone come to a leader that has never
+// heard of it. It looked alive, and tasks were launched there.
+func TestCopiesOfReportsOfAMachineThatIsGone(t *testing.T) {
+	story(t, fake.Options{Machines: 3, Capacity: 3}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 3)
+		gone := w.Cloud.Machines()[0]
+		w.KeepReport(gone)
+		w.Cloud.Remove(gone)
+		w.KillNode(w.Leader())
+		time.Sleep(8 * time.Second)
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 2, 3, 5 }))
+		for range 3 {
+			for i := range w.Nodes() {
+				w.LateReport(gone, i)
+			}
+			time.Sleep(time.Second)
+		}
+		// Two machines of the two that are left have room for it.
+		mustReach(t, w, "wk-000001", wire.JobDone, 12*time.Second)
+		for range 100 {
+			if time.Sleep(time.Second); w.Running() == 3 {
+				break
+			}
+		}
+		if n := w.Running(); n != 3 {
+			t.Errorf("%d of the 3 long tasks run: the one that was on the machine waits for it", n)
+		}
+	})
+}
+
+// Copies of all machines' reports come all the time, up to five leases late.
+func TestCopiesOfReportsChangeNothing(t *testing.T) {
+	story(t, fake.Options{Machines: 6, Capacity: 6}, func(t *testing.T, w *fake.World) {
+		w.CopyReports(2)
+		busy(t, w, 6)
+		before := w.Started()
+		for i := range 6 {
+			mustSubmit(t, w, job(1+i, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs, j.EstimateS, j.OneZone = 2, 3, 15, i%2 == 0 }))
+		}
+		w.KillNode(w.Leader())
+		for i := range 6 {
+			mustReach(t, w, job(1+i, nil).ID, wire.JobDone, 2*time.Minute)
+		}
+		if n := w.Started() - before; n > 12 || w.Expired() > 0 {
+			t.Errorf("%d starts of 12 tasks, %d leases ended", n, w.Expired())
+		}
+	})
+}
+
+// A node that has lost the state service and the other nodes answers no worker
+// for longer than its lease of the leadership lasts, and sends them on at once:
+// the next leader answers them all before their leases end.
+func TestANodeKeepsOnlyItsWorkers(t *testing.T) {
+	for name, which := range map[string]func(w *fake.World) int{
+		"the leader":     func(w *fake.World) int { return w.Leader() },
+		"another":        func(w *fake.World) int { return (w.Leader() + 1) % 3 },
+		"all but one":    nil,
+		"one by another": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, fake.Options{Machines: 12, Capacity: 12}, func(t *testing.T, w *fake.World) {
+				busy(t, w, 12)
+				switch name {
+				case "all but one":
+					l := w.Leader()
+					w.KeepOnlyWorkers(l, true)
+					w.KeepOnlyWorkers((l+1)%3, true)
+				case "one by another":
+					for i := range 3 {
+						w.KeepOnlyWorkers(i, true)
+						time.Sleep(15 * time.Second)
+						w.KeepOnlyWorkers(i, false)
+					}
+				default:
+					w.KeepOnlyWorkers(which(w), true)
+				}
+				at := time.Now()
+				time.Sleep(20 * time.Second)
+				if n := w.Unanswered(at); n > 0 || w.Expired() > 0 {
+					t.Errorf("%d workers have no answer, %d leases ended", n, w.Expired())
+				}
+				for i := range 3 {
+					w.KeepOnlyWorkers(i, false)
+				}
+				mustSubmit(t, w, job(1, nil))
+				mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+			})
+		})
+	}
+}
+
+// Nodes are back within a fraction of a second, one after another and at once,
+// and so in the middle of the elections that this brings about.
+func TestNodesAreBackWithinAFractionOfASecond(t *testing.T) {
+	story(t, fake.Options{Machines: 8, Capacity: 8}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 8)
+		for round, after := range []time.Duration{0, 50, 150, 300, 600, 900} {
+			if l := w.Leader(); l >= 0 {
+				w.Bounce(l, after*time.Millisecond)
+			}
+			time.Sleep(after * time.Millisecond)
+			for i := range 3 {
+				w.Bounce((round+i)%3, after*time.Millisecond/2)
+			}
+			for _, m := range w.Cloud.Machines() {
+				w.Hang(m, true)
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, m := range w.Cloud.Machines() {
+				w.Hang(m, false)
+			}
+			id := job(1+round, nil).ID
+			mustSubmit(t, w, job(1+round, nil))
+			mustReach(t, w, id, wire.JobDone, time.Minute)
+		}
+		if n := w.Expired(); n > 0 {
+			t.Errorf("%d leases ended", n)
+		}
+	})
+}
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -92,6 +92,15 @@
 	return out
 }
 
+// Remove takes a machine away as a deletion does; what is kept of it stays known.
+func (c *Cloud) Remove(name string) {
+	m := c.machine(name)
+	m.kill()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.machines, name)
+}
+
 func (c *Cloud) machine(name string) *machine {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -67,7 +67,6 @@
 	dirty   bool
 	notice  *float64
 	tokenAt time.Time
-	old     []byte // an earlier report, for stories of late ones
 	holding bool   // direct commands are held back
 	held    []wire.DirectCommands
 }
@@ -229,6 +228,7 @@
 	m.w.mu.Lock()
 	m.dirty = false
 	r := m.report()
+	m.w.mayCopy(r)
 	session := m.session
 	node := m.w.nodes[m.node%len(m.w.nodes)]
 	m.w.mu.Unlock()
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -19,6 +19,7 @@
 	listeners map[string]*listener
 	conns     map[*conn]bool
 	cuts      map[[2]string]bool
+	mute      map[[2]string]chan struct{} // what the first sends the second waits, until closed
 	down      map[string]bool
 	still     map[string]chan struct{} // hosts that stand still, until closed
 	most      map[string]int           // sockets that a host has, if limited
@@ -29,7 +30,7 @@
 // NewNet makes an empty network.
 func NewNet() *Net {
 	return &Net{listeners: map[string]*listener{}, conns: map[*conn]bool{},
-		cuts: map[[2]string]bool{}, down: map[string]bool{}, still: map[string]chan struct{}{},
+		cuts: map[[2]string]bool{}, mute: map[[2]string]chan struct{}{}, down: map[string]bool{}, still: map[string]chan struct{}{},
 		most: map[string]int{}, open: map[string]int{}, peak: map[string]int{}}
 }
 
@@ -63,6 +64,49 @@
 	}
 }
 
+// SetMute holds back what a host sends to another, or delivers it: on connections
+// that are open it waits, also after they have been given up, and connections that
+// the first opens do not come about.
+func (n *Net) SetMute(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	way := [2]string{from, to}
+	if c := n.mute[way]; c != nil {
+		close(c)
+		delete(n.mute, way)
+	}
+	if on {
+		n.mute[way] = make(chan struct{})
+	}
+}
+
+// deliverAll ends every one-way cut.
+func (n *Net) deliverAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for way, c := range n.mute {
+		close(c)
+		delete(n.mute, way)
+	}
+}
+
+// pass waits while what is sent that way is held back, or until stop.
+func (n *Net) pass(from, to string, stop <-chan struct{}) {
+	for {
+		n.mu.Lock()
+		c := n.mute[[2]string{from, to}]
+		n.mu.Unlock()
+		if c == nil {
+			return
+		}
+		select {
+		case <-c:
+		case <-stop:
+			return
+		}
+	}
+}
+
 // SetDown takes a host's power away, or gives it back.
 func (n *Net) SetDown(h string, down bool) {
 	n.mu.Lock()
@@ -122,7 +166,7 @@
 func (n *Net) blocked(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cuts[pair(a, b)] || n.down[a] || n.down[b]
+	return n.cuts[pair(a, b)] || n.mute[[2]string{a, b}] != nil || n.down[a] || n.down[b]
 }
 
 var errRefused = errors.New("connection refused")
@@ -256,7 +300,9 @@
 	from, to string
 	side     string // whose end it is
 	closed   chan struct{}
+	broken   chan struct{} // closed when all that is under way is lost
 	once     sync.Once
+	breaks   sync.Once
 	out      chan []byte
 }
 
@@ -266,17 +312,26 @@
 // end makes an end of a connection. As with sockets, what is written waits in
 // the connection, and is there for a process that has stood still.
 func (n *Net) end(c net.Conn, from, to, side string) *conn {
-	e := &conn{Conn: c, n: n, from: from, to: to, side: side, closed: make(chan struct{}), out: make(chan []byte, socketBuffer)}
+	e := &conn{Conn: c, n: n, from: from, to: to, side: side, closed: make(chan struct{}), broken: make(chan struct{}), out: make(chan []byte, socketBuffer)}
 	go e.pump()
 	return e
 }
 
 func (c *conn) pump() {
 	defer c.Conn.Close()
+	peer := c.to
+	if c.side == c.to {
+		peer = c.from
+	}
+	write := func(b []byte) error {
+		c.n.pass(c.side, peer, c.broken)
+		_, err := c.Conn.Write(b)
+		return err
+	}
 	for {
 		select {
 		case b := <-c.out:
-			if _, err := c.Conn.Write(b); err != nil {
+			if write(b) != nil {
 				return
 			}
 			continue
@@ -284,7 +339,7 @@
 		}
 		select {
 		case b := <-c.out:
-			if _, err := c.Conn.Write(b); err != nil {
+			if write(b) != nil {
 				return
 			}
 		case <-c.closed:
@@ -334,6 +389,7 @@
 
 // cut ends the connection with all that is under way.
 func (c *conn) cut() {
+	c.breaks.Do(func() { close(c.broken) })
 	_ = c.Close()
 	_ = c.Conn.Close()
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,9 @@
 	hc        *http.Client
 
 	mu       sync.Mutex
+	copying  int               // one in so many reports is copied; 0: none
+	copies   int               // on their way
+	kept     map[string][]byte // a report of each machine, for stories of late ones
 	rnd      *rand.Rand
 	jobs     map[string]*job
 	here     map[string]map[*machine]bool // tasks that have their image, by name
@@ -132,7 +135,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
-		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}}
+		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, kept: map[string][]byte{}}
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
 		answers: map[string][]string{}, machines: map[string]*machine{}}
 	w.serve("state:1", w.State)
@@ -221,6 +224,7 @@
 		w.Cloud.machine(n).kill()
 	}
 	w.end()
+	w.Net.deliverAll()
 	w.hc.CloseIdleConnections()
 	w.wg.Wait()
 	// Requests that hang are given up in their own time, which is simulated.
@@ -458,21 +462,70 @@
 	}()
 }
 
+// Mute lets a machine's reports arrive while nothing reaches it from the nodes,
+// or ends that. What was sent meanwhile arrives then, where it is still awaited.
+func (w *World) Mute(name string, on bool) {
+	for _, n := range w.nodes {
+		w.Net.SetMute(n.name, name, on)
+	}
+}
+
+// KeepOnlyWorkers cuts a node off from the state service and the other nodes, but
+// not from workers, or ends that.
+func (w *World) KeepOnlyWorkers(i int, on bool) { w.CutNode(i, on, "state", "nodes") }
+
+// Bounce takes a node's power away and gives it back so soon after.
+func (w *World) Bounce(i int, after time.Duration) {
+	w.KillNode(i)
+	time.Sleep(after)
+	w.StartNode(i)
+}
+
+// maxCopies bounds the copies of reports on their way.
+const maxCopies = 100
+
+// CopyReports makes the network copy one in so many reports, to arrive at any
+// node 1 s to 5 leases later, whatever becomes of the machine; 0 ends that.
+func (w *World) CopyReports(oneIn int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copying = oneIn
+}
+
+// mayCopy copies a report if it is its turn; the lock is held.
+func (w *World) mayCopy(r wire.Report) {
+	if w.copying == 0 || w.copies >= maxCopies || w.pick(w.copying) > 0 {
+		return
+	}
+	w.copies++
+	most := int(5 * w.Settings.Cluster.Workers.LeaseS * 1000)
+	in, to := time.Duration(1000+w.pick(most-1000))*time.Millisecond, w.pick(len(w.nodes))
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		if call.Pause(w.ctx, in) {
+			w.post(w.nodes[to].bind, wire.PathReport, r)
+		}
+		w.mu.Lock()
+		w.copies--
+		w.mu.Unlock()
+	}()
+}
+
 // KeepReport remembers a worker's report of this moment; LateReport sends it
 // to a node as if a cut had held it back.
 func (w *World) KeepReport(name string) {
 	m := w.Cloud.machine(name)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m.old, _ = wire.Marshal(m.report())
+	w.kept[name], _ = wire.Marshal(m.report())
 }
 
 // LateReport sends what KeepReport kept.
 func (w *World) LateReport(name string, node int) (status int) {
-	m := w.Cloud.machine(name)
 	w.mu.Lock()
 	var r wire.Report
-	_ = wire.Unmarshal(m.old, &r)
+	_ = wire.Unmarshal(w.kept[name], &r)
 	w.mu.Unlock()
 	status, _ = w.post(w.nodes[node].bind, wire.PathReport, r)
 	return status
--- a/modelcheck/modelcheck_test.go
+++ b/modelcheck/modelcheck_test.go
@@ -20,14 +20,23 @@
 	{NoCatchUp, OneTask, []Kind{Pass, Trip, Image, Cancel, Learn, Wait}, 8},
 	{ShortLease, OneTask, []Kind{Pass, Trip, Image, Wait}, 9},
 	{NoTakeoverWait, OneTask, []Kind{Pass, Trip, Image, Wait, Takeover}, 9},
-	{LeaderGoesOn, OneTask, []Kind{Pass, Trip, Image, Wait, Takeover, Old}, 10},
+	{LeaderGoesOn, oneTakeover, []Kind{Pass, Trip, Image, Wait, Takeover, Old}, 12},
 	{DropsOnCancel, Quota, []Kind{Pass, Trip, Image, Cancel, Learn}, 9},
 	{DirectLaunch, OneTask, []Kind{Pass, Trip, Image, Wait, Direct}, 9},
 	{LateAnswers, Alone, []Kind{Pass, Trip, Send, Handle, LateAnswer, Image, Cancel, Wait}, 12},
 	{StaleReports, OneTask, []Kind{Pass, Trip, Send, Late, Image, Wait}, 11},
+	{CopiesCount, Copied, []Kind{Pass, Trip, Image, Keep, Copy}, 11},
+	{UnheardAnswers, Muted, []Kind{Pass, Trip, Image, Wait}, 14},
 	{TokenNotShown, OneTask, []Kind{Pass, Trip, Send, Handle, GiveUp, Late, Answer, Image, Takeover}, 13},
 }
 
+// oneTakeover is the one task, which nobody cancels, with one change of leader.
+func oneTakeover() *Scenario {
+	sc := OneTask()
+	sc.Cancels, sc.Takeovers = 0, 1
+	return sc
+}
+
 // breadth is how deep everything that may happen is gone through.
 func breadth() int {
 	if n, err := strconv.Atoi(os.Getenv("MODEL_DEPTH")); err == nil {
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -54,7 +54,21 @@
 	return sc
 }
 
+// Muted is one task with two machines, of which one is mute for a while, twice.
+func Muted() *Scenario {
+	sc := OneTask()
+	sc.Name, sc.Mutes = "mute machine", 2
+	return sc
+}
+
+// Copied is the gang on two machines with copies of reports that arrive late.
+func Copied() *Scenario {
+	sc := Split()
+	sc.Name, sc.Copies = "late copies", 2
+	return sc
+}
+
 // Scenarios are all of them.
 func Scenarios() []*Scenario {
-	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split()}
+	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split(), Muted(), Copied()}
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -40,12 +40,15 @@
 	Wait                   // 0.6 of a lease passes
 	Takeover               // another leader takes over
 	Old                    // the leader before answers a worker's whole round trip
+	Mute                   // nothing reaches a worker any more, or again
+	Keep                   // a copy is made of a worker's last report
+	Copy                   // a copy arrives
 )
 
 func (a Action) String() string {
 	return fmt.Sprintf("%s %d", [...]string{"pass", "pass, answer lost", "round trip of", "report of", "report arrives of", "answer arrives at", "given up by",
 		"late report arrives,", "late answer arrives,", "direct batch arrives,", "image at", "completes at", "cancelled, job", "leader learns", "time passes",
-		"takeover", "former leader answers"}[a.Kind], a.Arg)
+		"takeover", "former leader answers", "nothing reaches, or all again,", "copy made of report of", "copy arrives,"}[a.Kind], a.Arg)
 }
 
 // Actions lists what may happen next.
@@ -71,14 +74,22 @@
 				break
 			}
 			out = append(out, Action{Send, n})
-			if w.old != nil {
+			if w.old != nil && !k.mute {
 				out = append(out, Action{Old, n})
 			}
+		case k.out.handled && k.mute:
+			out = append(out, Action{GiveUp, n})
 		case k.out.handled:
 			out = append(out, Action{Answer, n}, Action{GiveUp, n})
 		default:
 			out = append(out, Action{Handle, n}, Action{GiveUp, n})
 		}
+		if k.mute || w.mutes < w.sc.Mutes {
+			out = append(out, Action{Mute, n})
+		}
+		if k.last != nil {
+			out = append(out, Action{Keep, n})
+		}
 		if slices.ContainsFunc(k.tasks, func(t *task) bool { return t.state == wire.TaskFetching }) {
 			out = append(out, Action{Image, n})
 		}
@@ -92,7 +103,13 @@
 	for i := range w.answers {
 		out = append(out, Action{LateAnswer, uint8(i)})
 	}
+	for i := range w.copies {
+		out = append(out, Action{Copy, uint8(i)})
+	}
 	for i := range w.directs {
+		if w.workers[w.directs[i].w].mute {
+			continue
+		}
 		out = append(out, Action{Direct, uint8(i)})
 	}
 	for i := range w.sc.Cancels {
@@ -155,6 +172,16 @@
 			w.old = w.model
 		}
 		w.lead()
+	case Mute:
+		k := w.workers[i]
+		if k.mute = !k.mute; k.mute {
+			w.mutes++
+		}
+	case Keep:
+		w.copyReport(w.workers[i])
+	case Copy:
+		w.handle(w.copies[i], w.model)
+		w.copies = slices.Delete(w.copies, i, i+1)
 	case Old:
 		f := w.send(i)
 		w.handle(f, w.old)
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -39,12 +39,14 @@
 	NoCatchUp                // a leader renews its lease without learning of cancellations
 	LeaderGoesOn             // a leader answers on past the end of its lease
 	DropsOnCancel            // a cancelled job's tasks count as gone at once
+	CopiesCount              // a late copy of a report counts as the newest
+	UnheardAnswers           // every answer counts as unheard, also where no report has shown that
 	Breaches
 )
 
 func (b Breach) String() string {
 	return [...]string{"none", "uncommitted launch", "short lease", "no wait after takeover", "stale reports", "token not shown",
-		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel"}[b]
+		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel", "copies count", "unheard answers"}[b]
 }
 
 // Scenario is what a search begins with.
@@ -59,6 +61,8 @@
 	Only      []Kind  // what may happen; nil: anything
 	Reliable  int     // of the last so many machines no message is split, late or lost
 	Shared    bool    // the jobs' records share a page
+	Mutes     int     // how often a worker's reports arrive, and nothing reaches it
+	Copies    int     // late copies of reports
 }
 
 const (
@@ -102,6 +106,8 @@
 	renewed int // the step in which its last answered report was sent
 	tasks   []*task
 	out     *flight // the report that it waits for an answer to
+	mute    bool    // neither answers nor commands reach it
+	last    *flight // its last report, while a copy of it may be made
 }
 
 // flight is a report on its way, and its answer.
@@ -142,6 +148,9 @@
 	workers []*worker
 	late    []*flight // reports given up, not arrived
 	answers []*flight // answers given up, where workers execute these
+	copies  []*flight // of reports, on their way
+	mutes   int
+	copied  int
 	directs []direct
 
 	completed map[string]bool // tasks that have exited with done
@@ -350,6 +359,9 @@
 		f.rep.Tasks = append(f.rep.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why})
 	}
 	k.out = f
+	if w.copied < w.sc.Copies {
+		k.last = f
+	}
 	return f
 }
 
@@ -361,7 +373,7 @@
 		return // it resigns
 	}
 	now := w.now()
-	if w.breach == StaleReports {
+	if w.breach == StaleReports || w.breach == CopiesCount && slices.Contains(w.copies, f) {
 		r.Seq += 1000 * uint64(w.rev)
 		w.rev++
 	}
@@ -369,10 +381,13 @@
 		r.Token = m.Token
 	}
 	mc := m.Observe(&r, now)
-	if mc == nil || w.workers[f.w].out != f {
-		return // nobody waits for the answer, or it is refused
+	if mc == nil {
+		return // refused
+	}
+	f.token, f.commands = m.Token, m.Answer(mc, &r, now) // though nobody may wait for the answer any more
+	if w.breach == UnheardAnswers {
+		mc.LastAnswer = time.Time{}
 	}
-	f.token, f.commands = m.Token, m.Answer(mc, &r, now)
 	sortRuns(f.commands)
 	if w.breach == ForgetAtOnce {
 		for _, t := range r.Tasks {
@@ -412,9 +427,25 @@
 func (w *World) trip(i int) {
 	f := w.send(i)
 	w.handle(f, w.model)
+	if w.workers[i].mute {
+		w.workers[i].out = nil
+		return
+	}
 	w.answer(f)
 }
 
+// copyReport keeps a copy of a worker's last report.
+func (w *World) copyReport(k *worker) {
+	c := *k.last
+	w.copies = append(w.copies, &c)
+	if w.copied++; w.copied == w.sc.Copies {
+		for _, o := range w.workers {
+			o.last = nil
+		}
+	}
+	k.last = nil
+}
+
 func (w *World) giveUp(k *worker) {
 	f := k.out
 	k.out = nil
@@ -710,9 +741,19 @@
 		for _, t := range k.tasks {
 			fmt.Fprintf(out, ";%s.%d%s%s", t.name, t.attempt, t.state, t.why)
 		}
+		fmt.Fprint(out, k.mute)
 		if k.out != nil {
 			w.flight(out, k.out)
 		}
+		if k.last != nil {
+			fmt.Fprint(out, "K")
+			w.flight(out, k.last)
+		}
+	}
+	fmt.Fprintf(out, "m%d,%d", w.mutes, w.copied)
+	for _, f := range w.copies {
+		fmt.Fprint(out, "C")
+		w.flight(out, f)
 	}
 	for _, f := range w.late {
 		fmt.Fprint(out, "L")
