Whether a machine hears is also told by summonses and by the node that it reports to

With 300 of 700 machines mute, what fitted on the others had started after 24 s: most mute machines had to be given a launch first, and followers sent their reports on to the leader, which they did not hear, so that it heard of each every 15 s.

--- a/cluster/hearing.go
+++ b/cluster/hearing.go
@@ -22,6 +22,9 @@
 	// muteMost is for how long, beyond a lease, an empty machine that does not
 	// hear is kept: as long as one that is silent.
 	muteMost = 40 * time.Second
+	// callsMost is how many summonses in a row may go without an answer. One that
+	// hangs for a second is no sign, and what is not launched can be placed elsewhere.
+	callsMost = 2
 	// probeSearch bounds the search for a job that a probe can name.
 	probeSearch = 1000
 )
@@ -31,6 +34,9 @@
 	upAt  time.Time // when it began to report
 	shown bool      // it has shown this leader's token, now or before its lease ended
 	since time.Time // since when it shows that it does not hear; zero: it does, as far as is known
+	via   string    // the node by way of which the last report came
+	at    uint64    // the number of the last report that was answered
+	calls int       // summonses without an answer since the last report
 	// What the last answer said that the next report must show.
 	told   bool
 	forget []exitKey
@@ -61,7 +67,7 @@
 func (m *Model) listen(mc *Machine, r *wire.Report, now time.Time) {
 	h := &mc.hearing
 	told, forget, probe := h.told, h.forget, h.probe
-	h.told, h.forget, h.probe = false, nil, exitKey{}
+	h.told, h.forget, h.probe, h.calls = false, nil, exitKey{}, 0
 	if !mc.Up {
 		h.upAt = now
 		if h.shown && !mc.deaf() {
@@ -110,6 +116,30 @@
 	}
 }
 
+// Came takes in by way of which node a report came that has just been observed. A
+// worker stays with the node that has answered it: where its very next report
+// comes to another one, it has not heard the answer.
+func (m *Model) Came(mc *Machine, via string, now time.Time) {
+	h := &mc.hearing
+	if h.via != "" && h.via != via && mc.Seq == h.at+1 {
+		m.missed(mc, "node", now)
+	}
+	h.via = via
+}
+
+// Uncalled takes in that a summons to a machine had no answer.
+func (m *Model) Uncalled(name string, now time.Time) {
+	i, ok := m.machineIdx[name]
+	if !ok || !m.Machines[i].Up {
+		return
+	}
+	if mc := m.Machines[i]; mc.hearing.calls+1 < callsMost {
+		mc.hearing.calls++
+	} else {
+		m.missed(mc, "summons", now)
+	}
+}
+
 // breakPromises gives reserved places up that have not been launched, once the
 // lease of a machine that does not hear has ended.
 func (m *Model) breakPromises(mc *Machine, now time.Time) {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -321,7 +321,7 @@
 // noted as sent with it.
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
 	m.Timings.LeaseLeft(m.leaseOver(mc).Sub(now).Seconds())
-	mc.LastAnswer, mc.hearing.told = now, true
+	mc.LastAnswer, mc.hearing.told, mc.hearing.at = now, true, r.Seq
 	var out []wire.Command
 	stop := func(name string, attempt uint64, grace float64) {
 		g := grace
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -13,9 +13,9 @@
 // This file is what the leader says to workers.
 
 // report answers a worker. agoS is how long ago the node that passes the report
-// on last had an answer for it, negative if that is not known; own says that it
-// came to this node itself.
-func (l *leadership) report(ctx context.Context, body []byte, agoS float64, own bool) mesh.Answer {
+// on last had an answer for it, negative if that is not known; via is the node that
+// it came to.
+func (l *leadership) report(ctx context.Context, body []byte, agoS float64, via string) mesh.Answer {
 	unsure := answer(http.StatusServiceUnavailable, wire.Error{Error: "not sure of leading"}, 1)
 	if !l.term.Valid() {
 		return unsure
@@ -39,8 +39,11 @@
 	}
 	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
-	if own && mc != nil {
-		l.lastAny = now // a late copy shows nothing of whether workers reach this node
+	if mc != nil {
+		l.m.Came(mc, via, now)
+		if via == l.n.cfg.Node {
+			l.lastAny = now // a late copy shows nothing of whether workers reach this node
+		}
 	}
 	l.gate.Leave()
 	if mc != nil && l.m.Freed != freed {
@@ -157,6 +160,11 @@
 			defer cancel()
 			if _, done, err := l.n.workers.Command(within, d.Addr, d.Batch); err != nil || !done {
 				l.log.Debug("summons", "machine", d.Machine, "executed", done, "err", err)
+				if err != nil && ctx.Err() == nil && l.term.Valid() {
+					l.mu.Lock()
+					l.m.Uncalled(d.Machine, time.Now())
+					l.mu.Unlock()
+				}
 			}
 			<-l.summoning
 			l.summon(ctx)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -78,11 +78,11 @@
 			n.noteSent(machine, to)
 			return redirect(to)
 		}
-		return l.report(ctx, body, -1, true)
+		return l.report(ctx, body, -1, n.cfg.Node)
 	}
 	leader := n.awaitLeader(ctx)
 	if l := n.leadership(); l != nil {
-		return l.report(ctx, body, -1, true)
+		return l.report(ctx, body, -1, n.cfg.Node)
 	}
 	if leader == "" || leader == n.cfg.Node {
 		return redirect(n.elsewhere(machine))
@@ -135,7 +135,7 @@
 		// node, and so would all others.
 		n.awaitLeader(ctx)
 	}
-	return l.report(ctx, r.Body, r.AgoS, false)
+	return l.report(ctx, r.Body, r.AgoS, r.From)
 }
 
 // fresh says whether a worker was answered here so lately that a move which
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -67,7 +67,7 @@
 	dirty   bool
 	notice  *float64
 	tokenAt time.Time
-	holding bool   // direct commands are held back
+	holding bool // direct commands are held back
 	held    []wire.DirectCommands
 }
 
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -1,7 +1,13 @@
 package routing_test
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,3 +250,112 @@
 		noneLost(t, w, 2*fleetMachines)
 	})
 }
+
+// tally counts what the nodes log, by message.
+type tally struct {
+	mu   sync.Mutex
+	said map[string]int
+}
+
+func (c *tally) Enabled(context.Context, slog.Level) bool { return true }
+func (c *tally) WithAttrs([]slog.Attr) slog.Handler       { return c }
+func (c *tally) WithGroup(string) slog.Handler            { return c }
+func (c *tally) Handle(_ context.Context, r slog.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.said[r.Message]++
+	return nil
+}
+
+func (c *tally) count(msg string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.said[msg]
+}
+
+// mutes is how many machines are mute at once; MUTE_MACHINES=100,300,1000 measures.
+func mutes() []int {
+	var out []int
+	for _, s := range strings.Split(os.Getenv("MUTE_MACHINES"), ",") {
+		if n, err := strconv.Atoi(s); err == nil {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		return []int{300}
+	}
+	return out
+}
+
+// Many machines do not hear, all at once, while their reports come by way of all
+// nodes, and copies of reports arrive late. What is submitted then starts on the
+// others at once, and when they hear again they have work within seconds.
+func TestManyMachinesAreMuteAtOnce(t *testing.T) {
+	for _, n := range mutes() {
+		for _, change := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, change of leader %t", n, change), func(t *testing.T) {
+				machines := max(fleetMachines, n*13/10)
+				said := &tally{said: map[string]int{}}
+				fleet(t, fake.Options{Machines: machines, Log: slog.New(said)}, func(t *testing.T, w *fake.World) {
+					muteAtOnce(t, w, said, n, change)
+				})
+			})
+		}
+	}
+}
+
+func muteAtOnce(t *testing.T, w *fake.World, said *tally, n int, change bool) {
+	if w.Cancel("wk-000001") != wire.JobCancelled {
+		t.Fatal("not cancelled")
+	}
+	time.Sleep(10 * time.Second)
+	all := w.Cloud.Machines()
+	// A task on each machine leaves room for another.
+	tell.MustSubmit(t, w, tell.Job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = len(all), 5, 900 }))
+	for range 60 {
+		if time.Sleep(time.Second); w.Running() == len(all) {
+			break
+		}
+	}
+	w.CopyReports(20)
+	for i := range n {
+		w.Mute(all[i*len(all)/n], true)
+	}
+	if change {
+		w.KillNode(w.Leader())
+	}
+	before := w.Started()
+	began := time.Now()
+	hear := len(all) - n
+	tell.MustSubmit(t, w, tell.Job(3, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = hear, 3, 900 }))
+	for range 400 {
+		if time.Sleep(100 * time.Millisecond); w.Started()-before >= hear {
+			break
+		}
+	}
+	started, took := w.Started()-before, time.Since(began)
+	if started < hear {
+		t.Errorf("%d of %d tasks that fit on machines that hear have started after %v", started, hear, took)
+	}
+	time.Sleep(time.Minute - time.Since(began))
+	vain := said.count("recalled")
+	lost, deaf := w.Expired(), said.count("machine does not hear")
+	if lost != n {
+		t.Errorf("%d leases ended of %d", lost, n)
+	}
+	for i := range n {
+		w.Mute(all[i*len(all)/n], false)
+	}
+	began = time.Now()
+	for range 600 {
+		if time.Sleep(100 * time.Millisecond); w.Running() == len(all)+hear {
+			break
+		}
+	}
+	if r := w.Running(); r != len(all)+hear {
+		t.Errorf("a minute after they hear again %d of %d tasks run", r, len(all)+hear)
+	}
+	t.Logf("%d of %d machines mute for a minute: %d tasks for the others had all started after %v; %d places there were taken back, "+
+		"%d signs that a machine does not hear, %d leases lost; all tasks run %v after the end", n, len(all), hear, took.Round(100*time.Millisecond),
+		vain, deaf, lost, time.Since(began).Round(100*time.Millisecond))
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -146,6 +146,12 @@
 	if home != leader && (!full || g.CameBack(home)) {
 		return "", true
 	}
+	// One that is new here is answered first, and moved with a fresh lease. A machine
+	// that does not hear goes from node to node: sent on by each of them, it was
+	// heard of by the leader every 15 s, and what was launched there waited as long.
+	if !g.Kept && !full {
+		return "", true
+	}
 	return home, false
 }
 
