--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -57,7 +57,7 @@
 			names = append(names, fmt.Sprintf("f%s.%d", k.name, k.attempt))
 		}
 		slices.Sort(names)
-		fmt.Fprint(w, names, h.told, h.shown, mc.deaf(), m.showing(mc, now), m.mute(mc, now), h.calls, "|")
+		fmt.Fprint(w, names, h.told, h.shown, mc.deaf(), m.showing(mc, now), m.mute(mc, now), "|")
 	}
 	for _, j := range m.Jobs {
 		if j == nil {
--- a/cluster/hearing.go
+++ b/cluster/hearing.go
@@ -22,9 +22,6 @@
 	// muteMost is for how long, beyond a lease, an empty machine that does not
 	// hear is kept: as long as one that is silent.
 	muteMost = 40 * time.Second
-	// callsMost is how many summonses in a row may go without an answer. One that
-	// hangs for a second is no sign, and what is not launched can be placed elsewhere.
-	callsMost = 2
 	// probeSearch bounds the search for a job that a probe can name.
 	probeSearch = 1000
 )
@@ -36,7 +33,6 @@
 	since time.Time // since when it shows that it does not hear; zero: it does, as far as is known
 	via   string    // the node by way of which the last report came
 	at    uint64    // the number of the last report that was answered
-	calls int       // summonses without an answer since the last report
 	// What the last answer said that the next report must show.
 	told   bool
 	forget []exitKey
@@ -67,7 +63,7 @@
 func (m *Model) listen(mc *Machine, r *wire.Report, now time.Time) {
 	h := &mc.hearing
 	told, forget, probe := h.told, h.forget, h.probe
-	h.told, h.forget, h.probe, h.calls = false, nil, exitKey{}, 0
+	h.told, h.forget, h.probe = false, nil, exitKey{}
 	if !mc.Up {
 		h.upAt = now
 		if h.shown && !mc.deaf() {
@@ -127,19 +123,6 @@
 	h.via = via
 }
 
-// Uncalled takes in that a summons to a machine had no answer.
-func (m *Model) Uncalled(name string, now time.Time) {
-	i, ok := m.machineIdx[name]
-	if !ok || !m.Machines[i].Up {
-		return
-	}
-	if mc := m.Machines[i]; mc.hearing.calls+1 < callsMost {
-		mc.hearing.calls++
-	} else {
-		m.missed(mc, "summons", now)
-	}
-}
-
 // breakPromises gives reserved places up that have not been launched, once the
 // lease of a machine that does not hear has ended.
 func (m *Model) breakPromises(mc *Machine, now time.Time) {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -19,8 +19,8 @@
 	if mc.Gone {
 		return nil
 	}
-	// A message that was held back says what was, not what is.
-	if r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.Seq {
+	// A message that was held back, or a copy, says what was, not what is.
+	if !mc.newer(r.Session, r.Seq) {
 		return nil
 	}
 	if mc.Session == 0 {
@@ -47,6 +47,16 @@
 	return mc
 }
 
+func (mc *Machine) newer(session, seq uint64) bool {
+	return session > mc.Session || session == mc.Session && seq > mc.Seq
+}
+
+// News says whether a worker's message would be taken in.
+func (m *Model) News(machine string, session, seq uint64) bool {
+	i, known := m.machineIdx[machine]
+	return !known || !m.Machines[i].Gone && m.Machines[i].newer(session, seq)
+}
+
 // reconcile compares a newer report with what the model has on the machine.
 func (m *Model) reconcile(mc *Machine, r *wire.Report, now time.Time) {
 	listed := make(map[Ref]bool, len(r.Tasks))
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -160,11 +160,6 @@
 			defer cancel()
 			if _, done, err := l.n.workers.Command(within, d.Addr, d.Batch); err != nil || !done {
 				l.log.Debug("summons", "machine", d.Machine, "executed", done, "err", err)
-				if err != nil && ctx.Err() == nil && l.term.Valid() {
-					l.mu.Lock()
-					l.m.Uncalled(d.Machine, time.Now())
-					l.mu.Unlock()
-				}
 			}
 			<-l.summoning
 			l.summon(ctx)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -15,6 +15,13 @@
 // This file is the workers' door; where each of them belongs is decided in
 // package routing, and what a leader answers in answers.go.
 
+// sender is what a report says of whose it is, and how new.
+type sender struct {
+	Machine string `msgpack:"poste"`
+	Session uint64 `msgpack:"quart"`
+	Seq     uint64 `msgpack:"numero"`
+}
+
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
 	conn := admission.Of(r.Context())
 	if conn != nil {
@@ -25,9 +32,7 @@
 		writeError(w, http.StatusBadRequest, "unreadable", 0)
 		return
 	}
-	var who struct {
-		Machine string `msgpack:"poste"`
-	}
+	var who sender
 	if err := wire.Unmarshal(body, &who); err != nil || who.Machine == "" {
 		writeError(w, http.StatusBadRequest, "malformed report", 0)
 		return
@@ -41,7 +46,7 @@
 		return
 	}
 	defer n.reports.Leave()
-	a := n.report(ctx, who.Machine, body)
+	a := n.report(ctx, who, body)
 	if a.Status == http.StatusOK {
 		n.answered.Note(who.Machine, time.Now())
 	}
@@ -72,11 +77,14 @@
 
 // report serves a worker's report: here if this node leads, and otherwise by
 // passing it on to the leader, or by naming the node where the worker belongs.
-func (n *Node) report(ctx context.Context, machine string, body []byte) mesh.Answer {
+func (n *Node) report(ctx context.Context, who sender, body []byte) mesh.Answer {
+	machine := who.Machine
 	if l := n.leadership(); l != nil && l.term.Valid() {
-		if to := n.moveAway(machine); to != "" {
-			n.noteSent(machine, to)
-			return redirect(to)
+		if l.news(who) { // nobody is moved by a late copy
+			if to := n.moveAway(machine); to != "" {
+				n.noteSent(machine, to)
+				return redirect(to)
+			}
 		}
 		return l.report(ctx, body, -1, n.cfg.Node)
 	}
@@ -95,6 +103,13 @@
 	return n.passOn(ctx, machine, leader, body)
 }
 
+// news says whether a report is not older than what is known of its worker.
+func (l *leadership) news(who sender) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.m.News(who.Machine, who.Session, who.Seq)
+}
+
 // passOn passes a report on to the leader. What comes back is the leader's own
 // answer with its token: a 200 is the leader's, given while it was sure of its
 // lease, and everything else is a 503 here.
