--- a/cluster/nights.go
+++ b/cluster/nights.go
@@ -396,7 +396,7 @@
 			loads[i].Stuck += fmt.Sprintf("; and %d more", more)
 		}
 	}
-	return m.places(most, now)
+	return m.places(most, -1, now)
 }
 
 // emptyPlaces is how many tasks like a job's the machines could take that are up
