An order of tiers: settings, who goes ahead, and the reason of each departure

Pure package order: tiers by team and class, each with a share of the fleet or a longest wait, checked whole. Promote says what is owed before higher tiers from what is booked and how long jobs wait, so that nothing of it has to be remembered by a leader. Departures names the reason of each task placed on room that a waiting job of a higher tier could have had. Stops for a higher priority take work of later tiers first.

--- /dev/null
+++ b/order/departure.go
@@ -0,0 +1,149 @@
+package order
+
+import "github.com/umberdeal/umberdeal/placement"
+
+// This file says where the order was departed from, and why.
+
+// Reason is why a lower tier's task got room that a higher one waits for.
+type Reason uint8
+
+// Reasons. None is a departure that nothing explains: it must not be.
+const (
+	None      Reason = iota
+	Guarantee        // the lower one is within its team's guarantee
+	Priority         // the lower one's priority is higher
+	Bound            // the lower one had to begin by then
+	Share            // its tier had less than its share
+	Wait             // it had waited its tier's longest wait
+	Limit            // the higher one's team is at its limit
+	Zone             // the higher one may not be in that zone, given its other tasks
+	Machine          // the machine's type or kind is not for the higher one, or it stays away from it
+	Gang             // the higher one needs more places at once than there are
+	Fault            // the higher one fails wherever it is tried, and is given spare room only
+	reasons
+)
+
+var reasonNames = [reasons]string{"none", "guarantee", "priority", "bound", "share", "wait", "limit", "zone", "machine", "gang", "fault"}
+
+func (r Reason) String() string { return reasonNames[min(r, reasons-1)] }
+
+// Standing is what bears on a request's place in the line.
+type Standing struct {
+	Tier  int  // -1: no job's request
+	Owed  bool // it has to begin now, by the bound that holds for all
+	Cause Cause
+}
+
+// Departure is a task placed where one of a higher tier could have been.
+type Departure struct {
+	Start  placement.Start
+	Over   int // the request passed over
+	Reason Reason
+}
+
+// Departures compares what a pass started with what still waits. teams is the
+// teams' use before the pass; standing is each request's. A task placed is a
+// departure from the order at most once: over the highest that it was placed
+// before, the one that came first in the line among equals.
+func Departures(reqs []placement.Request, teams []placement.Team, starts []placement.Start, at func(machine int) *placement.Machine, standing []Standing) []Departure {
+	line := waiting(reqs, teams, starts, standing)
+	if len(line) == 0 {
+		return nil
+	}
+	var out []Departure
+	for _, s := range starts {
+		mine := standing[s.Request]
+		if mine.Tier < 0 {
+			continue
+		}
+		m := at(s.Machine)
+		best := -1
+		for i := range line {
+			if h := &line[i]; standing[h.request].Tier < mine.Tier && reqs[h.request].Need.Fits(s.Room) &&
+				(best < 0 || standing[h.request].Tier < standing[line[best].request].Tier) {
+				best = i
+			}
+		}
+		if best < 0 {
+			continue
+		}
+		h := &line[best]
+		out = append(out, Departure{s, h.request, reason(reqs, standing, s, h, m)})
+	}
+	return out
+}
+
+// left is a request of which tasks were left.
+type left struct {
+	request int
+	limited bool // by its team's limit alone
+}
+
+// waiting lists the requests with tasks left, in their order.
+func waiting(reqs []placement.Request, teams []placement.Team, starts []placement.Start, standing []Standing) []left {
+	got := make([]int, len(reqs))
+	for _, s := range starts {
+		got[s.Request]++
+	}
+	used := make([]placement.Team, len(teams))
+	copy(used, teams)
+	var out []left
+	for i := range reqs {
+		r := &reqs[i]
+		n := placement.Allowed(r, used)
+		if standing[i].Tier >= 0 && got[i] < len(r.Tasks) {
+			out = append(out, left{i, got[i] >= n || r.All && n < len(r.Tasks)})
+		}
+		if r.Team >= 0 {
+			used[r.Team].Used = used[r.Team].Used.Add(r.Need, float64(got[i]))
+		}
+	}
+	return out
+}
+
+// reason says why a start came before a request that was left. Where the lower
+// one stood ahead in the line, that is why; where it stood behind, something must
+// have kept the higher one from the machine.
+func reason(reqs []placement.Request, standing []Standing, s placement.Start, h *left, m *placement.Machine) Reason {
+	low, high := &reqs[s.Request], &reqs[h.request]
+	if s.Request < h.request {
+		mine, theirs := standing[s.Request], standing[h.request]
+		switch {
+		case high.Spare && !low.Spare:
+			return Fault
+		case low.Within != high.Within:
+			return when(low.Within, Guarantee)
+		case low.Priority != high.Priority:
+			return when(low.Priority < high.Priority, Priority)
+		case mine.Owed != theirs.Owed:
+			return when(mine.Owed, Bound)
+		case mine.Owed:
+			return Bound // both: the one whose time is nearer
+		case mine.Cause == ByWait:
+			return Wait
+		case mine.Cause == ByShare:
+			return Share
+		}
+		return None
+	}
+	switch {
+	case h.limited:
+		return Limit
+	case high.Zone >= 0 && high.Zone != m.Zone, high.SpreadMax > 0 && high.ZoneUsed[m.Zone] >= high.SpreadMax:
+		return Zone
+	case !high.Types[m.Type], m.Spot && !high.Spot, high.Avoid[s.Machine]:
+		return Machine
+	case high.All:
+		return Gang
+	case high.OneZone && high.Zone < 0:
+		return Zone // its tasks went to another
+	}
+	return None
+}
+
+func when(ok bool, r Reason) Reason {
+	if ok {
+		return r
+	}
+	return None
+}
--- /dev/null
+++ b/order/order.go
@@ -0,0 +1,126 @@
+// Package order decides who is served first where the operators have given the
+// work an order: tiers by team and class, clinics before schools before crafts.
+// It is pure: the same input gives the same decision, and the time is passed in.
+package order
+
+import "slices"
+
+// Order is a checked order in force. The zero value and nil are no order: all
+// work is of one tier.
+type Order struct {
+	tiers []Tier
+}
+
+// New makes an order of checked settings, nil if they hold none.
+func New(s *Settings) *Order {
+	if s.Empty() {
+		return nil
+	}
+	o := &Order{tiers: slices.Clone(s.Tiers)}
+	if last := &o.tiers[len(o.tiers)-1]; !last.rest() {
+		o.tiers = append(o.tiers, Tier{Name: restName, LongestWaitS: restWaitS})
+	}
+	return o
+}
+
+// Tiers is how many there are, the rest included; 1 without an order.
+func (o *Order) Tiers() int {
+	if o == nil {
+		return 1
+	}
+	return len(o.tiers)
+}
+
+// Name is a tier's name.
+func (o *Order) Name(tier int) string {
+	if o == nil || tier < 0 || tier >= len(o.tiers) {
+		return ""
+	}
+	return o.tiers[tier].Name
+}
+
+// Tier is the tier of a team's work of a class: the first that names it. 0 is
+// served first.
+func (o *Order) Tier(team, class string) int {
+	if o == nil {
+		return 0
+	}
+	for i := range o.tiers {
+		if o.tiers[i].has(team, class) {
+			return i
+		}
+	}
+	return len(o.tiers) - 1
+}
+
+// Waiting is a job that waits for room.
+type Waiting struct {
+	Tier   int
+	Tasks  int     // that may start now
+	Whole  bool    // a gang: all of them or none
+	Size   float64 // of a task, as a part of the fleet: of the resource it takes most of
+	Waited float64 // seconds since it was accepted
+	Placed int     // tasks that are on machines, or on their way there
+}
+
+// Cause is why a job, or some of its tasks, is served before higher tiers.
+type Cause uint8
+
+// Causes.
+const (
+	ByTier  Cause = iota // it is not: its tier decides
+	ByShare              // its tier has less than its share of the fleet
+	ByWait               // nothing of it runs, and it has waited its tier's longest wait
+)
+
+// Ahead is how many of a job's tasks are served before higher tiers, and why.
+type Ahead struct {
+	Tasks int
+	Cause Cause
+}
+
+// Promote says what of the waiting work is served before higher tiers, for each
+// job in their order; within a tier the first have it first. booked is what each
+// tier has of the fleet, from 0 to 1. It rests on what is booked and when jobs
+// came, and on nothing that a leader would have to remember.
+//
+// A wait is owed a beginning: an array begins with its first task, a gang needs
+// all its places. A share is owed as many tasks as it lacks.
+func (o *Order) Promote(waiting []Waiting, booked []float64) []Ahead {
+	out := make([]Ahead, len(waiting))
+	if o == nil {
+		return out
+	}
+	has := make([]float64, len(o.tiers))
+	copy(has, booked)
+	for i := range waiting {
+		w := &waiting[i]
+		if w.Tier <= 0 || w.Tier >= len(o.tiers) || w.Tasks <= 0 {
+			continue
+		}
+		t := &o.tiers[w.Tier]
+		if t.LongestWaitS > 0 && w.Placed == 0 && w.Waited >= t.LongestWaitS {
+			out[i] = Ahead{1, ByWait}
+			if w.Whole {
+				out[i].Tasks = w.Tasks
+			}
+			has[w.Tier] += float64(out[i].Tasks) * w.Size
+		}
+		lacks := t.Share - has[w.Tier]
+		if lacks <= 1e-9 || w.Size <= 0 || out[i].Tasks == w.Tasks {
+			continue
+		}
+		more := w.Tasks - out[i].Tasks
+		if !w.Whole {
+			more = min(more, int(lacks/w.Size)+1)
+		} else if float64(w.Tasks)*w.Size > lacks+t.Share {
+			continue // it would leave the tiers above less than theirs for long: its wait brings it on
+		}
+		has[w.Tier] += float64(more) * w.Size
+		if out[i].Cause == ByTier {
+			out[i].Cause = ByShare
+		}
+		out[i].Tasks += more
+	}
+	return out
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,214 @@
+package order
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// fleet is a random fleet, what runs on it and what waits.
+type fleet struct {
+	o       *Order
+	in      placement.Input
+	stand   []Standing
+	waiting []Waiting
+	booked  []float64
+}
+
+func draw(t *rapid.T) *fleet {
+	n := func(label string, lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, label) }
+	f := &fleet{o: New(&Settings{Tiers: []Tier{{Name: "clinic", Classes: []string{"c0"}},
+		{Name: "school", Classes: []string{"c1"}, Share: float64(n("share", 0, 40)) / 100, LongestWaitS: 100},
+		{Name: "craft", Classes: []string{"c2"}, LongestWaitS: float64(n("wait", 100, BoundS))}}})}
+	const zones, types, teams = 2, 2, 2
+	f.booked = make([]float64, f.o.Tiers())
+	for i := range n("machines", 1, 8) {
+		m := placement.Machine{Name: fmt.Sprint(i), Type: n("type", 0, types-1), Zone: n("zone", 0, zones-1), Spot: rapid.Bool().Draw(t, "spot"),
+			Ready: n("ready", 0, 5) > 0, Cap: placement.Res{CPU: 16, Mem: 64}, FetchRate: 1}
+		m.Free = placement.Res{CPU: float64(n("free", 0, 16)), Mem: 64}
+		if used := 16 - m.Free.CPU; used > 0 {
+			m.Tasks = []placement.Occupant{{Task: placement.Task{Job: 1000, Task: int32(i)}, Need: placement.Res{CPU: used}, Priority: n("on", 1, 3),
+				Tier: n("tier on", 0, 3), Left: float64(n("left", 1, 100)), Loss: float64(n("loss", 0, 90)), Fixed: rapid.Bool().Draw(t, "fixed")}}
+		}
+		f.in.Machines = append(f.in.Machines, m)
+	}
+	for range teams {
+		f.in.Teams = append(f.in.Teams, placement.Team{Max: placement.Res{CPU: float64(n("limit", 0, 40))}})
+	}
+	f.in.Preempt = true
+	for i := range n("jobs", 1, 10) {
+		r := placement.Request{Job: int32(i), Need: placement.Res{CPU: float64(n("cpus", 1, 12)), Mem: 1}, Priority: n("priority", 1, 2), Team: n("team", 0, teams-1),
+			Within: n("within", 0, 4) == 0, Zone: n("in zone", -1, zones-1), ZoneUsed: make([]int, zones), Types: make([]bool, types),
+			Spot: rapid.Bool().Draw(t, "may spot"), All: n("gang", 0, 3) == 0, OneZone: n("one zone", 0, 3) == 0, Hold: rapid.Bool().Draw(t, "hold")}
+		for k := range r.Types {
+			r.Types[k] = n("may type", 0, 3) > 0
+		}
+		for k := range n("tasks", 1, 6) {
+			r.Tasks = append(r.Tasks, int32(k))
+		}
+		if !r.OneZone && n("spread", 0, 3) == 0 {
+			r.SpreadMax = (len(r.Tasks) + 1) / 2
+		}
+		if n("avoid", 0, 3) == 0 {
+			r.Avoid = map[int]bool{0: true}
+		}
+		f.in.Requests = append(f.in.Requests, r)
+		f.stand = append(f.stand, Standing{Tier: f.o.Tier("any", fmt.Sprint("c", n("class", 0, 3))), Owed: n("owed", 0, 5) == 0})
+		f.waiting = append(f.waiting, Waiting{Tier: f.stand[i].Tier, Tasks: len(r.Tasks), Whole: r.All, Size: r.Need.CPU / 64, Waited: float64(n("waited", 0, 300))})
+	}
+	return f
+}
+
+// line puts the requests in the order of service, as the leader does.
+func (f *fleet) line(tiers bool) {
+	ahead := f.o.Promote(f.waiting, f.booked)
+	idx := make([]int, len(f.in.Requests))
+	for i := range idx {
+		idx[i] = i
+		f.stand[i].Cause = ahead[i].Cause
+	}
+	rank := func(i int) int {
+		switch {
+		case !tiers:
+			return 0
+		case f.stand[i].Cause != ByTier:
+			return -1
+		}
+		return f.stand[i].Tier
+	}
+	slices.SortStableFunc(idx, func(a, b int) int {
+		x, y := &f.in.Requests[a], &f.in.Requests[b]
+		switch {
+		case x.Within != y.Within:
+			return sign(x.Within)
+		case x.Priority != y.Priority:
+			return x.Priority - y.Priority
+		case f.stand[a].Owed != f.stand[b].Owed:
+			return sign(f.stand[a].Owed)
+		}
+		return rank(a) - rank(b)
+	})
+	reqs, stand := f.in.Requests, f.stand
+	f.in.Requests, f.stand = nil, nil
+	for _, i := range idx {
+		f.in.Requests, f.stand = append(f.in.Requests, reqs[i]), append(f.stand, stand[i])
+	}
+}
+
+func sign(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+func (f *fleet) pass() []Departure {
+	teams := slices.Clone(f.in.Teams)
+	plan := placement.Make(&f.in)
+	return Departures(f.in.Requests, teams, plan.Starts, func(i int) *placement.Machine { return &f.in.Machines[i] }, f.stand)
+}
+
+// Whatever the fleet, what waits and the order: each departure has a reason.
+func TestNoDepartureWithoutAReason(t *testing.T) {
+	seen := map[Reason]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		f := draw(t)
+		f.line(true)
+		for _, d := range f.pass() {
+			seen[d.Reason]++
+			if d.Reason == None {
+				t.Fatalf("%+v before %+v on %+v", f.in.Requests[d.Start.Request], f.in.Requests[d.Over], f.in.Machines[d.Start.Machine])
+			}
+		}
+	})
+	t.Log(seen)
+}
+
+// Were the tiers left out of the line, that would be found.
+func TestADepartureWithoutAReasonIsFound(t *testing.T) {
+	found := 0
+	for seed := range 200 {
+		f := rapid.Custom(draw).Example(seed)
+		f.line(false)
+		for _, d := range f.pass() {
+			if d.Reason == None {
+				found++
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("work is served in no order, and every departure has a reason")
+	}
+}
+
+// What is served before higher tiers is no more than a share lacks, by one task,
+// and for a wait what it takes to begin.
+func TestSharesAndWaitsTakeNoMoreThanTheyAreOwed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := draw(t)
+		for i := range f.booked {
+			f.booked[i] = rapid.Float64Range(0, 0.5).Draw(t, "booked")
+		}
+		has := slices.Clone(f.booked)
+		for i, a := range f.o.Promote(f.waiting, f.booked) {
+			w := &f.waiting[i]
+			tier := &f.o.tiers[w.Tier]
+			due := tier.LongestWaitS > 0 && w.Waited >= tier.LongestWaitS
+			switch {
+			case a.Tasks > 0 && w.Tier == 0, a.Tasks > w.Tasks, w.Whole && a.Tasks != 0 && a.Tasks != w.Tasks:
+				t.Fatalf("%+v: %+v", w, a)
+			case due && w.Tier > 0 && a.Tasks == 0:
+				t.Fatalf("%+v has waited for its %g s and is not owed a beginning", w, tier.LongestWaitS)
+			case !due && a.Tasks > 0 && has[w.Tier] > tier.Share:
+				t.Fatalf("%+v has its share and is given %+v", w, a)
+			}
+			if a.Tasks > 1 && !w.Whole && has[w.Tier]+float64(a.Tasks-1)*w.Size > tier.Share+w.Size+1e-9 {
+				t.Fatalf("%+v is given %+v, has %g of %g", w, a, has[w.Tier], tier.Share)
+			}
+			has[w.Tier] += float64(a.Tasks) * w.Size
+		}
+	})
+}
+
+func TestSettingsAreCheckedWhole(t *testing.T) {
+	s := &Settings{Tiers: []Tier{
+		{Name: "clinic", Classes: []string{"slicing"}, Share: 0.5},
+		{Name: "school", Teams: []string{"north", "nobody"}, LongestWaitS: 120},
+		{Name: "school", Teams: []string{"north"}, Classes: []string{"print"}, LongestWaitS: 60},
+		{Name: "craft", Teams: []string{"guild"}},
+		{LongestWaitS: 500},
+		{Name: "more", Classes: []string{"slicing", ""}, Share: 0.6, LongestWaitS: 240},
+	}}
+	var all []string
+	for _, err := range s.Check(nil, []string{"north", "guild"}) {
+		all = append(all, err.Error())
+	}
+	for _, want := range []string{
+		"order.tiers[0] is the first", `order.tiers[1].teams[1]: "nobody"`, "order.tiers[2].name must be", `order.tiers[2]: team "north", class "print" is in order.tiers[1]`,
+		"order.tiers[2].longest_wait_s is 60, shorter than 120", "order.tiers[3] needs a share", "order.tiers[4].name", "order.tiers[4].longest_wait_s must be",
+		"order.tiers[4] names neither", `order.tiers[5]: class "slicing" is in order.tiers[0]`, "order.tiers[5].classes[1] must not", "the shares sum to 1.1",
+	} {
+		if !slices.ContainsFunc(all, func(s string) bool { return strings.HasPrefix(s, want) || strings.Contains(s, want) }) {
+			t.Errorf("nothing says %q", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(strings.Join(all, "\n"))
+	}
+	good := &Settings{Tiers: []Tier{{Name: "clinic", Classes: []string{"slicing"}}, {Name: "school", Teams: []string{"north"}, Share: 0.2}}}
+	if errs := good.Check(nil, []string{"north"}); len(errs) > 0 {
+		t.Error(errs)
+	}
+	o := New(good)
+	if o.Tier("north", "slicing") != 0 || o.Tier("north", "print") != 1 || o.Tier("guild", "print") != 2 || o.Tiers() != 3 {
+		t.Error("work is not of the first tier that names it")
+	}
+	if New(&Settings{}) != nil || (*Order)(nil).Tier("north", "slicing") != 0 {
+		t.Error("no settings are an order")
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,7 @@
 	Loss     float64 // seconds of work that stopping it loses
 	Left     float64 // seconds until it should end by itself
 	Fixed    bool    // may not be stopped to make room
+	Tier     int     // by the operators' order: work of later tiers is stopped first
 	Stopping bool    // its room is among what is coming
 }
 
@@ -121,6 +122,7 @@
 	Request int
 	Task    int32
 	Machine int
+	Room    Res // that the machine had left
 }
 
 // Plan is what to do.
@@ -140,6 +142,8 @@
 	vain    [modes][]vain
 	zones   int
 	classes *classes // nil: every machine is judged, in tests
+
+	lastTier int // of all that is on machines
 }
 
 // Make plans. Requests are served in their order. The input's machines are
@@ -153,6 +157,9 @@
 	p.plan.Rent = map[int]int{}
 	for i := range in.Machines {
 		p.zones = max(p.zones, in.Machines[i].Zone+1)
+		for k := range in.Machines[i].Tasks {
+			p.lastTier = max(p.lastTier, in.Machines[i].Tasks[k].Tier)
+		}
 	}
 	for i := range in.Requests {
 		p.serve(i)
@@ -160,13 +167,13 @@
 	return p.plan
 }
 
-// allowed is how many more tasks of the request its team's limit lets start.
-func (p *planner) allowed(r *Request) int {
+// Allowed is how many more tasks of the request its team's limit lets start.
+func Allowed(r *Request, teams []Team) int {
 	n := len(r.Tasks)
 	if r.Team < 0 {
 		return n
 	}
-	t := p.in.Teams[r.Team]
+	t := teams[r.Team]
 	limit := func(need, used, max float64) {
 		if max > 0 && need > 0 {
 			n = min(n, int((max-used+eps)/need))
@@ -179,7 +186,7 @@
 
 func (p *planner) serve(i int) {
 	r := &p.in.Requests[i]
-	n := p.allowed(r)
+	n := Allowed(r, p.in.Teams)
 	if n == 0 || r.All && n < len(r.Tasks) {
 		return
 	}
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // This file makes room by stopping others.
 
 // victim says whether the request may stop the occupant.
@@ -13,6 +15,19 @@
 	return r.Within && o.Over && o.Team != r.Team
 }
 
+// tierLoss is what stopping work counts for each tier that it stands before the
+// last: more than any work that is lost, so that what may be
+// stopped of a later tier goes first wherever it is.
+const tierLoss = 1e6
+
+// lessLoss says whether stopping one occupant comes before stopping another.
+func lessLoss(a, b *Occupant) bool {
+	if a.Tier != b.Tier {
+		return a.Tier > b.Tier
+	}
+	return a.Loss < b.Loss
+}
+
 // stopLoss is what a stop costs beyond the lost work: saving, and starting
 // again, in seconds.
 const stopLoss = 8
@@ -143,7 +158,7 @@
 			if taken[k] || p.stopped[o.Task] || !victim(r, o) {
 				continue
 			}
-			if best < 0 || o.Loss < m.Tasks[best].Loss {
+			if best < 0 || lessLoss(o, &m.Tasks[best]) {
 				best = k
 			}
 		}
@@ -154,6 +169,8 @@
 		chosen = append(chosen, best)
 		free = free.Add(m.Tasks[best].Need, 1)
 	}
+	// What of earlier tiers turns out not to be needed is spared first.
+	slices.SortStableFunc(chosen, func(a, b int) int { return m.Tasks[a].Tier - m.Tasks[b].Tier })
 	loss := m.Slow
 	keep := chosen[:0]
 	for _, k := range chosen {
@@ -162,7 +179,7 @@
 			continue
 		}
 		keep = append(keep, k)
-		loss += m.Tasks[k].Loss + stopLoss
+		loss += m.Tasks[k].Loss + stopLoss + tierLoss*float64(p.lastTier-m.Tasks[k].Tier)
 	}
 	return keep, loss, true
 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -217,9 +217,9 @@
 		return cost(m, r, room(m, md)), !(r.SpreadMax > 0 && r.ZoneUsed[m.Zone] >= r.SpreadMax)
 	}
 	take := func(i int, t int32, c float64) {
+		got = append(got, Start{Task: t, Machine: i, Room: p.in.Machines[i].Free})
 		p.book(r, i, 1)
 		total += c
-		got = append(got, Start{Task: t, Machine: i})
 	}
 	rest := tasks
 	if len(r.Prefer) > 0 {
