The leader serves by the operators' order of tiers where there is one

Tiers decide after guarantee, priority and the bound, before lateness; triage plays each tier by itself. Shares and longest waits bring lower tiers on: from what is booked and when jobs came, so that a new leader needs no memory of it. With work of one tier alone, what is placed is the same to the letter.

--- a/cluster/classes.go
+++ b/cluster/classes.go
@@ -72,13 +72,14 @@
 // is to start soon, and whose jobs may not stop those of the request's class,
 // room is kept for the jobs that are likely to come.
 func (m *Model) reserves(k *ranked, done map[string]bool, now time.Time) []placement.Request {
-	if own := m.classes[k.j.Spec.Class]; own == nil || own.waits || k.within {
+	own := m.classes[k.j.Spec.Class]
+	if own == nil || k.within {
 		return nil
 	}
 	var out []placement.Request
 	for _, n := range m.classNames() {
 		c := m.classes[n]
-		if done[n] || !c.waits || c.spec.Priority != k.j.Priority {
+		if done[n] || !c.waits || c.spec.Priority != k.j.Priority || !m.keepsFor(c, k, own) {
 			continue
 		}
 		done[n] = true
@@ -129,7 +130,7 @@
 		return nil
 	}
 	var out []placement.Request
-	for _, n := range m.classNames() {
+	for _, n := range m.byTier(m.classNames()) {
 		c := m.classes[n]
 		if now.Sub(c.seen) > 10*time.Minute {
 			continue
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -108,6 +108,7 @@
 	Ending    bool      // gang: the current attempt is coming to its end
 	NotBefore time.Time // a job that fails everywhere is not tried before
 	FirstRun  time.Time
+	tier      int // by the operators' order, 0 first
 
 	aside  bool    // its placements can't be read
 	home   *intake // the page that its record shares with others, if it does
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -65,6 +65,7 @@
 			j.Zone = z
 		}
 	}
+	m.setTier(j)
 	m.Jobs = append(m.Jobs, j)
 	m.live = append(m.live, j.Idx)
 	m.jobIdx[id] = j.Idx
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -59,6 +59,7 @@
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	classes    map[string]*class
+	tiers      tiers
 
 	// Reused from pass to pass.
 	viewBuf  []placement.Machine
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -162,7 +162,7 @@
 		}
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
-		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
+		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j) || m.precedes(j)
 		out = append(out, k)
 	}
 	sort.SliceStable(out, func(a, b int) bool {
@@ -172,12 +172,15 @@
 			return x.within
 		case x.j.Priority != y.j.Priority:
 			return x.j.Priority < y.j.Priority
+		case x.req.Tier != y.req.Tier:
+			return x.req.Tier < y.req.Tier
 		case x.missed != y.missed:
 			return y.missed
 		}
 		return x.due.Before(y.due)
 	})
 	m.triage(out, now)
+	out = m.promote(out, now)
 	if len(out) > maxRequests {
 		out = out[:maxRequests]
 	}
@@ -248,7 +251,7 @@
 	r := placement.Request{
 		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
 		Image: j.Image, ImageGB: j.Spec.ImageGB, Zone: j.Zone, OneZone: j.Spec.OneZone,
-		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot,
+		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot, Standing: placement.Standing{Tier: j.tier},
 	}
 	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
 		return r, false
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -69,6 +69,7 @@
 
 	plan := placement.Make(&in)
 	m.viewBuf = in.Machines
+	m.departures(&plan, &in, job, now)
 
 	return m.carryOut(plan, in.Requests, job, back, offers, now)
 }
--- /dev/null
+++ b/cluster/tiers.go
@@ -0,0 +1,202 @@
+package cluster
+
+import (
+	"sort"
+	"time"
+
+	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file asks the operators' order: whose turn it is among jobs of the same
+// priority, and where that was departed from. Without an order all of it leaves
+// everything as it is.
+
+// tiers is the order in force, and what came of it.
+type tiers struct {
+	order   *order.Order // nil: none
+	record  order.Record
+	changed bool // since the record was last handed out
+}
+
+// setOrder takes an order in; nil is none.
+func (m *Model) setOrder(o *order.Order) {
+	m.tiers.order = o
+	for _, idx := range m.live {
+		if j := m.Jobs[idx]; j != nil {
+			m.setTier(j)
+		}
+	}
+	for _, c := range m.classes {
+		m.setTier(c.spec) // the last job of a class may be out of the model
+	}
+}
+
+func (m *Model) setTier(j *Job) { j.tier = m.tiers.order.Tier(j.Spec.Team, j.Spec.Class) }
+
+// fleetNow is the capacity of the machines that can be given tasks.
+func (m *Model) fleetNow(now time.Time) (cap placement.Res) {
+	for _, mc := range m.Machines {
+		if m.ready(mc, now) {
+			cap = cap.Add(m.Types[mc.Type].Cap, 1)
+		}
+	}
+	return cap
+}
+
+// partOf is how much of the fleet an amount is: of the resource of which it takes
+// the most.
+func partOf(need, fleet placement.Res) float64 {
+	part := 0.0
+	for _, x := range [][2]float64{{need.CPU, fleet.CPU}, {need.GPU, fleet.GPU}, {need.Mem, fleet.Mem}} {
+		if x[1] > 0 {
+			part = max(part, x[0]/x[1])
+		}
+	}
+	return part
+}
+
+// booked is what each tier has of the fleet.
+func (m *Model) booked(fleet placement.Res) []float64 {
+	use := make([]placement.Res, m.tiers.order.Tiers())
+	for _, idx := range m.live {
+		if j := m.Jobs[idx]; j != nil && j.Placed > 0 {
+			t := j.tier
+			use[t] = use[t].Add(j.Need, float64(j.Placed))
+		}
+	}
+	out := make([]float64, len(use))
+	for t := range use {
+		out[t] = partOf(use[t], fleet)
+	}
+	return out
+}
+
+// promote moves what is owed to lower tiers to before the higher ones: the jobs
+// of a tier that has less than its share, and a beginning of those that have
+// waited their tier's longest wait; those for which waits have won enough go
+// before their own tier. What is not owed of a job stays behind, and
+// neither guarantees nor priorities nor the bound that holds for all are passed.
+func (m *Model) promote(line []*ranked, now time.Time) []*ranked {
+	o := m.tiers.order
+	if o == nil {
+		return line
+	}
+	fleet := m.fleetNow(now)
+	if fleet == (placement.Res{}) {
+		return line
+	}
+	waiting := make([]order.Waiting, len(line))
+	for i, k := range line {
+		waiting[i] = order.Waiting{Tier: k.req.Tier, Tasks: len(k.req.Tasks), Whole: k.req.All, Size: partOf(k.req.Need, fleet),
+			Waited: now.Sub(k.j.At).Seconds(), Placed: k.j.Placed, Begun: k.j.Done > 0 || !k.j.FirstRun.IsZero()}
+	}
+	ahead := o.Promote(waiting, m.booked(fleet))
+	out := make([]*ranked, 0, len(line))
+	for lo := 0; lo < len(line); {
+		hi := lo + 1
+		for hi < len(line) && line[hi].abreast(line[lo]) {
+			hi++
+		}
+		var first, rest []*ranked
+		for i := lo; i < hi; i++ {
+			k, a := line[i], ahead[i]
+			if a.Tasks == 0 {
+				rest = append(rest, k)
+				continue
+			}
+			head, tail := k.cut(a.Tasks)
+			head.req.Cause = uint8(a.Cause)
+			head.req.Hold = head.req.Hold || a.Cause != order.ByShare
+			if a.Cause == order.ByTurn {
+				rest = append(rest, head)
+			} else {
+				first = append(first, head)
+			}
+			if tail != nil {
+				rest = append(rest, tail)
+			}
+		}
+		sort.SliceStable(first, func(a, b int) bool { return first[a].req.Tier < first[b].req.Tier })
+		turn := uint8(order.ByTurn)
+		sort.SliceStable(rest, func(a, b int) bool {
+			x, y := &rest[a].req, &rest[b].req
+			return x.Tier < y.Tier || x.Tier == y.Tier && x.Cause == turn && y.Cause != turn
+		})
+		out = append(append(out, first...), rest...)
+		lo = hi
+	}
+	return out
+}
+
+// abreast says whether only the order decides which of two is served first.
+func (k *ranked) abreast(o *ranked) bool {
+	return k.within == o.within && k.j.Priority == o.j.Priority && k.req.Owed == o.req.Owed
+}
+
+// cut parts the first n tasks of a request from the others. They count the same
+// zones; where a zone is still to be chosen for all of them, the others wait for
+// the next pass.
+func (k *ranked) cut(n int) (head, tail *ranked) {
+	if n >= len(k.req.Tasks) {
+		return k, nil
+	}
+	h, t := *k, *k
+	h.req.Tasks, t.req.Tasks = k.req.Tasks[:n:n], k.req.Tasks[n:]
+	if k.req.OneZone && k.req.Zone < 0 {
+		return &h, nil
+	}
+	return &h, &t
+}
+
+// precedes says whether work of later tiers competes with a job that may not stop
+// it: room is held for the job then, or they would take every bit that comes free.
+func (m *Model) precedes(j *Job) bool {
+	if m.tiers.order == nil {
+		return false
+	}
+	for _, c := range m.classes {
+		if c.spec.Priority == j.Priority && c.spec.tier > j.tier {
+			return true
+		}
+	}
+	return false
+}
+
+// keepsFor says whether room is kept for jobs of a class that are likely to come,
+// before a request of another: of the same tier as without an order, and always
+// of a higher one, but nothing is kept from what is owed.
+func (m *Model) keepsFor(c *class, k *ranked, own *class) bool {
+	if m.tiers.order == nil {
+		return !own.waits
+	}
+	t := c.spec.tier
+	return k.req.Cause == 0 && !k.req.Owed && (t < k.req.Tier || t == k.req.Tier && !own.waits)
+}
+
+// byTier puts classes of earlier tiers first.
+func (m *Model) byTier(names []string) []string {
+	if m.tiers.order != nil {
+		sort.SliceStable(names, func(a, b int) bool { return m.classes[names[a]].spec.tier < m.classes[names[b]].spec.tier })
+	}
+	return names
+}
+
+// departures records where a pass's plan departs from the order, before it is
+// taken into the model.
+func (m *Model) departures(plan *placement.Plan, in *placement.Input, job []*Job, now time.Time) {
+	o := m.tiers.order
+	if o == nil {
+		return
+	}
+	for _, d := range order.Departures(in.Requests, m.teams, plan.Starts, in.Machines) {
+		low, high := job[d.Start.Request], job[d.Over]
+		m.tiers.changed = true
+		m.tiers.record.Note(order.Passed{AtMs: now.UnixMilli(), Job: low.ID, Tier: o.Name(low.tier), Over: high.ID, OverTier: o.Name(high.tier), Reason: d.Reason.String()})
+		if d.Reason == order.None {
+			m.log.Error("a lower tier was served first without a reason", "job", low.ID, "over", high.ID, "need", high.Need, "room", d.Start.Room)
+			continue
+		}
+		m.log.Debug("departure from the order", "job", low.ID, "over", high.ID, "reason", d.Reason)
+	}
+}
--- /dev/null
+++ b/cluster/tiers_test.go
@@ -0,0 +1,276 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// clinicFirst is clinics before schools before crafts before the rest.
+func clinicFirst() *order.Order {
+	return order.New(&order.Settings{Tiers: []order.Tier{
+		{Name: "clinic", Classes: []string{"slicing"}}, {Name: "school", Classes: []string{"lesson"}, Share: 0.1, LongestWaitS: 100},
+		{Name: "craft", Classes: []string{"print"}, LongestWaitS: 150},
+	}})
+}
+
+// fleetPlay is machines that do what the model commands, and tasks that take as
+// long as they take.
+type fleetPlay struct {
+	m        *Model
+	now      float64
+	rev, seq uint64
+	on       []map[string]*playTask
+	took     map[string]float64 // by job, of a task
+	began    map[string]float64 // by job, after its acceptance
+	came     map[string]float64
+	log      []string
+}
+
+type playTask struct {
+	wire.TaskReport
+	until float64
+}
+
+func newFleetPlay(machines int, o *order.Order) *fleetPlay {
+	p := &fleetPlay{m: newModel(5), rev: 100, took: map[string]float64{}, began: map[string]float64{}, came: map[string]float64{}}
+	p.m.setOrder(o)
+	for range machines {
+		p.on = append(p.on, map[string]*playTask{})
+	}
+	return p
+}
+
+func (p *fleetPlay) submit(n int, class string, tasks int, took float64, change func(*wire.Job)) string {
+	id := fmt.Sprintf("wk-%06d", n)
+	rec := arrayJob(id, tasks)
+	rec.AtMs = at(p.now).UnixMilli()
+	rec.Job.Class, rec.Job.EstimateS = class, took
+	if change != nil {
+		change(&rec.Job)
+	}
+	p.rev++
+	p.m.PutJob(id, rec, p.rev, at(p.now))
+	p.took[id], p.came[id] = took, p.now
+	return id
+}
+
+// step is a report of each machine, and passes between.
+func (p *fleetPlay) step() {
+	p.now += 1.5
+	p.seq++
+	now := at(p.now)
+	for i, on := range p.on {
+		r := rep(p.seq, 5)
+		r.Machine, r.Zone = fmt.Sprintf("host-%06d", i), []string{"a", "b"}[i%2]
+		names := make([]string, 0, len(on))
+		for name := range on {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			if t := on[name]; t.State == wire.TaskRunning && p.now >= t.until {
+				t.State, t.Why = wire.TaskExited, wire.WhyDone
+			}
+			r.Tasks = append(r.Tasks, on[name].TaskReport)
+		}
+		mc := p.m.Observe(r, now)
+		cmds := p.m.Answer(mc, r, now)
+		sortCommands(cmds)
+		for _, c := range cmds {
+			t := on[c.Task]
+			switch {
+			case c.Op == wire.OpStart && t == nil:
+				id, _, _ := wire.SplitTask(c.Task)
+				if _, ok := p.began[id]; !ok {
+					p.began[id] = p.now - p.came[id]
+				}
+				p.log = append(p.log, fmt.Sprint(p.now, " ", c.Task, " on ", i))
+				on[c.Task] = &playTask{wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}, p.now + p.took[id]}
+			case c.Op == wire.OpStop && t != nil && t.State == wire.TaskRunning:
+				t.State, t.Why = wire.TaskExited, wire.WhyStopped
+				p.log = append(p.log, fmt.Sprint(p.now, " ", c.Task, " stopped"))
+			case c.Op == wire.OpForget:
+				delete(on, c.Task)
+			}
+		}
+	}
+	p.m.Schedule(now, 0)
+	for b := p.m.NextBatch(12); b != nil; b = p.m.NextBatch(12) {
+		p.rev++
+		b.Committed(p.rev, now)
+	}
+}
+
+func sortCommands(cmds []wire.Command) {
+	slices.SortStableFunc(cmds, func(a, b wire.Command) int { return strings.Compare(a.Task, b.Task) })
+}
+
+// day plays work that comes at random, more than the fleet can do.
+func (p *fleetPlay) day(seed uint64, seconds float64, class func(r *rand.Rand) string) {
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	for n := 1; p.now < seconds; p.step() {
+		for rnd.IntN(2) == 0 {
+			p.submit(n, class(rnd), 1+rnd.IntN(6), float64(20+rnd.IntN(60)), func(j *wire.Job) {
+				j.CPUs = float64(1 + rnd.IntN(6))
+				j.OneZone = rnd.IntN(3) == 0
+				j.Spread = !j.OneZone && rnd.IntN(4) == 0
+				if rnd.IntN(5) == 0 {
+					j.Kind = wire.KindGang
+				}
+				if rnd.IntN(6) == 0 {
+					j.Priority = wire.PriorityHigh
+				}
+			})
+			n++
+		}
+	}
+}
+
+// Where all work is of one tier, an order decides nothing: what is placed, where
+// and when is what it is without.
+func TestAnOrderChangesNothingAmongWorkOfOneTier(t *testing.T) {
+	one := order.New(&order.Settings{Tiers: []order.Tier{{Name: "all", Classes: []string{"slicing", "lesson", "print"}}}})
+	for seed := range uint64(3) {
+		var logs [2][]string
+		for i, o := range []*order.Order{nil, one} {
+			p := newFleetPlay(6, o)
+			p.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "wait", Class: "slicing", WithinS: 30}, {Kind: "finished", Class: "lesson", WithinS: 200}}
+			p.day(seed, 300, func(r *rand.Rand) string { return []string{"slicing", "lesson", "print"}[r.IntN(3)] })
+			logs[i] = p.log
+		}
+		if len(logs[0]) < 100 || !slices.Equal(logs[0], logs[1]) {
+			t.Fatalf("seed %d: %d starts and stops without an order, %d with one that orders nothing, and they differ", seed, len(logs[0]), len(logs[1]))
+		}
+	}
+}
+
+// However work comes, each departure that a leader's passes make has a reason.
+func TestLeadersDepartFromTheOrderWithAReasonOnly(t *testing.T) {
+	all := map[string]uint64{}
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFleetPlay(rapid.IntRange(1, 6).Draw(t, "machines"), clinicFirst())
+		p.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "wait", Class: "slicing", WithinS: 30}}
+		p.m.guarantee[0] = placement.Res{CPU: rapid.Float64Range(0, 30).Draw(t, "guarantee")}
+		p.m.teams[0].Max = placement.Res{CPU: 25}
+		p.day(rapid.Uint64().Draw(t, "day"), 120, func(r *rand.Rand) string { return []string{"slicing", "lesson", "print", "else"}[r.IntN(4)] })
+		for k, n := range p.m.tiers.record.Counts {
+			if all[k] += n; strings.HasSuffix(k, order.None.String()) {
+				t.Fatalf("%d times %s: %v", n, k, p.m.tiers.record.Last)
+			}
+		}
+	})
+	t.Log(all)
+	if len(all) < 5 {
+		t.Errorf("few kinds of departures: %v", all)
+	}
+}
+
+// Clinic work comes faster than it can be done. Schools still get their share and
+// every job of theirs its beginning within their longest wait, and so do crafts
+// and what no tier names.
+func TestAnEndlessStreamOfClinicWorkStarvesNobody(t *testing.T) {
+	p := newFleetPlay(8, clinicFirst())
+	lessons := 0
+	for n, k := 1, 0; p.now < 900; p.step() {
+		for range 3 {
+			p.submit(n, "slicing", 2, 30, nil)
+			n++
+		}
+		if k++; k%8 == 1 {
+			for _, c := range []string{"lesson", "print", "else"} {
+				p.submit(n, c, 2, 40, nil)
+				n++
+			}
+		}
+		if b := p.m.booked(p.m.fleetNow(at(p.now))); p.now > 120 && b[1] >= 0.05 {
+			lessons++
+		}
+	}
+	late := map[string]int{}
+	for id, came := range p.came {
+		class := "else"
+		if j := p.m.Job(id); j != nil {
+			class = j.Spec.Class
+		}
+		if _, ok := p.began[id]; !ok && class != "slicing" && p.now-came > order.BoundS {
+			late[class]++
+		}
+	}
+	if len(late) > 0 || lessons < 400 {
+		t.Errorf("not begun within the bound: %v; lessons had half their share in %d of 520 steps", late, lessons)
+	}
+}
+
+// Work of the last tier is stopped first, and only what a higher priority may stop.
+func TestTheFirstTierIsStoppedLast(t *testing.T) {
+	p := newFleetPlay(2, clinicFirst())
+	low := func(j *wire.Job) { j.Priority, j.CPUs = wire.PriorityLow, 4 }
+	school, clinic := p.submit(1, "lesson", 2, 500, low), p.submit(2, "slicing", 2, 500, low)
+	for range 6 {
+		p.step()
+	}
+	p.submit(3, "print", 2, 20, func(j *wire.Job) { j.CPUs = 4 })
+	p.submit(4, "slicing", 2, 20, low) // of the same priority: it stops nobody
+	for range 4 {
+		p.step()
+	}
+	stopped := func(id string) int {
+		return len(slices.DeleteFunc(slices.Clone(p.log), func(s string) bool { return !strings.Contains(s, id) || !strings.HasSuffix(s, "stopped") }))
+	}
+	if stopped(school) != 2 || stopped(clinic) != 0 {
+		t.Errorf("stopped: %d tasks of the school's, %d of the clinic's", stopped(school), stopped(clinic))
+	}
+}
+
+// A day at 1.3 times what the fleet can do: clinic work begins sooner by far, and
+// the others no later than their longest wait and what the start takes.
+func TestClinicWorkBeginsFirstOnACrowdedDay(t *testing.T) {
+	waits := func(o *order.Order) map[string][]float64 {
+		p := newFleetPlay(20, o)
+		rnd := rand.New(rand.NewPCG(3, 3))
+		class := map[string]string{}
+		for n := 1; p.now < 1500; p.step() {
+			for range 1 + rnd.IntN(2) {
+				c := []string{"slicing", "lesson", "print", "print", "lesson", "lesson"}[rnd.IntN(6)]
+				if id := p.submit(n, c, 1+rnd.IntN(4), float64(20+rnd.IntN(40)), nil); p.now < 1200 {
+					class[id] = c
+				}
+				n++
+			}
+		}
+		out := map[string][]float64{}
+		for id, c := range class {
+			w, ok := p.began[id]
+			if !ok {
+				w = p.now - p.came[id]
+			}
+			out[c] = append(out[c], w)
+		}
+		for c := range out {
+			slices.Sort(out[c])
+			n := len(out[c])
+			t.Logf("order %t, %s: %d jobs, p50 %.1f s, p99 %.1f s", o != nil, c, n, out[c][n/2], out[c][n*99/100])
+		}
+		return out
+	}
+	without, with := waits(nil), waits(clinicFirst())
+	n := len(with["slicing"])
+	if a, b := with["slicing"][n*99/100], without["slicing"][n/2]; a > b/4 {
+		t.Errorf("p99 of the clinic's waits %.1f s with the order, p50 %.1f s without", a, b)
+	}
+	for c, most := range map[string]float64{"lesson": 100, "print": 150} {
+		if w := with[c]; w[len(w)-1] > most+60 {
+			t.Errorf("a job of class %s began after %.1f s, its longest wait is %g s", c, w[len(w)-1], most)
+		}
+	}
+}
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -38,7 +38,7 @@
 	}
 	for lo := 0; lo < len(out); {
 		hi := lo + 1
-		for hi < len(out) && out[hi].within == out[lo].within && out[hi].j.Priority == out[lo].j.Priority {
+		for hi < len(out) && out[hi].abreast(out[lo]) && out[hi].req.Tier == out[lo].req.Tier {
 			hi++
 		}
 		group := out[lo:hi]
--- a/order/departure.go
+++ b/order/departure.go
@@ -27,13 +27,6 @@
 
 func (r Reason) String() string { return reasonNames[min(r, reasons-1)] }
 
-// Standing is what bears on a request's place in the line.
-type Standing struct {
-	Tier  int  // -1: no job's request
-	Owed  bool // it has to begin now, by the bound that holds for all
-	Cause Cause
-}
-
 // Departure is a task placed where one of a higher tier could have been.
 type Departure struct {
 	Start  placement.Start
@@ -42,33 +35,29 @@
 }
 
 // Departures compares what a pass started with what still waits. teams is the
-// teams' use before the pass; standing is each request's. A task placed is a
-// departure from the order at most once: over the highest that it was placed
+// teams' use before the pass. A task placed is a departure from the order at most once: over the highest that it was placed
 // before, the one that came first in the line among equals.
-func Departures(reqs []placement.Request, teams []placement.Team, starts []placement.Start, at func(machine int) *placement.Machine, standing []Standing) []Departure {
-	line := waiting(reqs, teams, starts, standing)
+func Departures(reqs []placement.Request, teams []placement.Team, starts []placement.Start, machines []placement.Machine) []Departure {
+	line := waiting(reqs, teams, starts)
 	if len(line) == 0 {
 		return nil
 	}
 	var out []Departure
 	for _, s := range starts {
-		mine := standing[s.Request]
-		if mine.Tier < 0 {
+		if reqs[s.Request].Phantom {
 			continue
 		}
-		m := at(s.Machine)
-		best := -1
+		tier, best := reqs[s.Request].Tier, -1
 		for i := range line {
-			if h := &line[i]; standing[h.request].Tier < mine.Tier && reqs[h.request].Need.Fits(s.Room) &&
-				(best < 0 || standing[h.request].Tier < standing[line[best].request].Tier) {
-				best = i
+			if h := &reqs[line[i].request]; h.Tier < tier && h.Need.Fits(s.Room) {
+				best, tier = i, h.Tier
 			}
 		}
 		if best < 0 {
 			continue
 		}
 		h := &line[best]
-		out = append(out, Departure{s, h.request, reason(reqs, standing, s, h, m)})
+		out = append(out, Departure{s, h.request, reason(reqs, s, h, &machines[s.Machine])})
 	}
 	return out
 }
@@ -80,7 +69,7 @@
 }
 
 // waiting lists the requests with tasks left, in their order.
-func waiting(reqs []placement.Request, teams []placement.Team, starts []placement.Start, standing []Standing) []left {
+func waiting(reqs []placement.Request, teams []placement.Team, starts []placement.Start) []left {
 	got := make([]int, len(reqs))
 	for _, s := range starts {
 		got[s.Request]++
@@ -91,7 +80,7 @@
 	for i := range reqs {
 		r := &reqs[i]
 		n := placement.Allowed(r, used)
-		if standing[i].Tier >= 0 && got[i] < len(r.Tasks) {
+		if !r.Phantom && got[i] < len(r.Tasks) {
 			out = append(out, left{i, got[i] >= n || r.All && n < len(r.Tasks)})
 		}
 		if r.Team >= 0 {
@@ -104,10 +93,9 @@
 // reason says why a start came before a request that was left. Where the lower
 // one stood ahead in the line, that is why; where it stood behind, something must
 // have kept the higher one from the machine.
-func reason(reqs []placement.Request, standing []Standing, s placement.Start, h *left, m *placement.Machine) Reason {
+func reason(reqs []placement.Request, s placement.Start, h *left, m *placement.Machine) Reason {
 	low, high := &reqs[s.Request], &reqs[h.request]
 	if s.Request < h.request {
-		mine, theirs := standing[s.Request], standing[h.request]
 		switch {
 		case high.Spare && !low.Spare:
 			return Fault
@@ -115,13 +103,13 @@
 			return when(low.Within, Guarantee)
 		case low.Priority != high.Priority:
 			return when(low.Priority < high.Priority, Priority)
-		case mine.Owed != theirs.Owed:
-			return when(mine.Owed, Bound)
-		case mine.Owed:
+		case low.Owed != high.Owed:
+			return when(low.Owed, Bound)
+		case low.Owed:
 			return Bound // both: the one whose time is nearer
-		case mine.Cause == ByWait:
+		case low.Cause == uint8(ByWait):
 			return Wait
-		case mine.Cause == ByShare:
+		case low.Cause == uint8(ByShare):
 			return Share
 		}
 		return None
--- a/order/order.go
+++ b/order/order.go
@@ -3,7 +3,10 @@
 // It is pure: the same input gives the same decision, and the time is passed in.
 package order
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Order is a checked order in force. The zero value and nil are no order: all
 // work is of one tier.
@@ -61,6 +64,7 @@
 	Size   float64 // of a task, as a part of the fleet: of the resource it takes most of
 	Waited float64 // seconds since it was accepted
 	Placed int     // tasks that are on machines, or on their way there
+	Begun  bool    // a task of it has run
 }
 
 // Cause is why a job, or some of its tasks, is served before higher tiers.
@@ -71,9 +75,11 @@
 	ByTier  Cause = iota // it is not: its tier decides
 	ByShare              // its tier has less than its share of the fleet
 	ByWait               // nothing of it runs, and it has waited its tier's longest wait
+	ByTurn               // the same, but it goes before its own tier only: waits have won enough of the fleet
 )
 
-// Ahead is how many of a job's tasks are served before higher tiers, and why.
+// Ahead is how many of a job's tasks are served before higher tiers, or before
+// their own (ByTurn), and why.
 type Ahead struct {
 	Tasks int
 	Cause Cause
@@ -85,7 +91,10 @@
 // came, and on nothing that a leader would have to remember.
 //
 // A wait is owed a beginning: an array begins with its first task, a gang needs
-// all its places. A share is owed as many tasks as it lacks.
+// all its places. A share is owed as many tasks as it lacks. Where more comes than
+// can ever be done, everything has waited for long at last; so that the order is
+// not turned round then, waits bring a tier on only while it and those after it
+// have less than half of the fleet, the next less than a quarter, and so on.
 func (o *Order) Promote(waiting []Waiting, booked []float64) []Ahead {
 	out := make([]Ahead, len(waiting))
 	if o == nil {
@@ -93,34 +102,67 @@
 	}
 	has := make([]float64, len(o.tiers))
 	copy(has, booked)
-	for i := range waiting {
-		w := &waiting[i]
-		if w.Tier <= 0 || w.Tier >= len(o.tiers) || w.Tasks <= 0 {
-			continue
-		}
-		t := &o.tiers[w.Tier]
-		if t.LongestWaitS > 0 && w.Placed == 0 && w.Waited >= t.LongestWaitS {
+	// What has not begun at all comes before what only stands still.
+	for _, begun := range []bool{false, true} {
+		for i := range waiting {
+			w := &waiting[i]
+			if w.Begun != begun || !o.owed(w) {
+				continue
+			}
 			out[i] = Ahead{1, ByWait}
 			if w.Whole {
 				out[i].Tasks = w.Tasks
 			}
+			if below(has, w.Tier) >= waitsMost(w.Tier) {
+				out[i].Cause = ByTurn
+				continue
+			}
 			has[w.Tier] += float64(out[i].Tasks) * w.Size
 		}
-		lacks := t.Share - has[w.Tier]
-		if lacks <= 1e-9 || w.Size <= 0 || out[i].Tasks == w.Tasks {
+	}
+	for i := range waiting {
+		w := &waiting[i]
+		if w.Tier <= 0 || w.Tier >= len(o.tiers) || w.Size <= 0 {
 			continue
 		}
-		more := w.Tasks - out[i].Tasks
+		share, more := o.tiers[w.Tier].Share, w.Tasks
+		if out[i].Cause == ByWait {
+			more -= out[i].Tasks
+		}
+		lacks := share - has[w.Tier]
+		if lacks <= 1e-9 || more <= 0 || w.Whole && float64(w.Tasks)*w.Size > lacks+share {
+			continue // or a gang that would take far more than the share: its wait brings it on
+		}
 		if !w.Whole {
 			more = min(more, int(lacks/w.Size)+1)
-		} else if float64(w.Tasks)*w.Size > lacks+t.Share {
-			continue // it would leave the tiers above less than theirs for long: its wait brings it on
 		}
 		has[w.Tier] += float64(more) * w.Size
-		if out[i].Cause == ByTier {
-			out[i].Cause = ByShare
+		if out[i].Cause == ByWait {
+			out[i].Tasks += more
+			continue
 		}
-		out[i].Tasks += more
+		out[i] = Ahead{more, ByShare}
 	}
 	return out
 }
+
+// owed says whether a job has waited its tier's longest wait, with nothing of it
+// running.
+func (o *Order) owed(w *Waiting) bool {
+	if w.Tier <= 0 || w.Tier >= len(o.tiers) || w.Tasks <= 0 || w.Placed > 0 {
+		return false
+	}
+	longest := o.tiers[w.Tier].LongestWaitS
+	return longest > 0 && w.Waited >= longest
+}
+
+// waitsMost is how much of the fleet waits may win for a tier and those after it.
+func waitsMost(tier int) float64 { return math.Pow(0.5, float64(tier)) }
+
+// below is what a tier and those after it have.
+func below(has []float64, tier int) (sum float64) {
+	for _, h := range has[tier:] {
+		sum += h
+	}
+	return sum
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -95,6 +95,15 @@
 	Hold      bool   // machines are kept from later requests until they have room for this one
 	Spare     bool   // takes free room only: nothing is kept, stopped or rented for it
 	First     []bool // types to be tried first, also by stopping others there
+	Standing
+}
+
+// Standing is what bears on a request's place in the line, besides its priority
+// and its team's guarantee.
+type Standing struct {
+	Tier  int   // by the operators' order, 0 first
+	Owed  bool  // it has to begin now, by the bound that holds for all jobs
+	Cause uint8 // why it is served before higher tiers (package order); 0: it is not
 }
 
 // Offer is a kind of machine that may be rented.
