--- /dev/null
+++ b/cluster/why.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file says what a job waits for, from records alone: it is asked of a model
+// that has been loaded and leads nothing.
+
+// Why is what a job waits for.
+type Why struct {
+	ID      string
+	Tier    string // "" without an order
+	WaitedS float64
+	Tasks   int // of the job
+	Done    int
+	Placed  int
+	Waiting []string       // for what, the most telling first; empty: for nothing
+	Ahead   map[string]int // jobs ahead of it in the line, by why
+	Nearest []Ahead        // of them, nearest first
+	Passed  []order.Passed // lower tiers' tasks that got room it could have had
+}
+
+// Ahead is a job that is served before another.
+type Ahead struct {
+	ID   string
+	Tier string
+	Why  string
+}
+
+// nearestShown is how many of those ahead are named.
+const nearestShown = 20
+
+// Why says what a job waits for; false if it is not among the unfinished.
+func (m *Model) Why(id string, now time.Time) (Why, bool) {
+	j := m.Job(id)
+	if j == nil {
+		return Why{}, false
+	}
+	w := Why{ID: id, Tier: m.tiers.order.Name(j.tier), WaitedS: now.Sub(j.At).Seconds(), Tasks: len(j.Tasks), Done: j.Done, Placed: j.Placed,
+		Ahead: map[string]int{}, Passed: m.tiers.record.Over(id)}
+	jobs := m.openJobs()
+	line := m.requests(jobs, m.within(jobs), now)
+	for i, k := range line {
+		if k.j != j {
+			continue
+		}
+		w.Waiting = m.lacks(k)
+		for b := i - 1; b >= 0; b-- {
+			o := line[b]
+			if o.j == j {
+				continue
+			}
+			why := k.behind(o)
+			w.Ahead[why]++
+			if len(w.Nearest) < nearestShown {
+				w.Nearest = append(w.Nearest, Ahead{o.j.ID, m.tiers.order.Name(o.j.tier), why})
+			}
+		}
+		return w, true // its part that is served first
+	}
+	w.Waiting = m.outOfLine(j, now)
+	return w, true
+}
+
+// behind says why another is served before a request.
+func (k *ranked) behind(o *ranked) string {
+	switch {
+	case k.req.Spare:
+		return "fault"
+	case k.within != o.within:
+		return order.Guarantee.String()
+	case k.j.Priority != o.j.Priority:
+		return order.Priority.String()
+	case o.req.Owed:
+		return order.Bound.String()
+	case o.req.Cause == uint8(order.ByWait):
+		return order.Wait.String()
+	case o.req.Cause == uint8(order.ByShare):
+		return order.Share.String()
+	case k.req.Tier != o.req.Tier:
+		return "tier"
+	case o.req.Cause == uint8(order.ByTurn):
+		return order.Wait.String()
+	case k.missed != o.missed:
+		return "can still meet its aim"
+	}
+	return "due sooner"
+}
+
+// lacks says what a request in the line waits for.
+func (m *Model) lacks(k *ranked) (out []string) {
+	r, j := &k.req, k.j
+	if n := placement.Allowed(r, m.teams); n == 0 || r.All && n < len(r.Tasks) {
+		t := m.teams[r.Team]
+		out = append(out, fmt.Sprintf("its team's limit: %g of %g CPUs and %g of %g GPUs are in use (0: no limit)", t.Used.CPU, t.Max.CPU, t.Used.GPU, t.Max.GPU))
+	}
+	if len(m.Types) > 0 && len(m.typesFor(j)) == 0 {
+		out = append(out, "a machine type that it fits; none in the catalogue is allowed and large enough")
+	}
+	switch {
+	case r.Zone >= 0 && r.Zone < len(m.Zones) && j.Zone < 0:
+		out = append(out, "room in zone "+m.Zones[r.Zone]+", where its other tasks are")
+	case r.Zone >= 0 && r.Zone < len(m.Zones):
+		out = append(out, "room in zone "+m.Zones[r.Zone]+", the only one it allows")
+	case r.SpreadMax > 0:
+		out = append(out, fmt.Sprintf("room in zones that have fewer than %d of its tasks", r.SpreadMax))
+	}
+	if r.All {
+		out = append(out, fmt.Sprintf("room for all its %d tasks at once", len(r.Tasks)))
+	}
+	return append(out, fmt.Sprintf("room for %d tasks of %g CPUs, %g GPUs and %g GB", len(r.Tasks), j.Need.CPU, j.Need.GPU, j.Need.Mem))
+}
+
+// outOfLine says why a job has no place in the line.
+func (m *Model) outOfLine(j *Job, now time.Time) []string {
+	switch {
+	case j.Cancelled:
+		return []string{"the end of its last tasks: it is cancelled"}
+	case j.aside:
+		return []string{"a repair: its records can't be read"}
+	case j.Done+j.Placed == len(j.Tasks):
+		return nil
+	case j.record.atFault():
+		return []string{"its next try: it fails wherever it is tried"}
+	case j.Gang() && j.Placed > 0:
+		return []string{"the end of what is left of its last attempt"}
+	}
+	return []string{fmt.Sprintf("its turn: %d requests are before it", maxRequests)}
+}
+
+// LoadOrder takes in what an earlier leader recorded of departures.
+func (m *Model) LoadOrder(rec order.Record) { m.tiers.record.Merge(rec) }
--- a/cmd/umberdeal/main.go
+++ b/cmd/umberdeal/main.go
@@ -105,6 +105,7 @@
 	Submit submitCmd `cmd:"" help:"Submit a job, read as JSON with the wire's field names."`
 	Show   showCmd   `cmd:"" help:"Show a job."`
 	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
+	Why    whyCmd    `cmd:"" help:"Say what a job waits for and who is ahead of it, from committed state."`
 }
 
 type nodeFlag struct {
--- /dev/null
+++ b/cmd/umberdeal/why.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/controller"
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/state"
+)
+
+type whyCmd struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	ID     string `arg:"" help:"The job's id."`
+}
+
+func (c *whyCmd) Run() error {
+	s, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	st := state.New(call.Dialer(), s.Services.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS)
+	why, over, err := controller.WhyWaiting(ctx, s, st, c.ID, time.Now())
+	switch {
+	case err != nil:
+		return err
+	case over != "":
+		fmt.Printf("%s is %s\n", c.ID, over)
+	default:
+		printWhy(&why)
+	}
+	return nil
+}
+
+func printWhy(w *cluster.Why) {
+	fmt.Printf("%s: accepted %.0f s ago, %d of %d tasks done, %d on machines\n", w.ID, w.WaitedS, w.Done, w.Tasks, w.Placed)
+	if w.Tier != "" {
+		fmt.Printf("tier: %s\n", w.Tier)
+	}
+	for _, s := range w.Waiting {
+		fmt.Printf("waits for %s\n", s)
+	}
+	if len(w.Waiting) == 0 {
+		fmt.Println("waits for nothing")
+	}
+	for _, why := range slices.Sorted(maps.Keys(w.Ahead)) {
+		fmt.Printf("%d jobs ahead of it: %s\n", w.Ahead[why], why)
+	}
+	for _, a := range w.Nearest {
+		fmt.Printf("  %s %s (%s)\n", a.ID, a.Tier, a.Why)
+	}
+	for _, p := range w.Passed {
+		fmt.Printf("passed over by %s (%s) at %s: %s\n", p.Job, p.Tier, time.UnixMilli(p.AtMs).UTC().Format(time.RFC3339), p.Reason)
+	}
+}
--- a/controller/load.go
+++ b/controller/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -43,7 +44,7 @@
 	if err := loadJobs(m, items, now); err != nil {
 		return err
 	}
-	if err := l.loadPages(ctx, m, items, now); err != nil {
+	if err := loadPages(ctx, st, m, items, now); err != nil {
 		return err
 	}
 	for _, it := range cycles {
@@ -99,7 +100,7 @@
 }
 
 // loadPages reads where tasks may be, also those of jobs that are over.
-func (l *leadership) loadPages(ctx context.Context, m *cluster.Model, items []wire.Entry, now time.Time) error {
+func loadPages(ctx context.Context, st *state.Client, m *cluster.Model, items []wire.Entry, now time.Time) error {
 	for _, it := range items {
 		n, ok := ledger.ParsePageKey(it.Key)
 		if !ok {
@@ -115,7 +116,7 @@
 				continue
 			}
 			// The job is over, but its tasks may still be somewhere.
-			e, err := l.n.state.Get(ctx, ledger.FinalKey(c.Job))
+			e, err := st.Get(ctx, ledger.FinalKey(c.Job))
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/controller/look.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file answers operators' questions from committed state, without a node.
+
+// ErrNoJob says that nobody has submitted such a job.
+var ErrNoJob = errors.New("no such job")
+
+// WhyWaiting says what a job waits for, from what is committed. over is the state
+// of a job that is done or cancelled, and then there is nothing more to say.
+func WhyWaiting(ctx context.Context, cfg *config.Settings, st *state.Client, id string, now time.Time) (why cluster.Why, over string, err error) {
+	m, err := look(ctx, cfg, st, now)
+	if err != nil {
+		return why, "", err
+	}
+	if why, found := m.Why(id, now); found {
+		return why, "", nil
+	}
+	e, err := st.Get(ctx, ledger.FinalKey(id))
+	if err != nil {
+		return why, "", err
+	}
+	var rec ledger.JobRecord
+	switch {
+	case e.Version == 0:
+		return why, "", fmt.Errorf("%s: %w", id, ErrNoJob)
+	case wire.Unmarshal(e.Value, &rec) != nil:
+		return why, "", fmt.Errorf("%s: its record can't be read", id)
+	}
+	return why, rec.State, nil
+}
+
+// look makes a model of what is committed, as a leader that takes over does, but
+// for machines: none has reported to it.
+func look(ctx context.Context, cfg *config.Settings, st *state.Client, now time.Time) (*cluster.Model, error) {
+	items, _, err := st.List(ctx, ledger.Active)
+	if err != nil {
+		return nil, err
+	}
+	m := cluster.New(cfg, 0, now, slog.New(slog.DiscardHandler))
+	e, err := st.Get(ctx, ledger.TypesKey)
+	if err != nil {
+		return nil, err
+	}
+	var types wire.Types
+	if e.Version != 0 && wire.Unmarshal(e.Value, &types) == nil {
+		m.SetTypes(types.Types)
+	}
+	if err := loadJobs(m, items, now); err != nil {
+		return nil, err
+	}
+	if err := loadPages(ctx, st, m, items, now); err != nil {
+		return nil, err
+	}
+	m.Loaded(now)
+	return m, nil
+}
