The order is a part of the plan; departures are recorded, counted and shown

The kept record "order" has the counts by tier and reason, the last 48 departures, and what shares were counted of; it is written every 10 s at most and only while there are departures. A counter in the metrics, a line in status, and job why reads both the plan and the record.

--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Summary is the model in numbers, for those who watch it.
 type Summary struct {
@@ -10,11 +13,13 @@
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
 	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
+
+	Departures map[string]uint64 // from the order, by whose cost and why, of all leaders' time
 }
 
 // Summary counts what is there; its cost grows with machines and open tasks.
 func (m *Model) Summary(now time.Time) Summary {
-	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}}
+	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}, Departures: maps.Clone(m.tiers.record.Counts)}
 	least := -1.0
 	for _, mc := range m.Machines {
 		switch {
@@ -72,18 +77,21 @@
 	return s
 }
 
-// Timings takes in how long the steps of tasks take, in seconds.
+// Timings takes in how long the steps of tasks take, in seconds, and what departs
+// from the order.
 type Timings interface {
 	Placed(seconds float64)    // since the job was accepted
 	Launched(seconds float64)  // since the placement
 	Running(seconds float64)   // since the launch
 	LeaseLeft(seconds float64) // of the machine that is answered
+	Departed(tier, why string) // from the order, at that tier's cost
 }
 
 // untimed is what a model has that nobody watches.
 type untimed struct{}
 
-func (untimed) Placed(float64)    {}
-func (untimed) Launched(float64)  {}
-func (untimed) Running(float64)   {}
-func (untimed) LeaseLeft(float64) {}
+func (untimed) Placed(float64)       {}
+func (untimed) Launched(float64)     {}
+func (untimed) Running(float64)      {}
+func (untimed) LeaseLeft(float64)    {}
+func (untimed) Departed(_, _ string) {}
--- a/cluster/tiers.go
+++ b/cluster/tiers.go
@@ -6,6 +6,7 @@
 
 	"github.com/umberdeal/umberdeal/order"
 	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
 )
 
 // This file asks the operators' order: whose turn it is among jobs of the same
@@ -16,7 +17,49 @@
 type tiers struct {
 	order   *order.Order // nil: none
 	record  order.Record
-	changed bool // since the record was last handed out
+	loaded  bool      // what an earlier leader recorded
+	changed bool      // since the record was last handed out
+	keptAt  time.Time // when that was
+}
+
+// orderNote is the name of the record of departures, and orderPace how often it is
+// written at most while there are any.
+const (
+	orderNote = "order"
+	orderPace = 10 * time.Second
+)
+
+// orderChanged takes in the order of the plan that holds now. With a plan that
+// can't be read there is none, and nothing is placed.
+func (m *Model) orderChanged() {
+	if !m.tiers.loaded {
+		m.tiers.loaded = true
+		if raw, ok := m.kept(orderNote); ok {
+			var rec order.Record
+			if err := wire.Unmarshal(raw, &rec); err != nil {
+				m.log.Error("the record of departures can't be read: they are counted anew", "err", err)
+			} else {
+				m.tiers.record.Merge(rec)
+			}
+		}
+	}
+	if m.plan.Plan == nil {
+		m.setOrder(nil)
+		return
+	}
+	m.setOrder(order.New(&m.plan.Order))
+}
+
+// keepOrder has the departures recorded, and what shares are counted of.
+func (m *Model) keepOrder(now time.Time) {
+	t := &m.tiers
+	if !t.changed || now.Sub(t.keptAt) < orderPace {
+		return
+	}
+	fleet := m.fleetNow(now)
+	t.changed, t.keptAt = false, now
+	t.record.Plan, t.record.Fleet = m.plan.Number, [3]float64{fleet.CPU, fleet.GPU, fleet.Mem}
+	m.keep(orderNote, t.record.Clone())
 }
 
 // setOrder takes an order in; nil is none.
@@ -41,6 +84,10 @@
 			cap = cap.Add(m.Types[mc.Type].Cap, 1)
 		}
 	}
+	if f := m.tiers.record.Fleet; cap == (placement.Res{}) {
+		// None has reported yet, or this model leads nothing and is only asked.
+		cap = placement.Res{CPU: f[0], GPU: f[1], Mem: f[2]}
+	}
 	return cap
 }
 
@@ -192,6 +239,7 @@
 	for _, d := range order.Departures(in.Requests, m.teams, plan.Starts, in.Machines) {
 		low, high := job[d.Start.Request], job[d.Over]
 		m.tiers.changed = true
+		m.Timings.Departed(o.Name(high.tier), d.Reason.String())
 		m.tiers.record.Note(order.Passed{AtMs: now.UnixMilli(), Job: low.ID, Tier: o.Name(low.tier), Over: high.ID, OverTier: o.Name(high.tier), Reason: d.Reason.String()})
 		if d.Reason == order.None {
 			m.log.Error("a lower tier was served first without a reason", "job", low.ID, "over", high.ID, "need", high.Need, "room", d.Start.Room)
@@ -199,4 +247,5 @@
 		}
 		m.log.Debug("departure from the order", "job", low.ID, "over", high.ID, "reason", d.Reason)
 	}
+	m.keepOrder(now)
 }
--- a/cluster/why.go
+++ b/cluster/why.go
@@ -132,6 +132,3 @@
 	}
 	return []string{fmt.Sprintf("its turn: %d requests are before it", maxRequests)}
 }
-
-// LoadOrder takes in what an earlier leader recorded of departures.
-func (m *Model) LoadOrder(rec order.Record) { m.tiers.record.Merge(rec) }
--- a/controller/look.go
+++ b/controller/look.go
@@ -59,6 +59,9 @@
 	if e.Version != 0 && wire.Unmarshal(e.Value, &types) == nil {
 		m.SetTypes(types.Types)
 	}
+	if err := lookAtPlan(ctx, m, st, now); err != nil {
+		return nil, err
+	}
 	if err := loadJobs(m, items, now); err != nil {
 		return nil, err
 	}
@@ -68,3 +71,20 @@
 	m.Loaded(now)
 	return m, nil
 }
+
+// lookAtPlan reads the plan that holds, and what its parts have recorded.
+func lookAtPlan(ctx context.Context, m *cluster.Model, st *state.Client, now time.Time) error {
+	notes, _, err := st.List(ctx, ledger.Notes)
+	if err != nil {
+		return err
+	}
+	for _, it := range notes {
+		m.LoadNote(it.Key, it.Value, it.Version)
+	}
+	p, _, err := planIn(ctx, st)
+	if err != nil {
+		return err
+	}
+	m.SetPlan(p, now)
+	return nil
+}
--- a/controller/order_test.go
+++ b/controller/order_test.go
@@ -33,7 +33,12 @@
 		mustSubmit(t, w, job(1, long))
 		time.Sleep(5 * time.Second)
 		mustSubmit(t, w, job(2, long), job(3, func(j *wire.Job) { long(j); j.Team, j.Tasks = "edge", 6 }), job(4, func(j *wire.Job) { j.EstimateS = 5; j.Team = "edge" }),
-			job(5, func(j *wire.Job) { long(j); j.Team, j.Priority = "edge", wire.PriorityHigh; j.Kind = wire.KindGang; j.Tasks = 7 }))
+			job(5, func(j *wire.Job) {
+				long(j)
+				j.Team, j.Priority = "edge", wire.PriorityHigh
+				j.Kind = wire.KindGang
+				j.Tasks = 7
+			}))
 		w.Cancel("wk-000004")
 		time.Sleep(10 * time.Second)
 		for i := range 3 {
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -76,22 +76,33 @@
 	}
 }
 
-// readOrders reads the plan and hands it to the leader, if this node leads.
-func (n *Node) readOrders(ctx context.Context) (cluster.Plan, error) {
+// planIn reads the plan that holds. Where no version of it can be read, it is lost,
+// which is no error.
+func planIn(ctx context.Context, s ledger.Store) (cluster.Plan, ledger.PlanState, error) {
 	var got *plan.Plan
-	st, err := ledger.LoadPlan(ctx, n.state, func(text string) error {
+	st, err := ledger.LoadPlan(ctx, s, func(text string) error {
 		p, err := plan.Parse(text)
 		got = p
 		return err
 	})
 	lost := errors.Is(err, ledger.ErrPlanDamaged)
 	if err != nil && !lost {
-		return cluster.Plan{}, err
+		return cluster.Plan{}, st, err
 	}
 	p := cluster.Plan{Number: st.Number, Head: st.Head, Lost: lost}
 	if st.Number > 0 {
 		p.Plan = got
 	}
+	return p, st, nil
+}
+
+// readOrders reads the plan and hands it to the leader, if this node leads.
+func (n *Node) readOrders(ctx context.Context) (cluster.Plan, error) {
+	p, st, err := planIn(ctx, n.state)
+	if err != nil {
+		return cluster.Plan{}, err
+	}
+	lost := p.Lost
 	n.mu.Lock()
 	was := n.orders()
 	if p.Lost && was.Plan != nil {
@@ -110,7 +121,7 @@
 			n.log.Error("a record of the plan can't be read", "holds", p.Number, "err", t)
 		}
 		if lost {
-			n.log.Error("a record of the plan can't be read", "holds", p.Number, "err", err)
+			n.log.Error("a record of the plan can't be read", "holds", p.Number, "err", ledger.ErrPlanDamaged)
 		}
 		n.log.Info("plan read", "version", p.Number, "by", st.By, "note", st.Note)
 	}
--- a/controller/status.go
+++ b/controller/status.go
@@ -155,7 +155,7 @@
 	s := l.m.Summary(now)
 	l.mu.Unlock()
 	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
-		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
+		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft, Departures: s.Departures}
 }
 
 // Overview implements mesh.Handler.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -34,6 +34,7 @@
 	passes  prometheus.Histogram
 	leaders prometheus.Counter
 	refused *prometheus.CounterVec
+	departs *prometheus.CounterVec
 }
 
 // New makes a node's instruments.
@@ -55,7 +56,9 @@
 		Help: "Times that this node has seen another leader, or none."})
 	s.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umberdeal_refused_total",
 		Help: "Requests that were given a final answer other than what they asked for, by reason."}, []string{"why"})
-	in.MustRegister(s.lease, s.passes, s.leaders, s.refused)
+	s.departs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umberdeal_order_departures_total",
+		Help: "Tasks placed on room that a waiting job of a higher tier could have had, by that tier and reason."}, []string{"tier", "why"})
+	in.MustRegister(s.lease, s.passes, s.leaders, s.refused, s.departs)
 	return s
 }
 
@@ -108,5 +111,12 @@
 	}
 }
 
+// Departed counts a departure from the operators' order.
+func (s *Set) Departed(tier, why string) {
+	if s != nil {
+		s.departs.WithLabelValues(tier, why).Inc()
+	}
+}
+
 // Handler serves the text format.
 func (s *Set) Handler() http.Handler { return promhttp.HandlerFor(s.reg, promhttp.HandlerOpts{}) }
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -66,6 +66,7 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
+	Departures map[string]uint64  `json:"departures,omitempty"` // from the operators' order
 }
 
 // Print writes an overview as a table.
@@ -92,6 +93,9 @@
 		}
 		row("longest waits", "%s", strings.Join(waits, ", "))
 		row("least lease left", "%.1f s", f.LeaseLeftS)
+		if len(f.Departures) > 0 {
+			row("departures from the order", "%s", list(f.Departures))
+		}
 	}
 	if p := o.Plan; p != nil {
 		row("workers report", "%d, %d of them to the leader, the rest by way of %s", p.Workers, p.Direct, strings.Join(p.Relays, ", "))
@@ -110,7 +114,7 @@
 	return w.Flush()
 }
 
-func list(counts map[string]int) string {
+func list[N int | uint64](counts map[string]N) string {
 	var out []string
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
 		out = append(out, fmt.Sprintf("%s %d", k, counts[k]))
--- a/order/record.go
+++ b/order/record.go
@@ -1,6 +1,9 @@
 package order
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // This file is what is recorded of departures.
 
@@ -9,6 +12,15 @@
 type Record struct {
 	Counts map[string]uint64 `msgpack:"n"` // by Passed.Key
 	Last   []Passed          `msgpack:"l"` // oldest first
+	Plan   int               `msgpack:"p"` // the version of the plan that was last departed from
+	Fleet  [3]float64        `msgpack:"f"` // what shares were counted of: CPUs, GPUs, memory in GB
+}
+
+// Clone is a copy that does not change with the record.
+func (r *Record) Clone() Record {
+	c := *r
+	c.Counts, c.Last = maps.Clone(r.Counts), slices.Clone(r.Last)
+	return c
 }
 
 // Passed is one departure.
@@ -47,6 +59,9 @@
 
 // Merge takes in what earlier leaders counted.
 func (r *Record) Merge(o Record) {
+	if r.Fleet == ([3]float64{}) {
+		r.Plan, r.Fleet = o.Plan, o.Fleet
+	}
 	last := r.Last
 	r.Last = slices.Clone(o.Last)
 	r.Last = append(r.Last, last...)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/BurntSushi/toml"
+
+	"github.com/umberdeal/umberdeal/order"
 )
 
 // MaxBytes bounds a plan's text.
@@ -19,6 +21,8 @@
 // not speak of decides nothing.
 type Plan struct {
 	Note string `toml:"note"` // for people: what this version is for
+
+	Order order.Settings `toml:"order"`
 }
 
 // part is what a plan is made of.
@@ -29,7 +33,7 @@
 
 // parts lists the plan's parts, in the order in which they are checked.
 func (p *Plan) parts() []part {
-	return []part{}
+	return []part{&p.Order}
 }
 
 // Parse reads a plan's text. A field that it does not know is an error: a leader
