Stories of orders that change while leaders fail

A leader crashes, stands still or is cut off between reading an order and committing by it; two changes while its transaction is a minute late; nodes that each know another older order; a damaged record; a version that can't read the order; clinic work without end while leaders are killed.

--- a/controller/order_test.go
+++ b/controller/order_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/controller"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -62,3 +64,269 @@
 		}
 	})
 }
+
+// orderOf is a plan by which work of the classes is served in that order.
+func orderOf(classes ...string) string {
+	var out strings.Builder
+	for i, c := range classes {
+		fmt.Fprintf(&out, "[[order.tiers]]\nname = %q\nclasses = [%q]\n", c, c)
+		if i > 0 {
+			out.WriteString("longest_wait_s = 240\n")
+		}
+	}
+	return out.String()
+}
+
+// whole is a job that takes a whole machine.
+func whole(n int, class string, seconds float64) wire.Job {
+	return job(n, func(j *wire.Job) { j.Class, j.Tasks, j.CPUs, j.EstimateS = class, 1, 8, seconds })
+}
+
+// first is the job of which task 0 is on a machine first.
+func first(t *testing.T, w *fake.World, within time.Duration, ids ...string) string {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		for _, id := range ids {
+			if len(w.On(id+"/0")) > 0 {
+				return id
+			}
+		}
+	}
+	t.Fatalf("none of %v is on a machine within %v", ids, within)
+	return ""
+}
+
+// A leader that has read an order, and is in trouble as another is applied, places
+// nothing by the older: neither itself, nor by a transaction that comes a minute
+// late, nor does the next one.
+func TestNothingIsPlacedByAnOlderOrder(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(w *fake.World, l int) (end func())
+	}{
+		{"crashes", func(w *fake.World, l int) func() { w.KillNode(l); return func() { w.StartNode(l) } }},
+		{"stands still", func(w *fake.World, l int) func() { w.Stop(l, true); return func() { w.Stop(l, false) } }},
+		{"stands still for a moment", func(w *fake.World, l int) func() {
+			w.Stop(l, true)
+			time.AfterFunc(3*time.Second, func() { w.Stop(l, false) })
+			return func() {}
+		}},
+		{"is cut off from the state service", func(w *fake.World, l int) func() {
+			w.CutNode(l, true, "state")
+			return func() { w.CutNode(l, false, "state") }
+		}},
+		{"is refused by it", func(w *fake.World, l int) func() {
+			w.State.Refuse(fmt.Sprintf("n-%d", l), true)
+			return func() { w.State.Refuse(fmt.Sprintf("n-%d", l), false) }
+		}},
+		{"is cut off from all", func(w *fake.World, l int) func() {
+			w.CutNode(l, true, everything...)
+			return func() { w.CutNode(l, false, everything...) }
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+				time.Sleep(5 * time.Second)
+				applyPlan(t, w, 0, orderOf("craft", "clinic"))
+				mustSubmit(t, w, whole(1, "other", 30))
+				time.Sleep(10 * time.Second)
+				mustSubmit(t, w, whole(2, "craft", 30), whole(3, "clinic", 30), whole(4, "craft", 30))
+				time.Sleep(5 * time.Second)
+				end := c.do(w, w.Leader())
+				applyPlan(t, w, 1, orderOf("clinic", "craft"))
+				if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003", "wk-000004"); got != "wk-000003" {
+					t.Errorf("%s was placed first, by the order before", got)
+				}
+				end()
+				for n := 1; n <= 4; n++ {
+					mustReach(t, w, job(n, nil).ID, wire.JobDone, 4*time.Minute)
+				}
+			})
+		})
+	}
+}
+
+// The order is changed twice while the transaction that places by the first one
+// hangs, and is applied a minute late, or not.
+func TestALateTransactionPlacesByNoOlderOrder(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		t.Run(fmt.Sprint("the leader dies: ", dies), func(t *testing.T) {
+			story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+				time.Sleep(5 * time.Second)
+				applyPlan(t, w, 0, orderOf("craft", "clinic"))
+				mustSubmit(t, w, whole(1, "other", 30))
+				mustReach(t, w, "wk-000001", wire.JobRunning, 30*time.Second)
+				// Jobs that come as the machine is free: the next transaction after
+				// theirs places.
+				mustSubmit(t, w, whole(2, "craft", 20), whole(3, "clinic", 20))
+				for len(w.On("wk-000001/0")) > 0 {
+					time.Sleep(20 * time.Millisecond)
+				}
+				w.State.LateNext(time.Minute)
+				time.Sleep(time.Second)
+				applyPlan(t, w, 1, orderOf("clinic", "craft"))
+				if dies {
+					w.KillNode(w.Leader())
+				}
+				applyPlan(t, w, 2, "note = \"the same again\"\n"+orderOf("clinic", "craft"))
+				if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003"); got != "wk-000003" {
+					t.Errorf("%s was placed first, by the first order", got)
+				}
+				mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
+			})
+		})
+	}
+}
+
+// Each node knows another version of the order, the newest none of them, and all
+// are back at once: with what they know in memory, and started anew.
+func TestNodesWithDifferentOlderOrdersPlaceByTheNewest(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprint("restarted: ", restart), func(t *testing.T) {
+			story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+				time.Sleep(5 * time.Second)
+				applyPlan(t, w, 0, orderOf("craft", "clinic", "school"))
+				mustSubmit(t, w, whole(1, "other", 30))
+				time.Sleep(10 * time.Second)
+				mustSubmit(t, w, whole(2, "craft", 20), whole(3, "school", 20), whole(4, "clinic", 20))
+				for i, next := range []string{orderOf("school", "clinic", "craft"), orderOf("craft", "school", "clinic"), orderOf("clinic", "school", "craft")} {
+					w.CutNode(i, true, "state", "nodes")
+					applyPlan(t, w, i+1, next)
+					time.Sleep(3 * time.Second)
+				}
+				for i := range 3 {
+					if restart {
+						w.KillNode(i)
+					}
+				}
+				for i := range 3 {
+					w.CutNode(i, false, "state", "nodes")
+					w.StartNode(i)
+				}
+				if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003", "wk-000004"); got != "wk-000004" {
+					t.Errorf("%s was placed first, by an older order", got)
+				}
+				for n := 2; n <= 4; n++ {
+					mustReach(t, w, job(n, nil).ID, wire.JobDone, 4*time.Minute)
+				}
+			})
+		})
+	}
+}
+
+// The newest order can't be read: the one before holds, never none.
+func TestADamagedOrderLeavesTheOneBefore(t *testing.T) {
+	story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, orderOf("clinic", "craft"))
+		applyPlan(t, w, 1, orderOf("craft", "clinic"))
+		mustSubmit(t, w, whole(1, "other", 30))
+		time.Sleep(8 * time.Second)
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		for _, k := range w.State.Keys("plan/t/2-") {
+			w.State.Damage(k)
+		}
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		mustSubmit(t, w, whole(2, "craft", 20), whole(3, "clinic", 20))
+		if got, _ := why(t, w, "wk-000002"); got.Tier != "craft" || got.Ahead["tier"] != 1 {
+			t.Errorf("%+v", got)
+		}
+		if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003"); got != "wk-000003" {
+			t.Errorf("%s was placed first", got)
+		}
+	})
+}
+
+// The records say that an order is in force in a form that a later version has
+// written. Nodes of this one that are started again don't lead by what they know
+// of it: nothing is placed until the later version is back.
+func TestAVersionThatCannotReadTheOrderDoesNotLead(t *testing.T) {
+	story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, orderOf("clinic", "craft"))
+		mustSubmit(t, w, whole(1, "other", 15))
+		time.Sleep(6 * time.Second)
+		mustSubmit(t, w, whole(2, "craft", 20), whole(3, "clinic", 20))
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		form := func(change int) {
+			var rec ledger.FormRecord
+			if err := wire.Unmarshal(w.State.Value(ledger.FormKey), &rec); err != nil || rec.Form < ledger.FormPlan {
+				t.Fatalf("with an order in force the records have form %d, which versions without orders read: %v", rec.Form, err)
+			}
+			rec.Form += change
+			if _, err := stateOf(w).Commit(t.Context(), nil, []wire.Op{{Put: ledger.FormKey, Value: rec}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		form(ledger.Form + 1 - ledger.FormPlan)
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		time.Sleep(40 * time.Second)
+		if on := append(w.On("wk-000002/0"), w.On("wk-000003/0")...); len(on) > 0 {
+			t.Error("a version that can't read the order has placed work")
+		}
+		form(ledger.FormPlan - ledger.Form - 1)
+		if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003"); got != "wk-000003" {
+			t.Errorf("%s was placed first", got)
+		}
+	})
+}
+
+// Clinic work comes without end while leaders are killed in turn. Every other job
+// begins within the bound, and the departures that takes are counted by whoever
+// leads.
+func TestClinicWorkWithoutEndStarvesNobodyWhileLeadersFail(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Capacity: 4, Metrics: true}, func(t *testing.T, w *fake.World) {
+		time.Sleep(5 * time.Second)
+		applyPlan(t, w, 0, strings.ReplaceAll(orderOf("clinic", "school", "craft"), "240", "60"))
+		began := map[string]time.Duration{}
+		came := map[string]time.Time{}
+		n, started := 1, time.Now()
+		for step := 0; time.Since(started) < 8*time.Minute; step++ {
+			for range 3 {
+				mustSubmit(t, w, job(n, func(j *wire.Job) { j.Class, j.Tasks, j.CPUs, j.EstimateS = "clinic", 1, 4, 20 }))
+				n++
+			}
+			if step%6 == 0 {
+				for _, c := range []string{"school", "craft"} {
+					j := job(n, func(j *wire.Job) { j.Class, j.Tasks, j.CPUs, j.EstimateS = c, 1, 4, 20 })
+					mustSubmit(t, w, j)
+					came[j.ID] = time.Now()
+					n++
+				}
+			}
+			if step%16 == 15 {
+				l := w.Leader()
+				w.KillNode(l)
+				time.AfterFunc(20*time.Second, func() { w.StartNode(l) })
+			}
+			for range 10 {
+				time.Sleep(500 * time.Millisecond)
+				for id, at := range came {
+					if _, ok := began[id]; !ok && len(w.On(id+"/0")) > 0 {
+						began[id] = time.Since(at)
+					}
+				}
+			}
+		}
+		for id, at := range came {
+			if d, ok := began[id]; ok && d > 150*time.Second || !ok && time.Since(at) > 150*time.Second {
+				t.Errorf("%s: begun %t, after %v", id, ok, d)
+			}
+		}
+		counted := uint64(0)
+		for _, o := range overview(t, w, w.Leader()).Fleet.Departures {
+			counted += o
+		}
+		if len(began) < 12 || counted < uint64(len(began))/2 {
+			t.Errorf("%d jobs of lower tiers began, %d departures are counted", len(began), counted)
+		}
+	})
+}
