Model check: no placement is committed by an order older than the one in force

The leader decides, orders change, it hears of them or not, and commits: 2,793 states at depth 9 without a breach. Without the condition on the plan's version, and (tried by hand) without taking back what was decided by the order before, the breach is found in two actions.

--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -56,5 +56,5 @@
 
 // Scenarios are all of them.
 func Scenarios() []*Scenario {
-	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split()}
+	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split(), Ordered()}
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -43,6 +43,9 @@
 )
 
 func (a Action) String() string {
+	if name, ok := orderNames[a.Kind]; ok {
+		return name
+	}
 	return fmt.Sprintf("%s %d", [...]string{"pass", "pass, answer lost", "round trip of", "report of", "report arrives of", "answer arrives at", "given up by",
 		"late report arrives,", "late answer arrives,", "direct batch arrives,", "image at", "completes at", "cancelled, job", "leader learns", "time passes",
 		"takeover", "former leader answers"}[a.Kind], a.Arg)
@@ -58,7 +61,7 @@
 }
 
 func (w *World) all() []Action {
-	out := []Action{{Kind: Pass}, {Kind: PassLost}, {Kind: Wait}}
+	out := append([]Action{{Kind: Pass}, {Kind: PassLost}, {Kind: Wait}}, w.orderActions()...)
 	if w.takeover < w.sc.Takeovers {
 		out = append(out, Action{Kind: Takeover})
 	}
@@ -110,6 +113,8 @@
 func (w *World) Do(a Action) {
 	i := int(a.Arg)
 	switch a.Kind {
+	case Decide, Apply, Hear:
+		w.doOrder(a.Kind)
 	case Pass, PassLost:
 		w.pass(a.Kind == PassLost)
 	case Trip:
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -43,6 +43,9 @@
 )
 
 func (b Breach) String() string {
+	if b == OldOrder {
+		return "old order"
+	}
 	return [...]string{"none", "uncommitted launch", "short lease", "no wait after takeover", "stale reports", "token not shown",
 		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel"}[b]
 }
@@ -59,6 +62,7 @@
 	Only      []Kind  // what may happen; nil: anything
 	Reliable  int     // of the last so many machines no message is split, late or lost
 	Shared    bool    // the jobs' records share a page
+	Plans     int     // orders of service that are applied, at most
 }
 
 const (
@@ -147,6 +151,8 @@
 	completed map[string]bool // tasks that have exited with done
 	cancelled map[string]int  // since which step
 
+	orders
+
 	Broken string // the first rule broken, with what broke it
 }
 
@@ -205,6 +211,7 @@
 	m := cluster.New(&cfg, w.token, at, slog.New(slog.DiscardHandler))
 	m.Tuning = config.DefaultTuning().Rebalance
 	m.SetTypes([]wire.MachineType{{Name: "m", CPUs: w.sc.Capacity, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: w.cfg.Cluster.Zones}})
+	w.hear(m)
 	keys := slices.Sorted(maps.Keys(w.store))
 	for _, k := range keys {
 		if id, ok := ledger.ParseJobKey(k); ok {
@@ -257,7 +264,7 @@
 
 // commit applies a transaction as the state service does.
 func (w *World) commit(guards []wire.Guard, ops []wire.Op) (failed []string) {
-	for _, g := range guards {
+	for _, g := range w.conditions(guards) {
 		if w.store[g.Key].version != g.Version {
 			failed = append(failed, g.Key)
 		}
@@ -267,6 +274,7 @@
 	}
 	w.rev++
 	for _, o := range ops {
+		w.checkOrder(o)
 		if o.Delete != "" {
 			delete(w.store, o.Delete)
 			continue
@@ -289,7 +297,7 @@
 func (w *World) pass(answerLost bool) {
 	now := w.now()
 	w.model.Tick(now)
-	w.model.Schedule(now, 0)
+	w.plans()
 	if w.breach == UncommittedLaunch {
 		w.sendDirects()
 		if b := w.model.NextBatch(12); b != nil {
@@ -308,6 +316,9 @@
 			continue
 		}
 		for _, key := range failed {
+			if key == ledger.PlanHeadKey {
+				w.hear(w.model)
+			}
 			if !b.IsJob(key) {
 				w.model.Reread(b, key, w.store[key].version)
 			}
@@ -752,6 +763,7 @@
 			fmt.Fprint(out, min(w.step-since, cancelSteps))
 		}
 	}
+	w.orderDigest(out)
 	w.model.Digest(out, w, w.now())
 	if w.old != nil {
 		w.old.Digest(out, w, w.now())
