--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -313,6 +313,7 @@
 		for _, k := range out[lo:hi] {
 			tail := &rest
 			if k.j.floored {
+				k.req.Owed = true
 				tail = &floored
 			}
 			if !k.j.owed || k.j.toBegin() == 0 || heads >= boundHeads {
@@ -321,7 +322,7 @@
 			}
 			heads++
 			head := *k
-			head.owed = true
+			head.owed, head.req.Owed = true, true
 			head.req.Hold, head.req.HoldFor = true, holdLong
 			if !k.j.Gang() {
 				head.req.Tasks = k.req.Tasks[:1]
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -65,6 +65,7 @@
 	notes      notes
 	classes    map[string]*class
 	nights     nights
+	tiers      tiers
 
 	// Reused from pass to pass.
 	viewBuf  []placement.Machine
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -166,7 +166,7 @@
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
 		m.nightly(k)
-		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j)
+		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j) || m.precedes(j)
 		out = append(out, k)
 	}
 	sort.SliceStable(out, func(a, b int) bool {
@@ -176,6 +176,8 @@
 			return x.within
 		case x.j.Priority != y.j.Priority:
 			return x.j.Priority < y.j.Priority
+		case x.req.Tier != y.req.Tier:
+			return x.req.Tier < y.req.Tier
 		case x.night || y.night:
 			return byNight(x, y)
 		case x.missed != y.missed:
@@ -185,7 +187,7 @@
 	})
 	m.triage(out, now)
 	m.bound(out, now)
-	out = m.byBound(out, maxRequests, now)
+	out = m.promote(m.byBound(out, maxRequests, now), now)
 	m.keepOffGPUs(out, jobs)
 	return append(out, last...)
 }
@@ -253,7 +255,7 @@
 	r := placement.Request{
 		Job: j.Idx, All: j.Gang(), Need: j.Need, Priority: j.Priority, Team: j.Team,
 		Image: j.Image, ImageGB: j.Spec.ImageGB, Zone: j.Zone, OneZone: j.Spec.OneZone,
-		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot,
+		ZoneUsed: append([]int(nil), j.ZoneUsed...), Types: j.Types, Spot: j.Spec.Spot, Standing: placement.Standing{Tier: j.tier},
 	}
 	if j.Gang() && j.Placed > 0 && (j.Started || j.Ending) {
 		return r, false
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -12,6 +12,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/order"
 )
 
 // MaxBytes bounds a plan's text.
@@ -23,6 +24,7 @@
 	Note string `toml:"note"` // for people: what this version is for
 
 	Calendar calendar.Settings `toml:"calendar"`
+	Order    order.Settings    `toml:"order"`
 }
 
 // part is what a plan is made of.
@@ -33,7 +35,7 @@
 
 // parts lists the plan's parts, in the order in which they are checked.
 func (p *Plan) parts() []part {
-	return []part{&p.Calendar}
+	return []part{&p.Calendar, &p.Order}
 }
 
 // Parse reads a plan's text. A field that it does not know is an error: a leader
