Warm pools: how many machines, which, and who pays, decided in a package without I/O

Peaks of a model's replicas are kept by hour of the week in sketches that fade; a pool aims at a share of them from a lead before the hour on, between least and most and within what it may cost. Machines are chosen over the zones, fetches come in turn, and every millisecond is charged to one team: shares of what is booked, the rest to the payer, in spans whose common end is part of the record. A property test plays random joins, bookings and leaves: what teams owe is what the machines cost.

--- /dev/null
+++ b/pools/choose.go
@@ -0,0 +1,208 @@
+package pools
+
+import (
+	"cmp"
+	"slices"
+)
+
+// This file says which machines a pool takes, fills and lets go.
+
+// Seen is a machine as the leader sees it: one of the pool's, or one that is free
+// and of the pool's types and zones.
+type Seen struct {
+	Machine string
+	Zone    string
+	Warm    bool // has the weights
+	Ready   bool // can take work now
+	Booting bool // should be up soon
+	Used    bool // work is on it
+	Serving bool // replicas of the model are, and nothing else is
+	Filling bool // fetches the weights
+	Leaving bool // was let go, and is not yet returned
+}
+
+// counts says whether a machine counts as held: one that is silent, noticed or
+// gone serves nobody, and is replaced at once.
+func (s *Seen) counts() bool { return (s.Ready || s.Booting) && !s.Leaving }
+
+// Change is what a pool does next.
+type Change struct {
+	Join    []string       // free machines that become the pool's
+	Stay    []string       // machines that had been let go, and are wanted again
+	Release []string       // to be returned, once they are empty
+	Drop    []string       // leave the pool as they are: it can't pay for them
+	Rent    map[string]int // by zone
+}
+
+// Choose compares a pool's machines with how many it aims at. affords is how many
+// it can pay for; what is beyond leaves at once, whatever runs there.
+func (p *Pool) Choose(own, free []Seen, aim, affords int) Change {
+	var c Change
+	held := map[string]int{} // by zone
+	n := 0
+	for i := range own {
+		if own[i].counts() {
+			held[own[i].Zone]++
+			n++
+		}
+	}
+	own = slices.Clone(own)
+	if n > aim {
+		// The zone that has most gives first, then what has no weights.
+		for n > aim {
+			i := p.pick(own, func(s *Seen) bool { return s.counts() && !s.Used }, func(s *Seen) int {
+				return -10*held[s.Zone] + rank(s.Warm, s.Ready)
+			})
+			if i < 0 {
+				break
+			}
+			own[i].Leaving = true
+			held[own[i].Zone]--
+			n--
+			c.Release = append(c.Release, own[i].Machine)
+		}
+		for n > affords {
+			i := p.pick(own, (*Seen).counts, func(s *Seen) int { return -10*held[s.Zone] + rank(s.Warm, s.Serving) })
+			if i < 0 {
+				break
+			}
+			own[i].Leaving = true
+			held[own[i].Zone]--
+			n--
+			c.Drop = append(c.Drop, own[i].Machine)
+		}
+		return c
+	}
+	for n < aim {
+		i := p.pick(own, func(s *Seen) bool { return s.Leaving && s.Ready }, func(s *Seen) int { return 10*held[s.Zone] - rank(s.Warm, s.Ready) })
+		if i < 0 {
+			break
+		}
+		own[i].Leaving = false
+		held[own[i].Zone]++
+		n++
+		c.Stay = append(c.Stay, own[i].Machine)
+	}
+	free = slices.Clone(free)
+	// Where replicas run anyhow, the weights are there already; else an empty
+	// machine is filled. One that boots may be for work that waits.
+	for n < aim {
+		i := p.pick(free, func(s *Seen) bool { return s.Ready && !s.Leaving && (!s.Used || s.Serving && s.Warm) }, func(s *Seen) int {
+			return 10*held[s.Zone] - 1000*rank(s.Warm, false)
+		})
+		if i < 0 {
+			break
+		}
+		free[i].Leaving = true // taken
+		held[free[i].Zone]++
+		n++
+		c.Join = append(c.Join, free[i].Machine)
+	}
+	coming := 0
+	for i := range free {
+		if free[i].Booting && !free[i].Leaving {
+			held[free[i].Zone]++
+			coming++
+		}
+	}
+	for k := n + coming; k < aim && len(p.Zones) > 0; k++ {
+		z := slices.MinFunc(p.Zones, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
+		if c.Rent == nil {
+			c.Rent = map[string]int{}
+		}
+		c.Rent[z]++
+		held[z]++
+	}
+	return c
+}
+
+func rank(a, b bool) int {
+	n := 0
+	if a {
+		n += 2
+	}
+	if b {
+		n++
+	}
+	return n
+}
+
+// pick is the first of the cheapest that will do, or -1.
+func (p *Pool) pick(all []Seen, ok func(*Seen) bool, cost func(*Seen) int) int {
+	best, least := -1, 0
+	for i := range all {
+		if !ok(&all[i]) {
+			continue
+		}
+		if c := cost(&all[i]); best < 0 || c < least {
+			best, least = i, c
+		}
+	}
+	return best
+}
+
+// Fill says which of a pool's machines fetch the weights next, so that no more
+// than AtOnce do at the same time and the zones are filled alike.
+func (p *Pool) Fill(own []Seen) []string {
+	room := p.AtOnce()
+	warm := map[string]int{}
+	for i := range own {
+		if own[i].Filling {
+			room--
+		}
+		if own[i].Warm || own[i].Filling {
+			warm[own[i].Zone]++
+		}
+	}
+	own = slices.Clone(own)
+	var out []string
+	for len(out) < room {
+		i := p.pick(own, func(s *Seen) bool { return s.Ready && !s.Leaving && !s.Warm && !s.Filling },
+			func(s *Seen) int { return warm[s.Zone] })
+		if i < 0 {
+			break
+		}
+		own[i].Filling = true
+		warm[own[i].Zone]++
+		out = append(out, own[i].Machine)
+	}
+	return out
+}
+
+// Use says what a team's work may do with a pool's machines.
+type Use uint8
+
+// Uses. The order is that of preference: later ones take more.
+const (
+	Never Use = iota // the room is the pool's
+	Lent             // as long as the weights stay, until the pool wants it back
+	Last             // only where there is no other room: of a higher tier than the model's replicas
+	Own              // replicas of the model
+)
+
+// Work is what a job looks like to a pool.
+type Work struct {
+	Image   string
+	Team    string
+	Rank    int // its priority, 0 being the highest
+	Tier    int // of the operators' order, 0 being served first
+	Gang    bool
+	SavesS  float64 // how long it takes to save when it is stopped
+	CanSave bool
+	ModelOf int // rank of the model's replicas
+	ModelIn int // and their tier
+}
+
+// May says what work may do with the pool's machines. What borrows has to give way
+// to replicas by the rules of priorities, and within the time that a burst leaves.
+func (p *Pool) May(w *Work) Use {
+	switch {
+	case p.Serves(w.Image) && p.Lends(w.Team):
+		return Own
+	case w.Tier < w.ModelIn || w.Tier == w.ModelIn && w.Rank < w.ModelOf:
+		return Last
+	case p.Lends(w.Team) && !w.Gang && w.Rank > w.ModelOf && w.CanSave && w.SavesS <= p.Burst.WithinS:
+		return Lent
+	}
+	return Never
+}
--- /dev/null
+++ b/pools/pools_test.go
@@ -0,0 +1,260 @@
+package pools
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func llm() Pool {
+	return Pool{Name: "llm", Model: "llm-70b:v1", GB: 80, Types: []string{"g8"}, Zones: []string{"a", "b"}, Least: 1, Most: 64,
+		Burst: Burst{Replicas: 8, WithinS: 10}, PerHour: 1000, Payer: "speech", Borrowers: []string{"vision"}}
+}
+
+func TestBadFieldsAreNamedWithTheirPlace(t *testing.T) {
+	good := llm()
+	if errs := Check([]Pool{good}, []string{"a", "b"}, []string{"speech", "vision"}); len(errs) > 0 {
+		t.Fatalf("a good pool is refused: %v", errs)
+	}
+	for _, c := range []struct {
+		want string
+		bad  func(p *Pool)
+	}{
+		{"pools[1].least: 65 is above most, 64", func(p *Pool) { p.Least = 65 }},
+		{`pools[1].name: "llm" is the name of pools[0] too`, func(p *Pool) { p.Name = "llm" }},
+		{`pools[1].model: "llm-70b:v2" is the model of pools[0] too`, func(p *Pool) { p.Model = "llm-70b:v2" }},
+		{`pools[1].zones[0]: there is no zone "c"`, func(p *Pool) { p.Zones = []string{"c"} }},
+		{`pools[1].payer: there is no team "nobody"`, func(p *Pool) { p.Payer = "nobody" }},
+		{`pools[1].borrowers[0]: "speech" pays, and does not borrow`, func(p *Pool) { p.Borrowers = []string{"speech"} }},
+		{"pools[1].cost_an_hour: must be above 0", func(p *Pool) { p.PerHour = 0 }},
+		{"pools[1].burst.within_s: must be above 0 and at most 3600", func(p *Pool) { p.Burst.WithinS = 0 }},
+	} {
+		p := llm()
+		p.Name, p.Model = "other", "asr"
+		c.bad(&p)
+		errs := Check([]Pool{good, p}, []string{"a", "b"}, []string{"speech", "vision"})
+		if len(errs) != 1 || errs[0].Error() != c.want {
+			t.Errorf("got %v, not %s", errs, c.want)
+		}
+	}
+}
+
+// monday is a Monday 0 o'clock.
+var monday = time.Date(2026, 11, 30, 0, 0, 0, 0, time.UTC)
+
+// weeks plays weeks of a model that wants n replicas at 9 on weekdays.
+func weeks(w *Week, from time.Time, count, n int) time.Time {
+	at := from
+	for ; at.Before(from.AddDate(0, 0, 7*count)); at = at.Add(20 * time.Minute) {
+		want := 0
+		if at.Hour() == 9 && Slot(at) < 5*24 {
+			want = n
+		}
+		w.Want(want, at)
+	}
+	return at
+}
+
+func TestAPoolIsThereBeforeTheHourAndGoneAfterIt(t *testing.T) {
+	p, w := llm(), &Week{}
+	at := weeks(w, monday, 2, 40)
+	lead := p.Lead(40, time.Minute, 1)
+	if lead < 5*time.Minute || lead > time.Hour {
+		t.Fatalf("lead %v", lead)
+	}
+	for _, c := range []struct {
+		at   time.Duration
+		want int
+	}{{6 * time.Hour, 1}, {9*time.Hour - lead + time.Second, 40}, {9*time.Hour + 30*time.Minute, 40}, {10 * time.Hour, 1}, {5*24*time.Hour + 9*time.Hour, 1}} {
+		if got := p.Aim(w, at.Add(c.at), lead, 1, 1); got != c.want {
+			t.Errorf("%v after Monday 0 o'clock: %d machines, not %d", c.at, got, c.want)
+		}
+	}
+	if got := p.Aim(w, at.Add(9*time.Hour), lead, 4, 1); got != 10 {
+		t.Errorf("%d machines for 40 replicas, four on each", got)
+	}
+	p.PerHour = 12
+	if got := p.Aim(w, at.Add(9*time.Hour), lead, 1, 1); got != 12 {
+		t.Errorf("%d machines where 12 are paid for", got)
+	}
+	// A month without bursts, and the model is forgotten.
+	at = weeks(w, at, 9, 0)
+	if got := p.Aim(w, at.Add(9*time.Hour), lead, 1, 1); got != 1 {
+		t.Errorf("%d machines long after the last burst", got)
+	}
+}
+
+func TestAWeekIsReadAsItWasWritten(t *testing.T) {
+	w, back := &Week{}, &Week{}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	at := monday
+	for ; at.Before(monday.AddDate(0, 0, 7*30)); at = at.Add(time.Hour) {
+		w.Want(rnd.IntN(2000), at)
+	}
+	bytes := 0
+	for d := range 7 {
+		day := w.Day(d)
+		bytes = max(bytes, len(strings.Join(day, "")))
+		if err := back.LoadDay(d, day); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for h := range hoursOfWeek {
+		x := at.Add(time.Duration(h) * time.Hour)
+		if a, b := w.Quantile(x, 0, 0.9), back.Quantile(x, 0, 0.9); a != b && hourOf(x) != w.hour {
+			t.Fatalf("hour %d: %d became %d", h, a, b)
+		}
+	}
+	if bytes > 12<<10 {
+		t.Errorf("a day after 30 weeks of chance takes %d bytes", bytes)
+	}
+	if err := back.LoadDay(0, []string{"x!"}); err == nil {
+		t.Error("a damaged hour was read")
+	}
+}
+
+// Whatever is booked, joins and leaves, under whichever leader: what the teams
+// owe is what the machines cost, and every machine is charged from when it joined
+// to when it left.
+func TestEveryMillisecondIsChargedOnce(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		s, now := &Shard{}, int64(1_000_000)
+		joined, want, name := map[string]int64{}, int64(0), 0
+		for range 200 {
+			now += int64(rnd.IntN(100_000))
+			switch rnd.IntN(5) {
+			case 0:
+				name++
+				m := Member{Machine: fmt.Sprintf("m%04d", rnd.IntN(1000)), SinceMs: now - int64(rnd.IntN(60_000)), Rate: int64(rnd.IntN(20_000_000))}
+				if s.Member(m.Machine) == nil {
+					s.Join(m)
+					joined[m.Machine] = m.SinceMs
+				}
+			case 1:
+				if len(s.Members) > 0 {
+					m := s.Members[rnd.IntN(len(s.Members))].Machine
+					s.Leave(m, now, "payer")
+					want += now - joined[m]
+					delete(joined, m)
+				}
+			case 2:
+				if len(s.Members) > 0 {
+					m := &s.Members[rnd.IntN(len(s.Members))]
+					s.Book(m, []Part{{"one", rnd.IntN(1200)}, {"payer", 10}, {"two", rnd.IntN(1200)}}, int64(rnd.IntN(20_000_000)), now, "payer")
+				}
+			case 3:
+				s.Settle(now-int64(rnd.IntN(200_000)), "payer") // a clock that is behind
+			case 4:
+				s = s.Copy() // the next leader's
+			}
+		}
+		s.Settle(now, "payer")
+		for _, at := range joined {
+			want += now - at
+		}
+		teams, machines := Totals([]Shard{*s})
+		sum := Charge{}
+		for _, c := range teams {
+			sum = sum.add(c)
+		}
+		if sum != machines || machines.Ms != want {
+			t.Fatalf("seed %d: teams %+v, machines %+v, there for %d ms", seed, sum, machines, want)
+		}
+	}
+}
+
+func TestABorrowerPaysByWhatItBooks(t *testing.T) {
+	s := &Shard{AtMs: 0}
+	s.Join(Member{Machine: "m", SinceMs: 1000, Rate: 3_600_000_000})
+	s.Book(s.Member("m"), []Part{{"vision", 250}}, 3_600_000_000, 11_000, "speech")
+	s.Leave("m", 51_000, "speech")
+	if got := s.Teams["vision"]; got != (Charge{10_000, 10_000_000}) {
+		t.Errorf("the borrower owes %+v for a quarter of 40 s", got)
+	}
+	if got := s.Teams["speech"]; got != (Charge{40_000, 40_000_000}) {
+		t.Errorf("the payer owes %+v", got)
+	}
+}
+
+// fleet is n machines alternating between the zones.
+func fleet(n int, change func(i int, s *Seen)) []Seen {
+	out := make([]Seen, n)
+	for i := range out {
+		out[i] = Seen{Machine: fmt.Sprintf("m%02d", i), Zone: []string{"a", "b"}[i%2], Ready: true}
+		if change != nil {
+			change(i, &out[i])
+		}
+	}
+	return out
+}
+
+func TestAPoolGrowsOverTheZonesFromWhatIsThere(t *testing.T) {
+	p := llm()
+	free := fleet(6, func(i int, s *Seen) {
+		s.Zone = "a"
+		s.Used = i < 4
+		s.Serving, s.Warm = i == 1, i == 1
+		s.Booting, s.Ready = i == 5, i != 5
+	})
+	c := p.Choose(nil, free, 6, 64)
+	if !slices.Equal(c.Join, []string{"m01", "m04"}) || c.Rent["b"] != 3 || c.Rent["a"] != 0 {
+		t.Errorf("%+v: not the machine where replicas run and the empty one, and the rest of zone b, one being on its way", c)
+	}
+}
+
+func TestAPoolGivesBackWhatIsIdle(t *testing.T) {
+	p := llm()
+	own := fleet(6, func(i int, s *Seen) { s.Used, s.Warm = i < 2, i != 4 })
+	if c := p.Choose(own, nil, 3, 64); !slices.Equal(c.Release, []string{"m04", "m03", "m02"}) || c.Drop != nil {
+		t.Errorf("%+v", c)
+	}
+	// At its limit it lets go what it can't pay for, without stopping anything.
+	for i := range own {
+		own[i].Used = true
+	}
+	if c := p.Choose(own, nil, 2, 2); len(c.Drop) != 4 || c.Release != nil {
+		t.Errorf("%+v", c)
+	}
+	// What is silent is replaced, and not counted twice when it is back.
+	own = fleet(4, func(i int, s *Seen) { s.Ready = i != 0 })
+	if c := p.Choose(own, nil, 4, 64); c.Rent["a"] != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestFetchesComeInTurn(t *testing.T) {
+	p := llm()
+	own := fleet(40, func(i int, s *Seen) { s.Filling = i < 3 })
+	if got := p.Fill(own); len(got) != 5 {
+		t.Errorf("%d more fetch beside three, at most %d at once", len(got), p.AtOnce())
+	}
+}
+
+func TestWhoMayUseAPool(t *testing.T) {
+	p := llm()
+	replicas := Work{Image: "llm-70b:v2", Team: "speech", Rank: 1, ModelOf: 1}
+	for _, c := range []struct {
+		name string
+		want Use
+		as   func(w *Work)
+	}{
+		{"a replica of a newer version", Own, func(*Work) {}},
+		{"a replica of a team that does not borrow", Never, func(w *Work) { w.Team = "guests" }},
+		{"clinic work", Last, func(w *Work) { w.Image, w.Team, w.Tier, w.ModelIn = "slicer", "clinic", 0, 1 }},
+		{"work of a higher priority", Last, func(w *Work) { w.Image, w.Team, w.Rank = "x", "guests", 0 }},
+		{"work that saves in time", Lent, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 5 }},
+		{"work that saves too slowly", Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 50 }},
+		{"work that replicas may not stop", Never, func(w *Work) { w.Image, w.Team, w.CanSave = "x", "vision", true }},
+		{"a gang", Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.Gang = "x", "vision", 3, true, true }},
+	} {
+		w := replicas
+		c.as(&w)
+		if got := p.May(&w); got != c.want {
+			t.Errorf("%s: %d, not %d", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/pools/week.go
@@ -0,0 +1,163 @@
+package pools
+
+import (
+	"encoding/base64"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+	"github.com/DataDog/sketches-go/ddsketch/mapping"
+	"github.com/DataDog/sketches-go/ddsketch/store"
+)
+
+// hoursOfWeek are counted from Monday 0 o'clock UTC: bursts that follow a clock
+// that is put forward move by an hour once, and are learnt anew in two weeks.
+const hoursOfWeek = 7 * 24
+
+const (
+	sketchError = 0.01 // of a peak
+	sketchBins  = 24   // the smallest peaks share one beyond
+	fades       = 0.75 // of what is known of an hour is kept with each week
+)
+
+// Week is what a model's peaks have been, by hour of the week: for each hour a
+// sketch of how many replicas were wanted at once. It is bounded whatever comes.
+type Week struct {
+	hours [hoursOfWeek]*ddsketch.DDSketch
+	hour  int64 // hours since 1970 of the hour that is not over, 0: none
+	peak  int   // of it, so far
+}
+
+func newSketch() *ddsketch.DDSketch {
+	m, err := mapping.NewLogarithmicMapping(sketchError)
+	if err != nil {
+		panic(err) // the error is a constant
+	}
+	return ddsketch.NewDDSketch(m, store.NewCollapsingLowestDenseStore(sketchBins), store.NewCollapsingLowestDenseStore(sketchBins))
+}
+
+// Slot is the hour of the week that a time lies in.
+func Slot(t time.Time) int {
+	t = t.UTC()
+	return (int(t.Weekday())+6)%7*24 + t.Hour()
+}
+
+func hourOf(t time.Time) int64 { return t.Unix() / 3600 }
+
+// Want takes in how many replicas are wanted now. It returns the days of the week,
+// Monday being 0, whose records have changed: those of hours that are over.
+func (w *Week) Want(n int, now time.Time) (changed []int) {
+	h := hourOf(now)
+	if w.hour == 0 || h < w.hour { // the first, or a clock that is behind
+		if w.hour == 0 {
+			w.hour, w.peak = h, n
+		}
+		w.peak = max(w.peak, n)
+		return nil
+	}
+	// Hours in which nobody led are unknown, not empty: only the one that was
+	// watched is taken down.
+	if h > w.hour {
+		slot := Slot(time.Unix(w.hour*3600, 0))
+		w.learn(slot, w.peak)
+		changed = append(changed, slot/24)
+		w.hour, w.peak = h, 0
+	}
+	w.peak = max(w.peak, n)
+	return changed
+}
+
+// Now is the hour that is not over, in hours since 1970, and its peak so far.
+func (w *Week) Now() (hour int64, peak int) { return w.hour, w.peak }
+
+// Resume takes in what an earlier leader saw of an hour. Whether it is over is
+// found with the next Want.
+func (w *Week) Resume(hour int64, peak int) {
+	if hour > w.hour {
+		w.hour, w.peak = hour, peak
+	} else if hour == w.hour {
+		w.peak = max(w.peak, peak)
+	}
+}
+
+func (w *Week) learn(slot, peak int) {
+	s := w.hours[slot]
+	if s == nil {
+		s = newSketch()
+		w.hours[slot] = s
+	}
+	if !s.IsEmpty() {
+		_ = s.Reweight(fades) // fails for weights that are not above 0 only
+	}
+	_ = s.Add(float64(peak)) // fails for values that no peak has
+}
+
+// Quantile is the most that a share q of the peaks has needed in any of the hours
+// from now until lead is over; what this hour has already needed counts too.
+func (w *Week) Quantile(now time.Time, lead time.Duration, q float64) int {
+	most := 0
+	if hourOf(now) == w.hour {
+		most = w.peak
+	}
+	// This hour may yet bring what it brings every week.
+	for h := hourOf(now); h <= hourOf(now.Add(lead)); h++ {
+		s := w.hours[Slot(time.Unix(h*3600, 0))]
+		if s == nil || s.IsEmpty() {
+			continue
+		}
+		if v, err := s.GetValueAtQuantile(q); err == nil {
+			most = max(most, int(math.Round(v)))
+		}
+	}
+	return most
+}
+
+// Day writes what is known of a day's hours as text, for a record; an hour of
+// which nothing is known is empty.
+func (w *Week) Day(day int) []string {
+	out := make([]string, 24)
+	for i := range out {
+		if s := w.hours[day*24+i]; s != nil && !s.IsEmpty() {
+			var b []byte
+			s.Encode(&b, true)
+			out[i] = base64.RawStdEncoding.EncodeToString(b)
+		}
+	}
+	return out
+}
+
+// LoadDay takes in what Day wrote. An hour that can't be read is left out and
+// named.
+func (w *Week) LoadDay(day int, text []string) error {
+	if day < 0 || day > 6 {
+		return fmt.Errorf("pools: there is no day %d", day)
+	}
+	var first error
+	for i := 0; i < len(text) && i < 24; i++ {
+		if text[i] == "" {
+			continue
+		}
+		s, err := readSketch(text[i])
+		if err != nil {
+			if first == nil {
+				first = fmt.Errorf("pools: hour %d of day %d: %w", i, day, err)
+			}
+			continue
+		}
+		w.hours[day*24+i] = s
+	}
+	return first
+}
+
+func readSketch(text string) (*ddsketch.DDSketch, error) {
+	b, err := base64.RawStdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	s := newSketch()
+	if err := s.DecodeAndMergeWith(b); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
