Machines of warm pools are kept from other work in placement; the fakes' machines cache and share

A request says what it may do with each pool's machines: nothing, borrow room beside the weights, take it as the last resort, or use it as what the pool is for. Without pools the plan is the same to the letter. The stand-in's machines have a cache with the catalogue's limit, evict the least recently used image that is not in use, share their fetch rate and give up fetches nobody waits for.

--- /dev/null
+++ b/internal/fake/cache.go
@@ -0,0 +1,121 @@
+package fake
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// cache is what images a machine has, the most recently used last, and what it is
+// fetching. The world's lock guards it.
+type cache struct {
+	order   []string
+	size    map[string]float64
+	fetches map[string]float64 // GB left, by image
+	last    time.Time          // when fetches last went on
+}
+
+func (c *cache) has(image string) bool { return slices.Contains(c.order, image) }
+
+// use makes an image the most recently used, and evicts what no longer fits
+// beside it and is not in use.
+func (c *cache) use(image string, gb, limit float64, inUse func(string) bool) {
+	if c.size == nil {
+		c.size = map[string]float64{}
+	}
+	c.size[image] = gb
+	c.order = append(slices.DeleteFunc(c.order, func(i string) bool { return i == image }), image)
+	total := 0.0
+	for _, i := range c.order {
+		total += c.size[i]
+	}
+	for _, i := range slices.Clone(c.order) {
+		if total <= limit {
+			return
+		}
+		if i != image && !inUse(i) {
+			total -= c.size[i]
+			delete(c.size, i)
+			c.order = slices.DeleteFunc(c.order, func(o string) bool { return o == i })
+		}
+	}
+}
+
+// fetch begins a fetch, unless the image is there or on its way.
+func (c *cache) fetch(image string, gb float64) {
+	if c.fetches == nil {
+		c.fetches = map[string]float64{}
+	}
+	if _, ok := c.fetches[image]; !ok && !c.has(image) {
+		c.fetches[image] = gb
+	}
+}
+
+// fetchOn lets fetches go on: those under way share the machine's rate, and one
+// that no task waits for is given up. The world's lock is held.
+func (m *machine) fetchOn(now time.Time) {
+	wanted := map[string]bool{}
+	for _, t := range m.tasks {
+		if t.state == wire.TaskFetching && t.job != nil {
+			wanted[t.job.Image] = true
+		}
+	}
+	for image := range m.cache.fetches {
+		if !wanted[image] {
+			delete(m.cache.fetches, image)
+		}
+	}
+	took := now.Sub(m.cache.last).Seconds()
+	m.cache.last = now
+	n := len(m.cache.fetches)
+	if n > 0 {
+		m.w.fetching[m.name] = true
+	} else {
+		delete(m.w.fetching, m.name)
+	}
+	m.w.fetchedMost = max(m.w.fetchedMost, len(m.w.fetching))
+	for image := range m.cache.fetches {
+		m.cache.fetches[image] -= took * math.Max(m.typ.FetchGBPS, 0.1) / float64(n)
+	}
+}
+
+// fetched says whether a task's image is there now, and notes that it is used.
+func (m *machine) fetched(t *task) bool {
+	if !m.cache.has(t.job.Image) && m.cache.fetches[t.job.Image] > 1e-9 {
+		return false
+	}
+	delete(m.cache.fetches, t.job.Image)
+	m.cache.use(t.job.Image, t.job.ImageGB, m.typ.CacheGB, func(image string) bool {
+		for _, o := range m.tasks {
+			if o.job != nil && o.job.Image == image && o.state != wire.TaskExited {
+				return true
+			}
+		}
+		return false
+	})
+	return true
+}
+
+// FetchedMost is on how many machines images were fetched at the same time, at
+// most so far.
+func (w *World) FetchedMost() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fetchedMost
+}
+
+// Cached lists the machines that have an image.
+func (w *World) Cached(image string) []string {
+	var out []string
+	for _, name := range w.Cloud.Machines() {
+		m := w.Cloud.machine(name)
+		w.mu.Lock()
+		if m.cache.has(image) {
+			out = append(out, name)
+		}
+		w.mu.Unlock()
+	}
+	return out
+}
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -61,7 +60,7 @@
 	token   uint64
 	tasks   map[taskKey]*task
 	order   []taskKey
-	images  map[string]bool
+	cache   cache
 	renewed time.Time
 	node    int
 	dirty   bool
@@ -75,7 +74,7 @@
 func newMachine(w *World, name string, typ wire.MachineType, zone string, spot bool, boot time.Duration) *machine {
 	ctx, end := context.WithCancel(w.ctx)
 	m := &machine{w: w, name: name, addr: name + ":9000", typ: typ, zone: zone, spot: spot, born: time.Now(),
-		boot: boot, ctx: ctx, end: end, session: 1, tasks: map[taskKey]*task{}, images: map[string]bool{}}
+		boot: boot, ctx: ctx, end: end, session: 1, tasks: map[taskKey]*task{}}
 	m.hc = call.NewClient(w.Net.Dial(name), 2, 2)
 	w.wg.Add(1)
 	go func() { defer w.wg.Done(); m.run() }()
@@ -94,6 +93,7 @@
 	if !m.dead {
 		m.dead = true
 		m.clear()
+		delete(m.w.fetching, m.name)
 	}
 	m.w.mu.Unlock()
 	m.w.Net.SetDown(m.name, true)
@@ -159,13 +159,13 @@
 
 // step lets the time pass for what is on the machine.
 func (m *machine) step(now time.Time) {
+	m.fetchOn(now)
 	for _, k := range append([]taskKey(nil), m.order...) {
 		t := m.tasks[k]
 		if t == nil || t.state == wire.TaskExited {
 			continue
 		}
-		if t.state == wire.TaskFetching && !now.Before(t.ready) {
-			m.images[t.job.Image] = true
+		if t.state == wire.TaskFetching && !now.Before(t.ready) && m.fetched(t) {
 			t.state, t.waiting = wire.TaskRunning, now
 			if t.job.Kind == wire.KindGang {
 				t.state = wire.TaskWaiting
@@ -331,9 +331,7 @@
 		return
 	}
 	t.ready = now.Add(100 * time.Millisecond)
-	if !m.images[t.job.Image] {
-		t.ready = now.Add(secs(t.job.ImageGB / math.Max(m.typ.FetchGBPS, 0.1)))
-	}
+	m.cache.fetch(t.job.Image, t.job.ImageGB)
 	m.dirty = true
 }
 
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -47,7 +47,10 @@
 	started  int
 	ran      map[string]int // starts of tasks of other doors' jobs, each of which runs once
 	expired  int            // workers' leases that ended, with tasks
-	broken   []string
+	fetching map[string]bool
+	// fetchedMost is on how many machines images were fetched at the same time.
+	fetchedMost int
+	broken      []string
 }
 
 // job is what the users and the checker know of a job.
@@ -132,7 +135,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
-		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}}
+		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, fetching: map[string]bool{}}
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
 		answers: map[string][]string{}, machines: map[string]*machine{}}
 	w.serve("state:1", w.State)
@@ -410,7 +413,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if id, _, ok := wire.SplitTask(task); ok && w.jobs[id] != nil {
-		m.images[w.jobs[id].spec.Image] = true
+		m.cache.use(w.jobs[id].spec.Image, w.jobs[id].spec.ImageGB, m.typ.CacheGB, func(string) bool { return true })
 	}
 	// At once, before any controller can notice: what the checker sees must not
 	// depend on who is faster.
--- a/placement/classes.go
+++ b/placement/classes.go
@@ -14,10 +14,11 @@
 
 // classKey is all that a search for room looks at.
 type classKey struct {
-	typ, zone, images              int
+	typ, zone, images, pool        int
 	spot, ready                    bool
 	free, coming, cap              Res
 	eta, price, fetch, queue, slow float64
+	poolGB                         float64
 }
 
 // class is the machines with one key.
@@ -64,7 +65,7 @@
 func (c *classes) moved(machines []Machine, i int) {
 	m := &machines[i]
 	key := classKey{typ: m.Type, zone: m.Zone, images: c.images[i], spot: m.Spot, ready: m.Ready, free: m.Free, coming: m.Coming, cap: m.Cap,
-		eta: m.ETA, price: m.Price, fetch: m.FetchRate, queue: m.Backlog, slow: m.Slow}
+		eta: m.ETA, price: m.Price, fetch: m.FetchRate, queue: m.Backlog, slow: m.Slow, pool: m.Pool, poolGB: m.PoolGB}
 	old := c.of[i]
 	if old != nil {
 		if old.key == key {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,6 +51,8 @@
 	Images    []ImageAt // images that are there or on their way
 	Slow      float64   // penalty in seconds for a machine that is suspect
 	Tasks     []Occupant
+	Pool      int     // 1 and more: the warm pool that it belongs to
+	PoolGB    float64 // images that fit beside the pool's weights without evicting them
 }
 
 // ImageAt is an image that a machine has, or will have after so many seconds.
@@ -94,6 +96,7 @@
 	Hold      bool   // machines are kept from later requests until they have room for this one
 	Spare     bool   // takes free room only: nothing is kept, stopped or rented for it
 	First     []bool // types to be tried first, also by stopping others there
+	Pools     []Use  // what it may do with each pool's machines; what is missing: nothing
 }
 
 // Offer is a kind of machine that may be rented.
--- /dev/null
+++ b/placement/pools.go
@@ -0,0 +1,66 @@
+package placement
+
+// This file is about machines of warm pools, which hold a model's weights for work
+// that is to come.
+
+// Use says what a request may do with a pool's machines.
+type Use uint8
+
+// Uses.
+const (
+	Never Use = iota // the room is the pool's
+	Lent             // as long as the weights stay there, until the pool wants the room back
+	Last             // where there is no other room, whatever becomes of the weights
+	Own              // as what the pool is for
+)
+
+const (
+	lentCost = 60   // seconds of delay that borrowing counts for
+	lastCost = 1000 // more than any boot: another machine is taken if one is up
+	ownGain  = 2    // of two machines with the weights, the pool's is taken
+)
+
+func (m *Machine) use(r *Request) Use {
+	if m.Pool > len(r.Pools) {
+		return Never
+	}
+	return r.Pools[m.Pool-1]
+}
+
+// admits says whether the request may use the machine as far as pools go.
+func admits(m *Machine, r *Request) bool {
+	if m.Pool == 0 {
+		return true
+	}
+	switch m.use(r) {
+	case Own, Last:
+		return true
+	case Lent:
+		_, there := m.Image(r.Image)
+		return there || r.ImageGB <= m.PoolGB
+	}
+	return false
+}
+
+func poolCost(m *Machine, r *Request) float64 {
+	if m.Pool == 0 {
+		return 0
+	}
+	switch m.use(r) {
+	case Own:
+		return -ownGain
+	case Lent:
+		return lentCost
+	}
+	return lastCost
+}
+
+// bookPool books what a borrower's image takes beside the weights.
+func bookPool(m *Machine, r *Request, sign float64) {
+	if m.Pool == 0 || m.use(r) != Lent {
+		return
+	}
+	if _, there := m.Image(r.Image); !there {
+		m.PoolGB -= sign * r.ImageGB
+	}
+}
--- a/placement/search.go
+++ b/placement/search.go
@@ -117,7 +117,7 @@
 		if md == byStopping && (o.Priority > r.Priority || r.Within && !(o.Within && o.Team == r.Team)) {
 			continue
 		}
-		if slices.Equal(o.Types, r.Types) {
+		if slices.Equal(o.Types, r.Types) && slices.Equal(o.Pools, r.Pools) {
 			return true
 		}
 	}
@@ -137,7 +137,7 @@
 	if (md == booting) == m.Ready {
 		return false
 	}
-	return r.Types[m.Type] && (r.Zone < 0 || r.Zone == m.Zone) && (!m.Spot || r.Spot) && !r.Avoid[idx]
+	return r.Types[m.Type] && (r.Zone < 0 || r.Zone == m.Zone) && (!m.Spot || r.Spot) && !r.Avoid[idx] && admits(m, r)
 }
 
 func room(m *Machine, md mode) Res {
@@ -150,7 +150,7 @@
 // cost ranks the machines that fit, in seconds: what the start is delayed by,
 // and what it takes away from others.
 func cost(m *Machine, r *Request, free Res) float64 {
-	c := m.Slow + m.ETA
+	c := m.Slow + m.ETA + poolCost(m, r)
 	if left, ok := m.Image(r.Image); ok {
 		c += left
 	} else if m.FetchRate > 0 {
@@ -262,6 +262,7 @@
 func (p *planner) book(r *Request, machine int, sign float64) {
 	m := &p.in.Machines[machine]
 	m.Free = m.Free.Add(r.Need, -sign)
+	bookPool(m, r, sign)
 	if r.ZoneUsed != nil {
 		r.ZoneUsed[m.Zone] += int(sign)
 	}
--- a/pools/choose.go
+++ b/pools/choose.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/umberdeal/umberdeal/placement"
 )
 
 // This file says which machines a pool takes, fills and lets go.
@@ -169,17 +171,6 @@
 	return out
 }
 
-// Use says what a team's work may do with a pool's machines.
-type Use uint8
-
-// Uses. The order is that of preference: later ones take more.
-const (
-	Never Use = iota // the room is the pool's
-	Lent             // as long as the weights stay, until the pool wants it back
-	Last             // only where there is no other room: of a higher tier than the model's replicas
-	Own              // replicas of the model
-)
-
 // Work is what a job looks like to a pool.
 type Work struct {
 	Image   string
@@ -195,14 +186,14 @@
 
 // May says what work may do with the pool's machines. What borrows has to give way
 // to replicas by the rules of priorities, and within the time that a burst leaves.
-func (p *Pool) May(w *Work) Use {
+func (p *Pool) May(w *Work) placement.Use {
 	switch {
 	case p.Serves(w.Image) && p.Lends(w.Team):
-		return Own
+		return placement.Own
 	case w.Tier < w.ModelIn || w.Tier == w.ModelIn && w.Rank < w.ModelOf:
-		return Last
+		return placement.Last
 	case p.Lends(w.Team) && !w.Gang && w.Rank > w.ModelOf && w.CanSave && w.SavesS <= p.Burst.WithinS:
-		return Lent
+		return placement.Lent
 	}
-	return Never
+	return placement.Never
 }
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/umberdeal/umberdeal/placement"
 )
 
 func llm() Pool {
@@ -239,17 +241,17 @@
 	replicas := Work{Image: "llm-70b:v2", Team: "speech", Rank: 1, ModelOf: 1}
 	for _, c := range []struct {
 		name string
-		want Use
+		want placement.Use
 		as   func(w *Work)
 	}{
-		{"a replica of a newer version", Own, func(*Work) {}},
-		{"a replica of a team that does not borrow", Never, func(w *Work) { w.Team = "guests" }},
-		{"clinic work", Last, func(w *Work) { w.Image, w.Team, w.Tier, w.ModelIn = "slicer", "clinic", 0, 1 }},
-		{"work of a higher priority", Last, func(w *Work) { w.Image, w.Team, w.Rank = "x", "guests", 0 }},
-		{"work that saves in time", Lent, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 5 }},
-		{"work that saves too slowly", Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 50 }},
-		{"work that replicas may not stop", Never, func(w *Work) { w.Image, w.Team, w.CanSave = "x", "vision", true }},
-		{"a gang", Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.Gang = "x", "vision", 3, true, true }},
+		{"a replica of a newer version", placement.Own, func(*Work) {}},
+		{"a replica of a team that does not borrow", placement.Never, func(w *Work) { w.Team = "guests" }},
+		{"clinic work", placement.Last, func(w *Work) { w.Image, w.Team, w.Tier, w.ModelIn = "slicer", "clinic", 0, 1 }},
+		{"work of a higher priority", placement.Last, func(w *Work) { w.Image, w.Team, w.Rank = "x", "guests", 0 }},
+		{"work that saves in time", placement.Lent, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 5 }},
+		{"work that saves too slowly", placement.Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.SavesS = "x", "vision", 3, true, 50 }},
+		{"work that replicas may not stop", placement.Never, func(w *Work) { w.Image, w.Team, w.CanSave = "x", "vision", true }},
+		{"a gang", placement.Never, func(w *Work) { w.Image, w.Team, w.Rank, w.CanSave, w.Gang = "x", "vision", 3, true, true }},
 	} {
 		w := replicas
 		c.as(&w)
