The leader keeps warm pools: machines held, filled, lent, returned and charged

A model's replicas start at once only where its weights are; a fetch of 80 GB takes more than a minute. Pools of the plan now hold machines with the weights ahead of the hours that repeat. Members, their open spans, hits and peaks are records of the plan's parts, so that a leader goes on where the one before ended; machines are let go only once that is recorded. Weights are fetched by reserved jobs of one task for one machine, in turn. Other work stays off these machines, borrows them where it can be stopped in time, or takes them as a last resort, which is counted. Stories with failing controllers: death between record, rental, fetch, hold and return; rentals late, never and twice; machines that die, hang or are taken back as a burst begins; a new version of the model; two models that don't fit together; higher work; an outage in a burst; workers that know no such jobs.

--- a/cluster/classes.go
+++ b/cluster/classes.go
@@ -38,6 +38,9 @@
 }
 
 func (m *Model) arrival(j *Job, now time.Time) {
+	if m.fetches(j) {
+		return // nothing is to be expected of these
+	}
 	c := m.classes[j.Spec.Class]
 	if c == nil {
 		if len(m.classes) >= 64 {
--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -84,7 +84,9 @@
 			why = neverUp
 		case !mc.Up && mc.Session > 0 && listed && now.Sub(m.leaseOver(mc)) > 40*time.Second:
 			why = "silent"
-		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second:
+		case mc.Up && mc.Shown && m.letGo(mc):
+			why = "pool"
+		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second && !m.keptByPool(mc):
 			why = "idle"
 		}
 		if why != "" {
--- a/cluster/cycle.go
+++ b/cluster/cycle.go
@@ -115,7 +115,7 @@
 	groups := map[string][]*Machine{}
 	var names []string
 	for _, mc := range m.Machines {
-		if m.ready(mc, now) {
+		if m.ready(mc, now) && !m.keptByPool(mc) {
 			g := groupName(m.Types[mc.Type].Name, m.Zones[mc.Zone])
 			if groups[g] == nil {
 				names = append(names, g)
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -58,6 +58,9 @@
 	exits   map[exitKey]*exit
 	errors  []errorAt
 	speed   float64
+	pool    int    // 1 and more: the warm pool that it belongs to
+	worked  bool   // has had a task
+	learnt  uint64 // the session for which an earlier leader's word on its images was taken
 }
 
 type exitKey struct {
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -60,6 +60,9 @@
 	refused    map[offerKey]time.Time
 	plan       Plan
 	notes      notes
+	pools      []*pool
+	poolsAt    time.Time // not before then the pools' next step
+	fetchNo    int       // of the last fetch of a pool's weights
 	classes    map[string]*class
 
 	// Reused from pass to pass.
--- a/cluster/place.go
+++ b/cluster/place.go
@@ -36,6 +36,7 @@
 	mc.Tasks[Ref{Job: j.Idx, Task: task}] = true
 	m.fresh = append(m.fresh, Ref{Job: j.Idx, Task: task})
 	mc.Used = mc.Used.Add(j.Need, 1)
+	mc.worked = true
 	j.Placed++
 	j.Chunks[int(task)/ledger.ChunkSize].Placed++
 	if mc.Zone >= 0 {
--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -41,7 +41,9 @@
 
 // planChanged tells the plan's parts; the plan may have been read for the first
 // time, before any job is known.
-func (m *Model) planChanged(time.Time) {}
+func (m *Model) planChanged(now time.Time) {
+	m.poolsChanged(now)
+}
 
 // takeBack takes placements back that are not committed, and says how many.
 func (m *Model) takeBack(now time.Time) int {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -146,14 +146,17 @@
 	}
 }
 
-func (m *Model) hasImage(mc *Machine, j *Job) {
+func (m *Model) hasImage(mc *Machine, j *Job) { m.addImage(mc, j.Image) }
+
+// addImage makes an image a machine's most recently used one.
+func (m *Model) addImage(mc *Machine, image int32) {
 	for i, im := range mc.images {
-		if im == j.Image {
+		if im == image {
 			mc.images = append(mc.images[:i], mc.images[i+1:]...)
 			break
 		}
 	}
-	mc.images = append(mc.images, j.Image)
+	mc.images = append(mc.images, image)
 	if mc.Type < 0 {
 		return
 	}
@@ -469,6 +472,7 @@
 			m.evacuate(mc, now)
 		}
 	}
+	m.stepPools(now)
 }
 
 // recall takes back what was placed on a machine that has fallen silent and
--- a/cluster/reserve.go
+++ b/cluster/reserve.go
@@ -72,6 +72,7 @@
 		return
 	}
 	t.End = how
+	m.fetchEnded(j, how, now)
 	m.markDone(j, task, now)
 }
 
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -57,6 +57,7 @@
 			r.Avoid = avoid
 		}
 		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
+		r.Pools = m.poolUses(reqs[k].j)
 		in.Requests = append(in.Requests, r)
 	}
 	for _, r := range m.phantoms(jobs, now) {
@@ -70,7 +71,9 @@
 	plan := placement.Make(&in)
 	m.viewBuf = in.Machines
 
-	return m.carryOut(plan, in.Requests, job, back, offers, now)
+	d := m.carryOut(plan, in.Requests, job, back, offers, now)
+	m.poolRent(d.Rent, offers, in.RentMax)
+	return d
 }
 
 // carryOut takes a plan into the model. job is whose each request is, nil for
@@ -92,6 +95,7 @@
 			a = j.Attempt
 			attempts[j.Idx] = a
 		}
+		m.poolPlaced(j, s.Task, mc)
 		m.place(j, s.Task, mc, a, now)
 		c := m.touch(j, s.Task)
 		c.PlaceGen = c.Gen
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -10,11 +10,12 @@
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
 	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
+	Pools     []PoolSummary
 }
 
 // Summary counts what is there; its cost grows with machines and open tasks.
 func (m *Model) Summary(now time.Time) Summary {
-	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}}
+	s := Summary{Pools: m.poolSummaries(), Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}}
 	least := -1.0
 	for _, mc := range m.Machines {
 		switch {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -152,6 +152,7 @@
 		m.imageBuf = append(m.imageBuf, placement.ImageAt{Image: im})
 	}
 	v.Images, v.Tasks = m.imageBuf[images:], m.taskBuf[tasks:]
+	m.poolView(mc, &v)
 	return v, true
 }
 
--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -23,6 +23,7 @@
 	Show    planShowCmd    `cmd:"" help:"Print the plan that holds, or an earlier version."`
 	History planHistoryCmd `cmd:"" help:"List the last versions: who, when, and what changed."`
 	Check   planCheckCmd   `cmd:"" help:"Check a file without applying it."`
+	Pools   planPoolsCmd   `cmd:"" help:"Show each warm pool as recorded: machines, holds, hits, misses, cost by team."`
 }
 
 // stateFlags lead to the state service by way of a node's settings.
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -96,7 +96,7 @@
 	}()
 	ready()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes} {
+	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes, l.fillPools} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(ctx) }()
 	}
--- /dev/null
+++ b/controller/pools_test.go
@@ -0,0 +1,477 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/pools"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// poolWorld has machines with a cache of 100 GB; an image of 40 GB takes 40 s.
+func poolWorld(machines, capacity int) fake.Options {
+	typ := fake.DefaultType
+	typ.CacheGB = 100
+	return fake.Options{Machines: machines, Capacity: capacity, Types: []wire.MachineType{typ},
+		Teams: []config.Team{{Name: "core"}, {Name: "speech"}, {Name: "clinic"}}}
+}
+
+// poolPlan is a plan with one pool of that many machines.
+func poolPlan(least, most int, more string) string {
+	return fmt.Sprintf(`note = "pools"
+[[pools]]
+name = "llm"
+model = "llm:v1"
+gb = 40
+types = ["m8"]
+zones = ["a", "b"]
+least = %d
+most = %d
+burst = { replicas = 4, within_s = 10 }
+cost_an_hour = 100
+payer = "speech"
+borrowers = ["core"]
+%s`, least, most, more)
+}
+
+// storyStore is the state service as an operator's command sees it.
+func storyStore(w *fake.World) *state.Client {
+	return state.New(w.Net.Dial("user"), "state:1", 200, 60)
+}
+
+// applyPlan makes a text the plan, on top of that version.
+func applyPlan(t *testing.T, w *fake.World, base int, text string) {
+	t.Helper()
+	var err error
+	for range 30 { // until every node is known to read plans
+		_, err = ledger.ApplyPlan(context.Background(), storyStore(w), ledger.Limits{TxnOps: 12, ValueKB: 16},
+			ledger.PlanChange{Base: base, Text: text, By: "story", At: time.Now()})
+		if err == nil {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatal(err)
+}
+
+// poolState reads what is recorded of the pool.
+func poolState(t *testing.T, w *fake.World) pools.State {
+	t.Helper()
+	notes := map[string]wire.Raw{}
+	for _, k := range w.State.Keys(ledger.Notes) {
+		notes[strings.TrimPrefix(k, ledger.Notes)] = w.State.Value(k)
+	}
+	all, bad := pools.ReadStates(notes)
+	if len(all) > 1 || len(bad) > 0 {
+		t.Fatalf("%d pools recorded, unreadable: %v", len(all), bad)
+	}
+	if len(all) == 0 {
+		return pools.State{Shards: make([]pools.Shard, 1)} // not yet
+	}
+	return all[0]
+}
+
+// mustBePaid checks that what the teams owe is what the machines cost.
+func mustBePaid(t *testing.T, s pools.State) {
+	t.Helper()
+	teams, machines := pools.Totals(s.Shards)
+	ms, micro := int64(0), int64(0)
+	for _, c := range teams {
+		ms, micro = ms+c.Ms, micro+c.Micro
+	}
+	if ms != machines.Ms || micro != machines.Micro || ms == 0 {
+		t.Errorf("teams owe %d ms, %d; machines %+v", ms, micro, machines)
+	}
+	seen := map[string]bool{}
+	for _, sh := range s.Shards {
+		for _, m := range sh.Members {
+			// From when it joined to the end of the last span, and not a moment twice.
+			if there := sh.AtMs - m.SinceMs; m.Cost.Ms != max(there, 0) {
+				t.Errorf("%s is charged for %d ms of %d", m.Machine, m.Cost.Ms, there)
+			}
+			if seen[m.Machine] {
+				t.Errorf("%s is in the pool twice", m.Machine)
+			}
+			seen[m.Machine] = true
+		}
+	}
+}
+
+// awaitWarm waits until so many machines have an image.
+func awaitWarm(t *testing.T, w *fake.World, image string, n int, within time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(within); len(w.Cached(image)) < n; time.Sleep(time.Second) {
+		if time.Now().After(end) {
+			t.Fatalf("%d machines have %s, not %d, after %v", len(w.Cached(image)), image, n, within)
+		}
+	}
+}
+
+func replicas(n, count int) wire.Job {
+	return job(n, func(j *wire.Job) {
+		j.Kind, j.Class, j.Team, j.EstimateS, j.Tasks, j.CPUs = wire.KindService, "serve", "speech", 0, count, 8
+		j.Image, j.ImageGB = "llm:v1", 40
+	})
+}
+
+func TestAPoolHoldsWeightsAheadOfABurst(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitWarm(t, w, "llm:v1", 4, 5*time.Minute)
+		if n := w.FetchedMost(); n > 2 {
+			t.Errorf("%d machines fetched at the same time", n)
+		}
+		time.Sleep(10 * time.Minute)
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines hold the weights after a while of nothing", n)
+		}
+		at := time.Now()
+		mustSubmit(t, w, replicas(1, 4))
+		for len(w.On("wk-000001/0"))+len(w.On("wk-000001/1"))+len(w.On("wk-000001/2"))+len(w.On("wk-000001/3")) < 4 {
+			time.Sleep(100 * time.Millisecond)
+			if time.Since(at) > 15*time.Second {
+				t.Fatal("the replicas do not run within 15 s: their weights were to be there")
+			}
+		}
+		time.Sleep(10 * time.Second)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		hits := int64(0)
+		for _, sh := range s.Shards {
+			hits += sh.Hits
+		}
+		if hits != 4 || s.Note.Held != 4 {
+			t.Errorf("%d hits, %+v", hits, s.Note)
+		}
+	})
+}
+
+// awaitPool waits until what is recorded of the pool is as wanted.
+func awaitPool(t *testing.T, w *fake.World, what string, within time.Duration, ok func(s pools.State) bool) pools.State {
+	t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(500 * time.Millisecond) {
+		s := poolState(t, w)
+		if ok(s) {
+			return s
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not %s within %v: %+v", what, within, s)
+		}
+	}
+}
+
+func full(n int) func(pools.State) bool {
+	return func(s pools.State) bool { return s.Note.Held == n && s.Note.Warm == n }
+}
+
+// loseLeader ends the leader, and starts its node again a while later.
+func loseLeader(w *fake.World) {
+	i := w.Leader()
+	w.KillNode(i)
+	time.Sleep(12 * time.Second)
+	w.StartNode(i)
+}
+
+func TestALeaderDiesWhileAPoolGrows(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(t *testing.T, w *fake.World)
+	}{
+		{"between record and rental", func(t *testing.T, w *fake.World) {
+			w.Cloud.SetOutage(true)
+			for len(w.State.Keys(ledger.Rentals)) == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			w.KillNode(w.Leader())
+			w.Cloud.SetOutage(false)
+		}},
+		{"while the rental is not answered", func(t *testing.T, w *fake.World) {
+			w.Cloud.SetSilent(true)
+			for len(w.Cloud.Machines()) == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			w.KillNode(w.Leader())
+			w.Cloud.SetSilent(false)
+		}},
+		{"between rental and fetch", func(t *testing.T, w *fake.World) {
+			for len(w.Cloud.Machines()) < 4 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			w.KillNode(w.Leader())
+		}},
+		{"while weights are fetched, and all others too", func(t *testing.T, w *fake.World) {
+			for w.FetchedMost() == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			for i := range 3 {
+				w.KillNode(i)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				w.StartNode(i)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 12), func(t *testing.T, w *fake.World) {
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				c.tell(t, w)
+				awaitWarm(t, w, "llm:v1", 4, 8*time.Minute)
+				s := awaitPool(t, w, "full", 3*time.Minute, full(4))
+				mustBePaid(t, s)
+				if w.FetchedMost() > 2 {
+					t.Errorf("%d machines fetched at the same time", w.FetchedMost())
+				}
+				time.Sleep(8 * time.Minute) // what was rented twice is returned
+				if n := len(w.Cloud.Machines()); n != 4 {
+					t.Errorf("%d machines", n)
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestALeaderDiesBetweenHoldAndReturn(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		applyPlan(t, w, 1, poolPlan(1, 4, ""))
+		awaitPool(t, w, "letting go", time.Minute, func(s pools.State) bool {
+			for _, m := range s.Shards[0].Members {
+				if m.Leaving {
+					return true
+				}
+			}
+			return false
+		})
+		loseLeader(w)
+		s := awaitPool(t, w, "small", 3*time.Minute, func(s pools.State) bool { return len(s.Shards[0].Members) == 1 })
+		mustBePaid(t, s)
+		if n := len(w.Cloud.Machines()); n != 1 || len(w.Cached("llm:v1")) != 1 {
+			t.Errorf("%d machines, %d with weights", n, len(w.Cached("llm:v1")))
+		}
+		if s.Shards[0].Closed.Ms < 3*60_000 {
+			t.Errorf("three machines are charged for %d ms", s.Shards[0].Closed.Ms)
+		}
+	})
+}
+
+func TestTheCloudRentsLateNeverOrTwice(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(w *fake.World)
+	}{
+		{"late", func(w *fake.World) { w.Cloud.SetSlow(40 * time.Second) }},
+		{"some never", func(w *fake.World) {
+			w.Cloud.SetBoots(func(n int) time.Duration {
+				if n%2 == 0 && n < 4 {
+					return -1
+				}
+				return 10 * time.Second
+			})
+		}},
+		{"twice", func(w *fake.World) {
+			w.Cloud.SetSilent(true)
+			time.AfterFunc(25*time.Second, func() { w.Cloud.SetSilent(false) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 12), func(t *testing.T, w *fake.World) {
+				c.tell(w)
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				time.Sleep(30 * time.Second)
+				loseLeader(w)
+				awaitPool(t, w, "full", 10*time.Minute, full(4))
+				time.Sleep(8 * time.Minute)
+				if n := len(w.Cloud.Machines()); n != 4 {
+					t.Errorf("%d machines", n)
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestAPoolMachineIsLostAsABurstBegins(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(w *fake.World, name string)
+	}{
+		{"dies", func(w *fake.World, n string) { w.KillMachine(n) }},
+		{"hangs", func(w *fake.World, n string) { w.Hang(n, true) }},
+		{"is taken back", func(w *fake.World, n string) {
+			w.Notice(n, 8*time.Second)
+			time.AfterFunc(8*time.Second, func() { w.KillMachine(n) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				awaitPool(t, w, "full", 10*time.Minute, full(4))
+				c.lose(w, w.Cached("llm:v1")[0])
+				mustSubmit(t, w, replicas(1, 4))
+				loseLeader(w)
+				run := func() (n int) {
+					for i := range 4 {
+						n += len(w.On(fmt.Sprintf("wk-000001/%d", i)))
+					}
+					return n
+				}
+				if run() < 3 {
+					t.Errorf("%d replicas run 12 s after the burst, three had a healthy machine with weights", run())
+				}
+				mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+				awaitPool(t, w, "whole again", 10*time.Minute, full(4))
+				for end := time.Now().Add(3 * time.Minute); run() < 4 && time.Now().Before(end); {
+					time.Sleep(time.Second)
+				}
+				if run() != 4 {
+					t.Errorf("%d replicas run", run())
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestAModelsImageChangesOvernight(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		// The plan names v1; what comes is v2.
+		mustSubmit(t, w, job(1, func(j *wire.Job) { *j = replicas(1, 1); j.Image = "llm:v2" }))
+		loseLeader(w)
+		awaitWarm(t, w, "llm:v2", 4, 8*time.Minute)
+		s := awaitPool(t, w, "full of the new version", 2*time.Minute, full(4))
+		if s.Note.Image != "llm:v2" || w.FetchedMost() > 2 {
+			t.Errorf("%+v, %d fetched at the same time", s.Note, w.FetchedMost())
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestTwoPoolsWhoseWeightsDoNotFitTogether(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		second := strings.Replace(strings.Replace(poolPlan(2, 2, ""), `name = "llm"`, `name = "asr"`, 1), `model = "llm:v1"`, `model = "asr:v1"`, 1)
+		_, second, _ = strings.Cut(second, "\n")
+		text := strings.ReplaceAll(poolPlan(2, 2, "")+"\n"+second, "gb = 40", "gb = 60")
+		applyPlan(t, w, 0, text)
+		awaitWarm(t, w, "llm:v1", 2, 10*time.Minute)
+		awaitWarm(t, w, "asr:v1", 2, 5*time.Minute)
+		loseLeader(w)
+		time.Sleep(5 * time.Minute)
+		a, b := w.Cached("llm:v1"), w.Cached("asr:v1")
+		if len(a) != 2 || len(b) != 2 || len(w.Cloud.Machines()) != 4 {
+			t.Errorf("%v hold the one, %v the other, of %v", a, b, w.Cloud.Machines())
+		}
+	})
+}
+
+func TestClinicWorkTakesThePoolsRoom(t *testing.T) {
+	story(t, poolWorld(0, 4), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		other := func(n int, team, rank string) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Team, j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = team, rank, 1, 8, 60, "slicer", 70
+			})
+		}
+		mustSubmit(t, w, other(1, "clinic", wire.PriorityNormal), other(2, "clinic", wire.PriorityHigh))
+		mustReach(t, w, "wk-000002", wire.JobDone, 4*time.Minute)
+		if s := w.On("wk-000001/0"); len(s) > 0 {
+			t.Errorf("work of no higher tier took a pool's machine: %v", s)
+		}
+		loseLeader(w)
+		s := awaitPool(t, w, "full again", 5*time.Minute, full(4))
+		if s.Shards[0].Ceded != 1 || !strings.Contains(s.Shards[0].Why, "wk-000002/0 of clinic") || s.Shards[0].Teams["clinic"].Ms < 50_000 {
+			t.Errorf("recorded: %+v", s.Shards[0])
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestThePoolIsLentToWorkThatStopsInTime(t *testing.T) {
+	story(t, poolWorld(0, 4), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		mustSubmit(t, w, job(1, func(j *wire.Job) {
+			j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.CheckpointS, j.SaveS, j.Image = wire.PriorityLow, 4, 8, 600, 60, 3, "craft"
+		}))
+		mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+		time.Sleep(time.Minute)
+		at := time.Now()
+		mustSubmit(t, w, replicas(2, 4))
+		loseLeader(w)
+		for len(w.On("wk-000002/0"))*len(w.On("wk-000002/1"))*len(w.On("wk-000002/2"))*len(w.On("wk-000002/3")) == 0 {
+			time.Sleep(100 * time.Millisecond)
+			if time.Since(at) > 35*time.Second {
+				t.Fatal("a fetch takes 40 s: the weights were to be there")
+			}
+		}
+		time.Sleep(20 * time.Second)
+		s := poolState(t, w)
+		if got := s.Shards[0].Teams["core"].Ms; got < 4*50_000 || got > 4*120_000 {
+			t.Errorf("the borrower owes %d ms for four machines and a minute or so", got)
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestTheStateServiceIsOutInABurst(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		before := awaitPool(t, w, "full", 10*time.Minute, full(4))
+		mustSubmit(t, w, replicas(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		w.State.SetOutage(true)
+		time.Sleep(time.Minute)
+		w.State.SetOutage(false)
+		mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+		time.Sleep(2 * time.Minute)
+		s := awaitPool(t, w, "full", time.Minute, full(4))
+		mustBePaid(t, s)
+		if len(s.Shards[0].Members) != 4 || s.Shards[0].AtMs-before.Shards[0].AtMs < 100_000 {
+			t.Errorf("no account of the outage: %+v", s.Shards[0])
+		}
+	})
+}
+
+func TestWithoutAPlanNothingIsRecorded(t *testing.T) {
+	story(t, poolWorld(2, 4), func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, replicas(1, 2))
+		mustReach(t, w, "wk-000001", wire.JobRunning, 2*time.Minute)
+		if keys := w.State.Keys(ledger.Notes); len(keys) > 0 {
+			t.Errorf("%v", keys)
+		}
+	})
+}
+
+func TestWorkersThatKnowNoFetchesAreFilledByReplicas(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		w.KnowNoOthers()
+		applyPlan(t, w, 0, poolPlan(2, 4, ""))
+		awaitPool(t, w, "told", 5*time.Minute, func(s pools.State) bool { return s.Note.Refused != "" })
+		mustSubmit(t, w, replicas(1, 4))
+		awaitWarm(t, w, "llm:v1", 4, 5*time.Minute)
+		loseLeader(w)
+		if s := w.Cancel("wk-000001"); s != wire.JobCancelled {
+			t.Fatal(s)
+		}
+		// The hour's peak was four, and four are kept for the rest of it.
+		time.Sleep(10 * time.Minute)
+		s := poolState(t, w)
+		if n := len(w.Cached("llm:v1")); n < 2 || s.Note.Warm != n {
+			t.Errorf("%d machines hold the weights: %+v", n, s.Note)
+		}
+		mustBePaid(t, s)
+	})
+}
--- a/controller/status.go
+++ b/controller/status.go
@@ -62,6 +62,7 @@
 		}
 		return 0
 	})
+	n.watchPools(m)
 	m.Gauge("least_lease_left_seconds", "Of the worker whose lease is nearest its end; the leader's.", func() float64 {
 		if f := n.fleet(time.Now()); f != nil {
 			return f.LeaseLeftS
@@ -154,7 +155,7 @@
 	l.mu.Lock()
 	s := l.m.Summary(now)
 	l.mu.Unlock()
-	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
+	return &metrics.Fleet{Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(), Pools: poolsOf(s.Pools),
 		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft}
 }
 
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -47,6 +47,7 @@
 	started  int
 	ran      map[string]int // starts of tasks of other doors' jobs, each of which runs once
 	expired  int            // workers' leases that ended, with tasks
+	strict   bool           // workers know users' jobs only
 	fetching map[string]bool
 	// fetchedMost is on how many machines images were fetched at the same time.
 	fetchedMost int
@@ -194,7 +195,7 @@
 // reserved is a job of another door, whose description workers find in its record;
 // the lock is held.
 func (w *World) reserved(id string) *job {
-	if j := w.jobs[id]; j != nil || wire.ValidUserID(id) {
+	if j := w.jobs[id]; j != nil || wire.ValidUserID(id) || w.strict {
 		return j
 	}
 	var rec ledger.JobRecord
@@ -205,6 +206,13 @@
 	return w.jobs[id]
 }
 
+// KnowNoOthers makes workers know users' jobs only, not those of other doors.
+func (w *World) KnowNoOthers() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.strict = true
+}
+
 // Know tells the workers of a job that was not submitted through the world, as
 // users of real processes upload descriptions themselves.
 func (w *World) Know(j wire.Job) {
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -66,6 +66,38 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
+	Pools      []Pool             `json:"pools,omitempty"`
+}
+
+// Pool is a warm pool of the operators' plan. Costs are in the catalogue's unit.
+type Pool struct {
+	Name    string             `json:"name"`
+	Aim     int                `json:"aim"`
+	Held    int                `json:"held"`
+	Warm    int                `json:"warm"`
+	Filling int                `json:"filling"`
+	Hits    int64              `json:"hits"`
+	Misses  int64              `json:"misses"`
+	Ceded   int64              `json:"ceded"`
+	Limited bool               `json:"limited,omitempty"`
+	Refused string             `json:"refused,omitempty"`
+	Cost    map[string]float64 `json:"cost"` // by team
+}
+
+func (p *Pool) row() string {
+	var costs []string
+	for _, t := range slices.Sorted(maps.Keys(p.Cost)) {
+		costs = append(costs, fmt.Sprintf("%s %.2f", t, p.Cost[t]))
+	}
+	out := fmt.Sprintf("%d of %d machines held, %d with weights, %d fetch; %d hits, %d misses, %d ceded; cost %s",
+		p.Held, p.Aim, p.Warm, p.Filling, p.Hits, p.Misses, p.Ceded, strings.Join(costs, ", "))
+	if p.Limited {
+		out += "; at its limit"
+	}
+	if p.Refused != "" {
+		out += "; " + p.Refused
+	}
+	return out
 }
 
 // Print writes an overview as a table.
@@ -92,6 +124,9 @@
 		}
 		row("longest waits", "%s", strings.Join(waits, ", "))
 		row("least lease left", "%.1f s", f.LeaseLeftS)
+		for i := range f.Pools {
+			row("pool "+f.Pools[i].Name, "%s", f.Pools[i].row())
+		}
 	}
 	if p := o.Plan; p != nil {
 		row("workers report", "%d, %d of them to the leader, the rest by way of %s", p.Workers, p.Direct, strings.Join(p.Relays, ", "))
--- a/placement/classes_test.go
+++ b/placement/classes_test.go
@@ -24,6 +24,9 @@
 		if rnd.IntN(8) == 0 {
 			m.Slow = 20
 		}
+		if rnd.IntN(6) == 0 {
+			m.Pool, m.PoolGB = 1+rnd.IntN(2), float64(rnd.IntN(8))
+		}
 		for k := range rnd.IntN(3) {
 			o := Occupant{Task: Task{Job: int32(1000 + i), Task: int32(k)}, Need: Res{CPU: 2, Mem: 4}, Priority: rnd.IntN(4), Team: rnd.IntN(2),
 				Over: rnd.IntN(2) == 0, Loss: float64(rnd.IntN(50)), Left: float64(rnd.IntN(100)), Stopping: rnd.IntN(5) == 0}
@@ -42,6 +45,9 @@
 		for t := range 1 + rnd.IntN(12) {
 			r.Tasks = append(r.Tasks, int32(t))
 		}
+		if rnd.IntN(3) == 0 {
+			r.Pools = []Use{Use(rnd.IntN(4)), Use(rnd.IntN(4))}
+		}
 		if rnd.IntN(4) == 0 {
 			r.SpreadMax = (len(r.Tasks) + 1) / 2
 		}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/BurntSushi/toml"
+
+	"github.com/umberdeal/umberdeal/pools"
 )
 
 // MaxBytes bounds a plan's text.
@@ -18,7 +20,8 @@
 // Plan is a version of what the operators decided. A part that the text does
 // not speak of decides nothing.
 type Plan struct {
-	Note string `toml:"note"` // for people: what this version is for
+	Note  string       `toml:"note"` // for people: what this version is for
+	Pools []pools.Pool `toml:"pools"`
 }
 
 // part is what a plan is made of.
@@ -29,9 +32,13 @@
 
 // parts lists the plan's parts, in the order in which they are checked.
 func (p *Plan) parts() []part {
-	return []part{}
+	return []part{poolList(p.Pools)}
 }
 
+type poolList []pools.Pool
+
+func (l poolList) Check(zones, teams []string) []error { return pools.Check(l, zones, teams) }
+
 // Parse reads a plan's text. A field that it does not know is an error: a leader
 // that passed over it would decide by half a plan.
 func Parse(text string) (*Plan, error) {
--- /dev/null
+++ b/pools/records.go
@@ -0,0 +1,84 @@
+package pools
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file says what is recorded of a pool and under which names, for the next
+// leader and for operators.
+
+// records is where the pools' records lie among those of the plan's parts.
+const records = "pools/"
+
+// NoteName names a pool's Note.
+func NoteName(pool string) string { return records + pool + "/now" }
+
+// DayName names what is known of a day of the week, a list of 24 texts (Week.Day).
+func DayName(pool string, day int) string { return fmt.Sprintf("%s%s/day%d", records, pool, day) }
+
+// ShardName names one of a pool's shards.
+func ShardName(pool string, n int) string { return fmt.Sprintf("%s%s/m%d", records, pool, n) }
+
+// MaxShards is how many shards a pool has at most.
+const MaxShards = (maxMost + ShardSize - 1) / ShardSize
+
+// Note is how a pool stands, as the leader last recorded it.
+type Note struct {
+	AtMs    int64   `msgpack:"a"`
+	Hour    int64   `msgpack:"h"` // since 1970: the one that is not over
+	Peak    int     `msgpack:"p"` // of replicas wanted at once in it, so far
+	Image   string  `msgpack:"i"` // the weights that are held
+	GB      float64 `msgpack:"g"`
+	Number  int     `msgpack:"n"` // counts the images
+	Per     int     `msgpack:"m"` // replicas that a machine takes
+	Rank    int     `msgpack:"r"` // priority of the replicas, 0 being the highest
+	Tier    int     `msgpack:"t,omitempty"`
+	Payer   string  `msgpack:"w"`
+	Aim     int     `msgpack:"x"` // machines
+	Held    int     `msgpack:"y"`
+	Warm    int     `msgpack:"z"` // of those that are held
+	Filling int     `msgpack:"f,omitempty"`
+	Limited bool    `msgpack:"l,omitempty"` // more would be wanted than may be paid for
+	Refused string  `msgpack:"e,omitempty"` // why the weights are not fetched ahead
+}
+
+// State is all that is recorded of a pool.
+type State struct {
+	Name   string
+	Note   Note
+	Shards []Shard
+}
+
+// ReadStates reads the pools' records from those of the plan's parts, by their
+// names; bad names those that can't be read.
+func ReadStates(notes map[string]wire.Raw) (out []State, bad []string) {
+	for _, name := range slices.Sorted(maps.Keys(notes)) {
+		pool, ok := strings.CutSuffix(strings.TrimPrefix(name, records), "/now")
+		if !ok || !strings.HasPrefix(name, records) {
+			continue
+		}
+		s := State{Name: pool}
+		if wire.Unmarshal(notes[name], &s.Note) != nil {
+			bad = append(bad, name)
+		}
+		for n := range MaxShards {
+			raw, ok := notes[ShardName(pool, n)]
+			if !ok {
+				continue
+			}
+			var sh Shard
+			if wire.Unmarshal(raw, &sh) != nil {
+				bad = append(bad, ShardName(pool, n))
+				continue
+			}
+			s.Shards = append(s.Shards, sh)
+		}
+		out = append(out, s)
+	}
+	return out, bad
+}
