--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -1,7 +1,6 @@
 package controller_test
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,7 +11,6 @@
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/pools"
-	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -42,26 +40,6 @@
 %s`, least, most, more)
 }
 
-// storyStore is the state service as an operator's command sees it.
-func storyStore(w *fake.World) *state.Client {
-	return state.New(w.Net.Dial("user"), "state:1", 200, 60)
-}
-
-// applyPlan makes a text the plan, on top of that version.
-func applyPlan(t *testing.T, w *fake.World, base int, text string) {
-	t.Helper()
-	var err error
-	for range 30 { // until every node is known to read plans
-		_, err = ledger.ApplyPlan(context.Background(), storyStore(w), ledger.Limits{TxnOps: 12, ValueKB: 16},
-			ledger.PlanChange{Base: base, Text: text, By: "story", At: time.Now()})
-		if err == nil {
-			return
-		}
-		time.Sleep(time.Second)
-	}
-	t.Fatal(err)
-}
-
 // poolState reads what is recorded of the pool.
 func poolState(t *testing.T, w *fake.World) pools.State {
 	t.Helper()
