--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -458,3 +459,114 @@
 		mustBePaid(t, s)
 	})
 }
+
+func TestAPoolIsThereForTheHourAndReturnedAfterIt(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		hour := time.Now().Truncate(time.Hour).Add(time.Hour)
+		burst{replicas: 4}.remember(t, w, hour)
+		applyPlan(t, w, 0, poolPlan(0, 4, ""))
+		time.Sleep(time.Until(hour.Add(-30 * time.Minute)))
+		if n := len(w.Cloud.Machines()); n != 0 {
+			t.Errorf("%d machines half an hour before", n)
+		}
+		time.Sleep(time.Until(hour.Add(-150 * time.Second)))
+		loseLeader(w)
+		time.Sleep(time.Until(hour))
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines have the weights as the hour begins", n)
+		}
+		time.Sleep(time.Until(hour.Add(time.Hour)))
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines have the weights as the hour ends", n)
+		}
+		time.Sleep(3 * time.Minute)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		if n := len(w.Cloud.Machines()); n != 0 || len(s.Shards[0].Members) != 0 {
+			t.Errorf("%d machines, %d in the pool after the hour", n, len(s.Shards[0].Members))
+		}
+		if h := float64(s.Shards[0].Closed.Ms) / 3.6e6; h < 4 || h > 4.5 {
+			t.Errorf("%.2f machine hours are charged", h)
+		}
+	})
+}
+
+// Pools under everything at once: afterwards the pool is whole, every machine has
+// been paid for once, and no rule was broken.
+func TestPoolsOutliveEverything(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := poolWorld(3, 14)
+			o.Seed, o.Nodes = seed, 5
+			story(t, o, func(t *testing.T, w *fake.World) {
+				rnd := rand.New(rand.NewPCG(seed, 11))
+				applyPlan(t, w, 0, poolPlan(3, 6, ""))
+				version, next, running := 1, 1, []string{}
+				for range 60 {
+					time.Sleep(time.Duration(5+rnd.IntN(15)) * time.Second)
+					machines := w.Cloud.Machines()
+					switch rnd.IntN(10) {
+					case 0:
+						loseLeader(w)
+					case 1:
+						i := rnd.IntN(5)
+						w.CutNode(i, true, "state", "workers")
+						time.AfterFunc(15*time.Second, func() { w.CutNode(i, false, "state", "workers") })
+					case 2:
+						w.State.SetOutage(true)
+						time.Sleep(8 * time.Second)
+						w.State.SetOutage(false)
+					case 3:
+						w.State.LateNext(20 * time.Second)
+					case 4:
+						if len(machines) > 0 {
+							w.KillMachine(machines[rnd.IntN(len(machines))])
+						}
+					case 5:
+						w.Cloud.SetSilent(true)
+						time.AfterFunc(12*time.Second, func() { w.Cloud.SetSilent(false) })
+					case 6:
+						if n, err := tryApply(w, version, poolPlan(rnd.IntN(5), 6, "")); err == nil {
+							version = n
+						}
+					case 7:
+						if len(running) > 0 {
+							w.Cancel(running[0])
+							running = running[1:]
+						}
+					default:
+						j := replicas(next, 1+rnd.IntN(3))
+						if rnd.IntN(2) == 0 {
+							j.Image = fmt.Sprintf("llm:v%d", 1+rnd.IntN(2))
+						}
+						if rnd.IntN(3) == 0 {
+							j.Kind, j.EstimateS, j.Image, j.Team, j.Priority = wire.KindArray, 30, "slicer", "clinic", wire.PriorityHigh
+						} else {
+							running = append(running, j.ID)
+						}
+						if w.Submit(j) {
+							next++
+						}
+					}
+				}
+				for _, id := range running {
+					w.Cancel(id)
+				}
+				for i := range 5 {
+					w.StartNode(i)
+				}
+				time.Sleep(90 * time.Second)
+				for k := 0; ; k++ {
+					if _, err := tryApply(w, version, poolPlan(4, 4, "")); err == nil {
+						break
+					}
+					if version++; k == 100 {
+						t.Fatal("no plan can be applied")
+					}
+				}
+				s := awaitPool(t, w, "whole", 15*time.Minute, full(4))
+				mustBePaid(t, s)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/controller/poolsmeasure_test.go
@@ -0,0 +1,179 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/pools"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// burst is a burst of replicas on a fleet whose machines are full of other work.
+type burst struct {
+	fleet, replicas int
+	gb              float64
+	mode            string // "bare": empty machines and nothing to fetch; "none", "fixed", "hours"
+}
+
+// machineRate is what a machine costs an hour.
+const machineRate = 12
+
+// play plays a burst five minutes after one o'clock; the pool "hours" has seen two
+// such weeks. It returns after how long each replica ran, in order, and what the
+// pool's machines had cost by then.
+func (b burst) play(t *testing.T) (ran []time.Duration, cost float64) {
+	synctest.Test(t, func(t *testing.T) {
+		hour := time.Now().UTC().Truncate(24 * time.Hour).Add(25 * time.Hour)
+		typ := wire.MachineType{Name: "g8", CPUs: 8, GPUs: 8, MemoryGB: 64, CacheGB: 200, FetchGBPS: 1, Price: machineRate, SpotPrice: 5, BootS: 45, ZonesNamed: fake.Zones}
+		p := pools.Pool{Name: "llm", Model: "llm:v1", GB: b.gb, Types: []string{"g8"}, Zones: fake.Zones, Most: b.replicas,
+			Burst: pools.Burst{Replicas: b.replicas, WithinS: 10}, PerHour: 1e6, Payer: "speech"}
+		lead := p.Lead(b.replicas, 45*time.Second, 1)
+		begin := hour.Add(-lead - 4*time.Minute)
+		if b.mode == "bare" {
+			begin = hour.Add(2 * time.Minute) // idle machines are returned after four
+		}
+		time.Sleep(time.Until(begin))
+		o := fake.Options{Machines: b.fleet, Capacity: b.fleet + b.replicas + 20, Types: []wire.MachineType{typ}, Gap: 5, Lease: 30,
+			Teams: []config.Team{{Name: "core"}, {Name: "speech"}}}
+		if b.mode == "bare" {
+			o.Machines += b.replicas
+		}
+		w := fake.New(o)
+		defer w.Close()
+		time.Sleep(10 * time.Second)
+		for n := 0; n*50 < b.fleet; n++ {
+			mustSubmit(t, w, job(n+10, func(j *wire.Job) {
+				j.Kind, j.EstimateS, j.Tasks, j.CPUs, j.Image, j.ImageGB = wire.KindService, 0, min(50, b.fleet-n*50), 8, "web", 0.1
+			}))
+			time.Sleep(time.Second)
+		}
+		least := 0
+		switch b.mode {
+		case "fixed":
+			least = b.replicas
+		case "hours":
+			b.remember(t, w, hour)
+		}
+		if b.mode == "fixed" || b.mode == "hours" {
+			applyPlan(t, w, 0, fmt.Sprintf(`[[pools]]
+name = "llm"
+model = "llm:v1"
+gb = %g
+types = ["g8"]
+zones = ["a", "b"]
+least = %d
+most = %d
+burst = { replicas = %d, within_s = 10 }
+cost_an_hour = 1e6
+payer = "speech"`, b.gb, least, b.replicas, b.replicas))
+		}
+		time.Sleep(time.Until(hour.Add(5 * time.Minute)))
+		if b.mode == "fixed" || b.mode == "hours" {
+			if s := poolState(t, w); s.Note.Warm < b.replicas*9/10 {
+				t.Errorf("%+v before the burst: %+v", b, s.Note)
+			}
+		}
+		at, waiting := time.Now(), map[string]bool{}
+		for n := 0; n*50 < b.replicas; n++ {
+			j := job(n+500, func(j *wire.Job) {
+				j.Kind, j.Class, j.Team, j.EstimateS, j.Tasks, j.CPUs = wire.KindService, "serve", "speech", 0, min(50, b.replicas-n*50), 8
+				j.Image, j.ImageGB = "llm:v1", b.gb
+			})
+			if b.mode == "bare" {
+				j.ImageGB = 0
+			}
+			mustSubmit(t, w, j)
+			for i := range j.Tasks {
+				waiting[fmt.Sprintf("%s/%d", j.ID, i)] = true
+			}
+		}
+		for len(waiting) > 0 && time.Since(at) < 30*time.Minute {
+			time.Sleep(100 * time.Millisecond)
+			for task := range waiting {
+				if len(w.On(task)) > 0 {
+					ran = append(ran, time.Since(at))
+					delete(waiting, task)
+				}
+			}
+		}
+		if len(waiting) > 0 {
+			t.Errorf("%+v: %d replicas never ran", b, len(waiting))
+		}
+		if b.mode == "hours" {
+			time.Sleep(70 * time.Second) // until the account is recorded
+			s := poolState(t, w)
+			mustBePaid(t, s)
+			_, machines := pools.Totals(s.Shards)
+			cost = float64(machines.Micro) / 1e6
+		}
+	})
+	slices.Sort(ran)
+	return ran, cost
+}
+
+// remember records two weeks in which the hour brought what it is to bring.
+func (b burst) remember(t *testing.T, w *fake.World, hour time.Time) {
+	t.Helper()
+	week := &pools.Week{}
+	for k := 2; k > 0; k-- {
+		week.Want(b.replicas, hour.AddDate(0, 0, -7*k))
+		week.Want(0, hour.AddDate(0, 0, -7*k).Add(time.Hour))
+	}
+	st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
+	d := pools.Slot(hour) / 24
+	if _, err := st.Commit(context.Background(), nil, []wire.Op{{Put: ledger.Notes + pools.DayName("llm", d), Value: week.Day(d)}}); err != nil {
+		t.Fatal(err)
+	}
+	loseLeader(w) // the next one reads it
+}
+
+// TestMeasureBursts prints the table of docs/results.md. POOLS_MEASURE lists the
+// sizes of the fleet; without it, one small case is played and checked.
+func TestMeasureBursts(t *testing.T) {
+	fleets, counts, sizes := []int{20}, []int{8}, []float64{80}
+	if s := os.Getenv("POOLS_MEASURE"); s != "" {
+		fleets, counts, sizes = nil, []int{8, 64, 400}, []float64{20, 80, 150}
+		for _, f := range strings.Split(s, ",") {
+			n := 0
+			if _, err := fmt.Sscan(f, &n); err != nil {
+				t.Fatal(err)
+			}
+			fleets = append(fleets, n)
+		}
+	}
+	for _, f := range fleets {
+		for _, n := range counts {
+			bare, _ := burst{f, n, 0, "bare"}.play(t)
+			for _, gb := range sizes {
+				for _, mode := range []string{"none", "fixed", "hours"} {
+					b := burst{f, n, gb, mode}
+					ran, cost := b.play(t)
+					if len(ran) < n || len(bare) < n {
+						continue
+					}
+					day := map[string]float64{"fixed": float64(n) * 24 * machineRate}[mode]
+					if mode == "hours" {
+						// The rest of the hour, and until they are returned.
+						day = cost + float64(n)*machineRate*(57*time.Minute-ran[n-1]).Hours()
+					}
+					t.Logf("%4d machines, %3d replicas of %3g GB, %-5s: half %6.1f s, p90 %6.1f s, all %6.1f s; without a fetch p90 %.1f s; a day costs %.0f of %.0f",
+						f, n, gb, mode, ran[n/2].Seconds(), ran[n*9/10].Seconds(), ran[n-1].Seconds(), bare[n*9/10].Seconds(), day, float64(n)*24*machineRate)
+					// A worker that has just reported waits half a second for its next report.
+					if mode == "hours" && (ran[n*9/10] > bare[n*9/10]*11/10+500*time.Millisecond || day > float64(n)*12*machineRate) {
+						t.Errorf("%+v: p90 %v, %v without a fetch; %.0f a day", b, ran[n*9/10], bare[n*9/10], day)
+					}
+				}
+			}
+		}
+	}
+}
