--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -112,6 +112,12 @@
 		if n := len(w.Cached("llm:v1")); n != 4 {
 			t.Errorf("%d machines hold the weights after a while of nothing", n)
 		}
+		began := w.Started()
+		loseLeader(w)
+		time.Sleep(time.Minute)
+		if n := w.Started() - began; n > 0 {
+			t.Errorf("the next leader fetches %d times what is there", n)
+		}
 		at := time.Now()
 		mustSubmit(t, w, replicas(1, 4))
 		for len(w.On("wk-000001/0"))+len(w.On("wk-000001/1"))+len(w.On("wk-000001/2"))+len(w.On("wk-000001/3")) < 4 {
@@ -369,7 +375,9 @@
 				j.Team, j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = team, rank, 1, 8, 60, "slicer", 70
 			})
 		}
-		mustSubmit(t, w, other(1, "clinic", wire.PriorityNormal), other(2, "clinic", wire.PriorityHigh))
+		long := other(1, "clinic", wire.PriorityNormal)
+		long.EstimateS = 3000
+		mustSubmit(t, w, long, other(2, "clinic", wire.PriorityHigh))
 		mustReach(t, w, "wk-000002", wire.JobDone, 4*time.Minute)
 		if s := w.On("wk-000001/0"); len(s) > 0 {
 			t.Errorf("work of no higher tier took a pool's machine: %v", s)
--- a/pools/week.go
+++ b/pools/week.go
@@ -16,9 +16,9 @@
 const hoursOfWeek = 7 * 24
 
 const (
-	sketchError = 0.01 // of a peak
-	sketchBins  = 24   // the smallest peaks share one beyond
-	fades       = 0.75 // of what is known of an hour is kept with each week
+	sketchError = 0.001 // of a peak
+	fades       = 0.75  // of what is known of an hour is kept with each week
+	forgotten   = 0.02  // what counts for less than that of a week is dropped: 14 weeks are kept
 )
 
 // Week is what a model's peaks have been, by hour of the week: for each hour a
@@ -34,7 +34,7 @@
 	if err != nil {
 		panic(err) // the error is a constant
 	}
-	return ddsketch.NewDDSketch(m, store.NewCollapsingLowestDenseStore(sketchBins), store.NewCollapsingLowestDenseStore(sketchBins))
+	return ddsketch.NewDDSketch(m, store.NewSparseStore(), store.NewSparseStore())
 }
 
 // Slot is the hour of the week that a time lies in.
@@ -82,15 +82,17 @@
 }
 
 func (w *Week) learn(slot, peak int) {
-	s := w.hours[slot]
-	if s == nil {
-		s = newSketch()
-		w.hours[slot] = s
-	}
-	if !s.IsEmpty() {
-		_ = s.Reweight(fades) // fails for weights that are not above 0 only
+	s := newSketch()
+	if old := w.hours[slot]; old != nil {
+		old.ForEach(func(v, count float64) bool {
+			if count *= fades; count >= forgotten {
+				_ = s.AddWithCount(v, count) // fails for values that no peak has
+			}
+			return false
+		})
 	}
-	_ = s.Add(float64(peak)) // fails for values that no peak has
+	_ = s.Add(float64(peak))
+	w.hours[slot] = s
 }
 
 // Quantile is the most that a share q of the peaks has needed in any of the hours
