A pool replaces machines that don't hear or don't come by their weights

A fetch that takes three times as long as it should is given up, and its machine is no pool's for ten minutes; a machine that could take no work for a lease does not count as held.

--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -58,9 +58,11 @@
 	exits   map[exitKey]*exit
 	errors  []errorAt
 	speed   float64
-	pool    int    // 1 and more: the warm pool that it belongs to
-	worked  bool   // has had a task
-	learnt  uint64 // the session for which an earlier leader's word on its images was taken
+	pool    int       // 1 and more: the warm pool that it belongs to
+	worked  bool      // has had a task
+	unready time.Time // since when it could not be given tasks, as its pool saw
+	unfit   time.Time // no pool takes it before: its fetch came to nothing
+	learnt  uint64    // the session for which an earlier leader's word on its images was taken
 }
 
 type exitKey struct {
--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/placement"
 	"github.com/umberdeal/umberdeal/pools"
@@ -41,6 +42,8 @@
 	fetchAsked  = 20 * time.Second // until a fetch is asked for again
 	unheardFor  = time.Minute      // a recorded machine that nobody has heard of is gone
 	rentPerStep = 50
+	unfitFor    = 10 * time.Minute
+	stuckFetch  = 3    // times what a fetch should take, and a minute: nothing is to come of it
 	fetchCPUs   = 0.01 // what a fetch books
 )
 
@@ -324,6 +327,11 @@
 			m.addImage(mc, im) // an earlier leader saw it there
 		}
 		mc.learnt = mc.Session
+		if m.ready(mc, now) {
+			mc.unready = time.Time{}
+		} else if mc.unready.IsZero() {
+			mc.unready = now
+		}
 		warm := 0
 		if mc.has(im) {
 			warm = p.note.Number
@@ -373,7 +381,8 @@
 	s := pools.Seen{Machine: mc.Name, Zone: m.Zones[mc.Zone], Warm: mc.has(im), Used: len(mc.Tasks) > 0 || mc.orphans != (placement.Res{})}
 	// A machine that has been silent for a moment is not replaced yet: reports of
 	// a whole fleet pause when a leader does.
-	s.Ready = mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero()
+	s.Ready = mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() &&
+		(mc.unready.IsZero() || now.Sub(mc.unready) < config.Seconds(m.cfg.Cluster.Workers.LeaseS))
 	_, s.Booting = m.booting(mc, now)
 	s.Serving = len(mc.Tasks) > 0
 	for ref := range mc.Tasks {
@@ -387,6 +396,22 @@
 	return s
 }
 
+// stuck says whether a machine has been fetching the weights for much longer than
+// that takes: it does not hear, or its fetches fail.
+func (m *Model) stuck(mc *Machine, im int32, gb float64, now time.Time) bool {
+	if mc.has(im) || m.Types[mc.Type].Fetch <= 0 {
+		return false
+	}
+	limit := config.Seconds(stuckFetch*gb/m.Types[mc.Type].Fetch) + time.Minute
+	for ref := range mc.Tasks {
+		j := m.Jobs[ref.Job]
+		if p := j.Tasks[ref.Task].Place; j.Image == im && p.Seen < seenWaiting && now.Sub(p.At) > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // steer takes machines in and lets others go, and says which fetch the weights.
 func (m *Model) steer(i int, p *pool, now time.Time) {
 	im := m.image(p.note.Image, p.note.GB)
@@ -418,13 +443,19 @@
 			continue
 		}
 		if e := p.member(mc); e != nil {
+			if m.stuck(mc, im, p.note.GB, now) {
+				m.log.Warn("a machine does not come by its weights", "pool", p.Name, "machine", mc.Name)
+				m.leavePool(p, mc, now)
+				mc.unfit = now.Add(unfitFor)
+				continue
+			}
 			s := m.seenBy(p, mc, im, now)
 			s.Leaving = e.Leaving
 			s.Filling = s.Filling || waiting[mc.Name] || now.Sub(p.asked[mc.Idx]) < fetchAsked
 			own = append(own, s)
 			continue
 		}
-		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot {
+		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot || now.Before(mc.unfit) {
 			continue
 		}
 		s := m.seenBy(p, mc, im, now)
@@ -680,9 +711,14 @@
 		if known && !m.Machines[i].Gone {
 			e = p.member(m.Machines[i])
 		}
-		if j.Tasks[0].Phase == Idle && (e == nil || e.Leaving || j.Image != im || m.Machines[i].has(im)) {
+		vain := e == nil || e.Leaving || j.Image != im
+		switch t := &j.Tasks[0]; {
+		case t.Phase == Idle && (vain || m.Machines[i].has(im)):
 			m.spend(j, 0, ledger.EndReleased, now)
 			continue
+		case vain && t.Place != nil && t.Place.Stop == nil:
+			m.stop(j, 0, 0, whyReleased, now)
+			continue
 		}
 		out[j.res.Only[0]] = true
 	}
--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -333,6 +333,25 @@
 	}
 }
 
+func TestAMachineThatDoesNotComeByItsWeightsIsReplaced(t *testing.T) {
+	story(t, poolWorld(2, 4), func(t *testing.T, w *fake.World) {
+		slow := w.Cloud.Machines()[0]
+		w.SlowFetch(slow)
+		applyPlan(t, w, 0, poolPlan(2, 2, ""))
+		time.Sleep(time.Minute)
+		loseLeader(w)
+		s := awaitPool(t, w, "full", 6*time.Minute, full(2))
+		if slices.Contains(w.Cached("llm:v1"), slow) || s.Shards[0].Member(slow) != nil {
+			t.Errorf("%s is held", slow)
+		}
+		mustBePaid(t, s)
+		time.Sleep(6 * time.Minute)
+		if n := len(w.Cloud.Machines()); n != 2 {
+			t.Errorf("%d machines: the slow one is not returned", n)
+		}
+	})
+}
+
 func TestAModelsImageChangesOvernight(t *testing.T) {
 	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
 		applyPlan(t, w, 0, poolPlan(4, 4, ""))
--- a/internal/fake/cache.go
+++ b/internal/fake/cache.go
@@ -98,6 +98,14 @@
 	return true
 }
 
+// SlowFetch makes a machine fetch images at a tenth of its type's rate.
+func (w *World) SlowFetch(name string) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.typ.FetchGBPS /= 10
+}
+
 // FetchedMost is on how many machines images were fetched at the same time, at
 // most so far.
 func (w *World) FetchedMost() int {
