--- a/controller/poolsmeasure_test.go
+++ b/controller/poolsmeasure_test.go
@@ -137,42 +137,36 @@
 	loseLeader(w) // the next one reads it
 }
 
-// TestMeasureBursts prints the table of docs/results.md. POOLS_MEASURE lists the
-// sizes of the fleet; without it, one small case is played and checked.
+// TestMeasureBursts prints the table of docs/results.md. POOLS_MEASURE lists cases,
+// as FLEET:REPLICAS:GB with commas between; without it, one small case is played.
 func TestMeasureBursts(t *testing.T) {
-	fleets, counts, sizes := []int{20}, []int{8}, []float64{80}
+	cases := "20:8:80"
 	if s := os.Getenv("POOLS_MEASURE"); s != "" {
-		fleets, counts, sizes = nil, []int{8, 64, 400}, []float64{20, 80, 150}
-		for _, f := range strings.Split(s, ",") {
-			n := 0
-			if _, err := fmt.Sscan(f, &n); err != nil {
-				t.Fatal(err)
-			}
-			fleets = append(fleets, n)
-		}
+		cases = s
 	}
-	for _, f := range fleets {
-		for _, n := range counts {
-			bare, _ := burst{f, n, 0, "bare"}.play(t)
-			for _, gb := range sizes {
-				for _, mode := range []string{"none", "fixed", "hours"} {
-					b := burst{f, n, gb, mode}
-					ran, cost := b.play(t)
-					if len(ran) < n || len(bare) < n {
-						continue
-					}
-					day := map[string]float64{"fixed": float64(n) * 24 * machineRate}[mode]
-					if mode == "hours" {
-						// The rest of the hour, and until they are returned.
-						day = cost + float64(n)*machineRate*(57*time.Minute-ran[n-1]).Hours()
-					}
-					t.Logf("%4d machines, %3d replicas of %3g GB, %-5s: half %6.1f s, p90 %6.1f s, all %6.1f s; without a fetch p90 %.1f s; a day costs %.0f of %.0f",
-						f, n, gb, mode, ran[n/2].Seconds(), ran[n*9/10].Seconds(), ran[n-1].Seconds(), bare[n*9/10].Seconds(), day, float64(n)*24*machineRate)
-					// A worker that has just reported waits half a second for its next report.
-					if mode == "hours" && (ran[n*9/10] > bare[n*9/10]*11/10+500*time.Millisecond || day > float64(n)*12*machineRate) {
-						t.Errorf("%+v: p90 %v, %v without a fetch; %.0f a day", b, ran[n*9/10], bare[n*9/10], day)
-					}
-				}
+	for _, c := range strings.Split(cases, ",") {
+		var f, n int
+		var gb float64
+		if _, err := fmt.Sscanf(c, "%d:%d:%g", &f, &n, &gb); err != nil {
+			t.Fatalf("%s: %v", c, err)
+		}
+		bare, _ := burst{f, n, 0, "bare"}.play(t)
+		for _, mode := range []string{"none", "fixed", "hours"} {
+			b := burst{f, n, gb, mode}
+			ran, cost := b.play(t)
+			if len(ran) < n || len(bare) < n {
+				continue
+			}
+			day := map[string]float64{"fixed": float64(n) * 24 * machineRate}[mode]
+			if mode == "hours" {
+				// The rest of the hour, and until they are returned.
+				day = cost + float64(n)*machineRate*(57*time.Minute-ran[n-1]).Hours()
+			}
+			t.Logf("%4d machines, %3d replicas of %3g GB, %-5s: half %6.1f s, p90 %6.1f s, all %6.1f s; without a fetch p90 %.1f s; a day costs %.0f of %.0f",
+				f, n, gb, mode, ran[n/2].Seconds(), ran[n*9/10].Seconds(), ran[n-1].Seconds(), bare[n*9/10].Seconds(), day, float64(n)*24*machineRate)
+			// A worker that has just reported waits half a second for its next report.
+			if mode == "hours" && (ran[n*9/10] > bare[n*9/10]*11/10+500*time.Millisecond || day > float64(n)*12*machineRate) {
+				t.Errorf("%+v: p90 %v, %v without a fetch; %.0f a day", b, ran[n*9/10], bare[n*9/10], day)
 			}
 		}
 	}
