--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -42,6 +42,7 @@
 	fetchAsked  = 20 * time.Second // until a fetch is asked for again
 	unheardFor  = time.Minute      // a recorded machine that nobody has heard of is gone
 	rentPerStep = 50
+	otherZone   = 1e6 // added to the price of a machine in another zone than wanted
 	unfitFor    = 10 * time.Minute
 	stuckFetch  = 3    // times what a fetch should take, and a minute: nothing is to come of it
 	fetchCPUs   = 0.01 // what a fetch books
@@ -50,6 +51,9 @@
 // poolsChanged takes the plan's pools in. It may be called before any job or
 // machine is known.
 func (m *Model) poolsChanged(now time.Time) {
+	if m.plan.Lost {
+		return // what was known holds
+	}
 	var settings []pools.Pool
 	if m.plan.Plan != nil {
 		settings = m.plan.Pools
@@ -68,6 +72,11 @@
 			p.Pool = s
 		} else {
 			p = m.loadPool(s, now)
+			if was := p.note.Payer; was != "" && was != s.Payer {
+				p.Payer = was
+				p.settle(now)
+				p.Payer = s.Payer
+			}
 		}
 		p.note.Payer = s.Payer
 		if !p.Serves(p.note.Image) {
@@ -464,7 +473,7 @@
 		}
 		free = append(free, s)
 	}
-	lead := p.Lead(max(p.note.Aim, p.week.Quantile(now, 2*time.Hour, 0.9)/max(p.note.Per, 1)), boot, fetch)
+	lead := p.Lead(p.Coming(&p.week, now, p.note.Per), boot, fetch)
 	p.note.Aim = p.Aim(&p.week, now, lead, p.note.Per, price)
 	p.note.Limited = p.note.Aim == p.Affords(price) && p.note.Aim < p.Most
 	c := p.Choose(own, free, p.note.Aim, p.Affords(price))
@@ -539,7 +548,7 @@
 
 // keptByPool says whether a machine is not to be returned though it is idle, and
 // letGo whether it is to be returned at once: no longer wanted, as is recorded.
-func (m *Model) keptByPool(mc *Machine) bool { return m.poolOf(mc) != nil }
+func (m *Model) keptByPool(mc *Machine) bool { return m.plan.Lost || m.poolOf(mc) != nil }
 
 func (m *Model) letGo(mc *Machine) bool {
 	p := m.poolOf(mc)
@@ -636,13 +645,16 @@
 			}
 			best, least := -1, 0.0
 			for k, o := range offers {
-				if o.key.zone != z || o.Spot && !p.Spot || !slices.Contains(p.Types, o.Type) {
+				if o.Spot && !p.Spot || !slices.Contains(p.Types, o.Type) || !slices.Contains(p.Zones, o.Zone) {
 					continue
 				}
 				c := m.Types[o.key.typ].Price
 				if o.Spot {
 					c = m.Types[o.key.typ].Spot
 				}
+				if o.key.zone != z {
+					c += otherZone // where this one has refused lately
+				}
 				if best < 0 || c < least {
 					best, least = k, c
 				}
--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -582,3 +582,49 @@
 		})
 	}
 }
+
+func TestWhatNobodyLedIsChargedToWhoPaidThen(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		before := awaitPool(t, w, "full", 10*time.Minute, full(4))
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		time.Sleep(9 * time.Second) // their leases outlast it
+		applyPlan(t, w, 1, strings.Replace(poolPlan(4, 4, ""), `payer = "speech"`, `payer = "clinic"`, 1))
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		time.Sleep(90 * time.Second)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		was, is, next := before.Shards[0], s.Shards[0].Teams["speech"].Ms, s.Shards[0].Teams["clinic"].Ms
+		if gap := is - was.Teams["speech"].Ms; gap < 4*9_000 || gap > 4*90_000 || next < 4*30_000 || s.Note.Payer != "clinic" {
+			t.Errorf("from then on the first payer owes %d ms more, the second %d", gap, next)
+		}
+	})
+}
+
+func TestAPoolOutlivesALostPlan(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(2, 2, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(2))
+		held := w.Cached("llm:v1")
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		for _, k := range w.State.Keys("plan/t/") {
+			w.State.Damage(k)
+		}
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		time.Sleep(10 * time.Minute)
+		applyPlan(t, w, 1, poolPlan(2, 2, ""))
+		time.Sleep(time.Minute)
+		if now := w.Cached("llm:v1"); !slices.Equal(now, held) || len(w.Cloud.Machines()) != 2 {
+			t.Errorf("%v held the weights, and then %v of %v", held, now, w.Cloud.Machines())
+		}
+		mustBePaid(t, awaitPool(t, w, "full", time.Minute, full(2)))
+	})
+}
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -185,16 +185,26 @@
 	maxLead   = 3 * time.Hour
 )
 
+// Coming is how many machines the busiest of the hours that a pool may have to
+// grow for is likely to need.
+func (p *Pool) Coming(w *Week, now time.Time, perMachine int) int {
+	replicas := w.Quantile(now, maxLead, p.warm())
+	return min(max((replicas+max(perMachine, 1)-1)/max(perMachine, 1), p.Least), p.Most)
+}
+
+func (p *Pool) warm() float64 {
+	if p.Warm == 0 {
+		return usualWarm
+	}
+	return p.Warm
+}
+
 // Aim is how many machines to hold at a time: as many as the share Warm of the
 // peaks of this hour of the week has needed, looked up from now until the lead is
 // over, so that a pool has grown when the hour begins. perMachine is how many
 // replicas a machine takes, price what one costs an hour.
 func (p *Pool) Aim(w *Week, now time.Time, lead time.Duration, perMachine int, price float64) int {
-	warm := p.Warm
-	if warm == 0 {
-		warm = usualWarm
-	}
-	replicas := w.Quantile(now, lead, warm)
+	replicas := w.Quantile(now, lead, p.warm())
 	n := (replicas + max(perMachine, 1) - 1) / max(perMachine, 1)
 	n = min(max(n, p.Least), p.Most)
 	// The limit is hard, least or not: whoever sets it too low is told by status.
