--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -44,6 +44,7 @@
 func (m *Model) planChanged(now time.Time) {
 	m.orderChanged()
 	m.planNights(now)
+	m.poolsChanged(now)
 }
 
 // takeBack takes placements back that are not committed, and says how many.
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -17,11 +17,12 @@
 	LeaseLeft float64   // seconds, of the machine whose lease is nearest its end
 
 	Departures map[string]uint64 // from the order, by whose cost and why, of all leaders' time
+	Pools      []PoolSummary
 }
 
 // Summary counts what is there; its cost grows with machines and open tasks.
 func (m *Model) Summary(now time.Time) Summary {
-	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}, Departures: maps.Clone(m.tiers.record.Counts)}
+	s := Summary{Pools: m.poolSummaries(), Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}, Departures: maps.Clone(m.tiers.record.Counts)}
 	least := -1.0
 	for _, mc := range m.Machines {
 		switch {
--- a/controller/status.go
+++ b/controller/status.go
@@ -63,6 +63,7 @@
 		}
 		return 0
 	})
+	n.watchPools(m)
 	m.Gauge("least_lease_left_seconds", "Of the worker whose lease is nearest its end; the leader's.", func() float64 {
 		if f := n.fleet(time.Now()); f != nil {
 			return f.LeaseLeftS
@@ -221,7 +222,7 @@
 		unbegun = append(unbegun, metrics.Unbegun(u))
 	}
 	return &metrics.Fleet{Unbegun: unbegun, UnbegunAll: s.UnbegunN, Node: n.cfg.Node, Token: l.term.Token, Since: l.term.Since, Sure: l.term.Valid(),
-		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft, Departures: s.Departures}
+		Machines: s.Machines, Tasks: s.Tasks, Jobs: s.Jobs, Late: s.Late, LongestS: s.Longest, LeaseLeftS: s.LeaseLeft, Departures: s.Departures, Pools: poolsOf(s.Pools)}
 }
 
 // Overview implements mesh.Handler.
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -50,7 +50,11 @@
 	started  int
 	ran      map[string]int // starts of tasks of other doors' jobs, each of which runs once
 	expired  int            // workers' leases that ended, with tasks
-	broken   []string
+	strict   bool           // workers know users' jobs only
+	fetching map[string]bool
+	// fetchedMost is on how many machines images were fetched at the same time.
+	fetchedMost int
+	broken      []string
 }
 
 // job is what the users and the checker know of a job.
@@ -135,7 +139,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
-		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, kept: map[string][]byte{}}
+		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, kept: map[string][]byte{}, fetching: map[string]bool{}}
 	w.State.breaks = w.breaks
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
 		answers: map[string][]string{}, machines: map[string]*machine{}}
@@ -195,7 +199,7 @@
 // reserved is a job of another door, whose description workers find in its record;
 // the lock is held.
 func (w *World) reserved(id string) *job {
-	if j := w.jobs[id]; j != nil || wire.ValidUserID(id) {
+	if j := w.jobs[id]; j != nil || wire.ValidUserID(id) || w.strict {
 		return j
 	}
 	var rec ledger.JobRecord
@@ -206,6 +210,13 @@
 	return w.jobs[id]
 }
 
+// KnowNoOthers makes workers know users' jobs only, not those of other doors.
+func (w *World) KnowNoOthers() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.strict = true
+}
+
 // Know tells the workers of a job that was not submitted through the world, as
 // users of real processes upload descriptions themselves.
 func (w *World) Know(j wire.Job) {
@@ -415,7 +426,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if id, _, ok := wire.SplitTask(task); ok && w.jobs[id] != nil {
-		m.images[w.jobs[id].spec.Image] = true
+		m.cache.use(w.jobs[id].spec.Image, w.jobs[id].spec.ImageGB, m.typ.CacheGB, func(string) bool { return true })
 	}
 	// At once, before any controller can notice: what the checker sees must not
 	// depend on who is faster.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -13,6 +13,7 @@
 
 	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/pools"
 )
 
 // MaxBytes bounds a plan's text.
@@ -25,6 +26,7 @@
 
 	Calendar calendar.Settings `toml:"calendar"`
 	Order    order.Settings    `toml:"order"`
+	Pools    []pools.Pool      `toml:"pools"`
 }
 
 // part is what a plan is made of.
@@ -35,9 +37,13 @@
 
 // parts lists the plan's parts, in the order in which they are checked.
 func (p *Plan) parts() []part {
-	return []part{&p.Calendar, &p.Order}
+	return []part{&p.Calendar, &p.Order, poolList(p.Pools)}
 }
 
+type poolList []pools.Pool
+
+func (l poolList) Check(zones, teams []string) []error { return pools.Check(l, zones, teams) }
+
 // Parse reads a plan's text. A field that it does not know is an error: a leader
 // that passed over it would decide by half a plan.
 func Parse(text string) (*Plan, error) {
