--- a/cluster/model.go
+++ b/cluster/model.go
@@ -71,6 +71,7 @@
 	playBuf  times
 	triageAt time.Time // not before then again
 	boundAt  time.Time
+	nameAt   time.Time
 	done     map[string]int // of late, by group
 }
 
--- a/cluster/unbegun.go
+++ b/cluster/unbegun.go
@@ -11,6 +11,7 @@
 // the way of each.
 
 const (
+	nameEvery  = 10 * time.Second // what stands in the way is looked for, for each such job
 	namedAgain = 30 * time.Second // a job is logged again, for another reason, not before
 	namedMost  = 20               // jobs in a summary
 )
@@ -43,6 +44,10 @@
 // nameUnbegun works out what stands in the way of each open job that can't begin
 // within the bound, and logs it where that is new.
 func (m *Model) nameUnbegun(now time.Time) {
+	if now.Before(m.nameAt) {
+		return
+	}
+	m.nameAt = now.Add(nameEvery)
 	for _, idx := range m.live {
 		j := m.Jobs[idx]
 		if j == nil {
