--- a/cluster/nights.go
+++ b/cluster/nights.go
@@ -97,6 +97,7 @@
 			if raw, ok := m.kept(calendar.NoteOf(r.Name)); ok {
 				if err := wire.Unmarshal(raw, &left); err != nil {
 					m.log.Error("a record of nights can't be read: they are counted anew", "region", r.Name, "err", err)
+					left = calendar.Record{}
 				}
 			}
 			settle := time.Duration(m.cfg.Cluster.SkewMs*float64(time.Millisecond)) + lateNews
--- a/cluster/nights_test.go
+++ b/cluster/nights_test.go
@@ -297,6 +297,21 @@
 	has("another leader leads", true)
 }
 
+// A record that can't be read takes nothing else with it: the night is counted anew
+// from the jobs that are not over, and comes out.
+func TestADamagedRecordOfNights(t *testing.T) {
+	job := nightJob("wk-000001", "tiles", 1, 10, 60)
+	l := &leaders{t: t, notes: map[string]wire.Raw{ledger.Notes + calendar.NoteOf("brussels"): {0x81, 0xa1, 'n', 0x91, 0x81}}, over: map[string]ledger.JobRecord{}}
+	l.next(6, at(3600), twoRegions, job)
+	l.m.Tick(at(3601))
+	l.finish("wk-000001", at(3700))
+	l.write(at(3700))
+	l.tell(at(promised + 10))
+	if rec := l.record("brussels"); len(rec.Past) != 1 || rec.Past[0].How != calendar.Met || rec.Past[0].Done != 1 {
+		t.Errorf("%+v", rec)
+	}
+}
+
 // Nothing is written for regions to which nothing belongs.
 func TestARegionNothingBelongsToWritesNothing(t *testing.T) {
 	l := &leaders{t: t, notes: map[string]wire.Raw{}, over: map[string]ledger.JobRecord{}}
