--- a/calendar/view.go
+++ b/calendar/view.go
@@ -63,7 +63,7 @@
 				if r.FinishMs != 0 {
 					finish = clock(r.FinishMs)
 				}
-				fmt.Fprintf(w, "\t  %s %s: finish %s, %d jobs, %d machines\n", clock(r.AtMs), r.Cause, finish, r.Jobs, r.Machines)
+				fmt.Fprintf(w, "\t  %s %s: finish %s; jobs %d, machines %d\n", clock(r.AtMs), r.Cause, finish, r.Jobs, r.Machines)
 			}
 			if more := n.Replanned - len(n.Replans); more > 0 {
 				fmt.Fprintf(w, "\t  %d earlier forecasts are not kept\n", more)
