--- a/cluster/model.go
+++ b/cluster/model.go
@@ -59,9 +59,9 @@
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	plan       Plan
+	nights     nights
 	notes      notes
 	classes    map[string]*class
-	nights     nights
 
 	// Reused from pass to pass.
 	viewBuf  []placement.Machine
