--- a/calendar/book.go
+++ b/calendar/book.go
@@ -99,7 +99,7 @@
 // leaders left; settle is for how long after a moment something accepted before
 // it may still come to be known.
 func NewBook(region string, was Record, token uint64, settle time.Duration) *Book {
-	was.Region = region
+	was.Region, was.Nights, was.Past = region, slices.Clone(was.Nights), slices.Clone(was.Past)
 	b := &Book{rec: was, open: map[string]map[string]bool{}, ask: map[string]string{}, token: token, settle: settle}
 	for i := range b.rec.Nights {
 		n := &b.rec.Nights[i]
--- a/calendar/book_test.go
+++ b/calendar/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -227,3 +228,93 @@
 		t.Errorf("%d outcomes kept", len(b.rec.Past))
 	}
 }
+
+// Random nights: jobs come, end or are cancelled, records are committed now and
+// then, leaders are lost at any moment and their successors look late. Whoever
+// decides, the outcome is that of the jobs' real ends.
+func TestRandomNightsComeOutByTheJobsRealEnds(t *testing.T) {
+	n := night(t, oneRegion(t, "", ""))
+	seen := map[string]int{}
+	for seed := range uint64(1000) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		b := NewBook("brussels", Record{}, 5, 0)
+		var committed Record
+		var past []Outcome
+		open, ends := map[string]bool{}, map[string]time.Time{}
+		cancelled := map[string]bool{}
+		commit := func(now time.Time) {
+			committed = b.Record(now, 4000)
+			past = append(past[:0], committed.Past...)
+		}
+		lookAt := func(now time.Time) {
+			jobs := map[string]Night{}
+			for id := range open {
+				jobs[id] = n
+			}
+			b.See(jobs)
+			b.Close(now)
+		}
+		lost := false
+		for s := 0.0; s < 10*hour; s += 200 + rnd.Float64()*400 {
+			now := after(s)
+			switch k := rnd.IntN(10); {
+			case k < 3 && now.Before(n.Promise) && len(open) < 6:
+				id := fmt.Sprintf("wk-%06d", int(s))
+				open[id] = true
+				lookAt(now)
+				commit(now) // what comes and ends unnoted is not counted
+			case k < 6 && len(open) > 0:
+				for id := range open {
+					if delete(open, id); rnd.IntN(5) == 0 && now.Before(n.Opening) {
+						cancelled[id] = true
+					} else {
+						ends[id] = now
+						b.Ended(id, n, now)
+					}
+					break
+				}
+			case k == 6 && rnd.IntN(2) == 0:
+				b = NewBook("brussels", committed, 6, 0)
+				lost = true
+				lookAt(now)
+				for _, id := range b.Unknown() {
+					switch {
+					case cancelled[id]:
+						b.Told(id, Taken, Night{}, false, now)
+					case !ends[id].IsZero():
+						b.Told(id, Whole, n, true, ends[id])
+					}
+				}
+			case k == 7:
+				commit(now)
+			}
+			if rnd.IntN(3) > 0 {
+				lookAt(now)
+			}
+		}
+		lookAt(n.Opening.Add(3 * time.Hour))
+		commit(n.Opening.Add(3 * time.Hour))
+		want, last := Met, time.Time{}
+		for _, end := range ends {
+			if end.After(last) {
+				last = end
+			}
+		}
+		switch {
+		case len(open) > 0 || last.After(n.Opening):
+			want = Incomplete
+		case last.After(n.Promise):
+			want = Late
+		}
+		if len(open)+len(ends) == 0 {
+			continue
+		}
+		if len(past) != 1 || past[0].How != want || past[0].All != len(open)+len(ends) || want == Late && past[0].LateMs != last.Sub(n.Promise).Milliseconds() {
+			t.Fatalf("seed %d: %+v, want %s of %d (%d open, leaders lost %v)", seed, past, want, len(open)+len(ends), len(open), lost)
+		}
+		seen[want]++
+	}
+	if seen[Met] == 0 || seen[Late] == 0 || seen[Incomplete] == 0 {
+		t.Errorf("only played %v", seen)
+	}
+}
