--- a/cluster/model.go
+++ b/cluster/model.go
@@ -62,12 +62,12 @@
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	plan       Plan
+	nights     nights
 	notes      notes
 	pools      []*pool
 	poolsAt    time.Time // not before then the pools' next step
 	fetchNo    int       // of the last fetch of a pool's weights
 	classes    map[string]*class
-	nights     nights
 	tiers      tiers
 
 	// Reused from pass to pass.
