--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -296,11 +296,10 @@
 }
 
 // byBound brings what must begin before the aims of its priority. Of an array
-// that is its first task; the others keep their turn. At most so many requests
-// are left, those of the bound among them.
-func (m *Model) byBound(out []*ranked, most int, now time.Time) []*ranked {
+// that is its first task; the others keep their turn.
+func (m *Model) byBound(out []*ranked, now time.Time) []*ranked {
 	if m.BeginWithin <= 0 {
-		return out[:min(len(out), most)]
+		return out
 	}
 	heads := 0
 	var list []*ranked
@@ -348,13 +347,17 @@
 		list = append(append(append(list, floored...), first...), rest...)
 		lo = hi
 	}
-	list = m.lastCalls(list, now)
-	if len(list) <= most {
+	return m.lastCalls(list, now)
+}
+
+// atMost leaves so many requests, those that the bound has served among them.
+func atMost(list []*ranked, most int) []*ranked {
+	cut := len(list) - most
+	if cut <= 0 {
 		return list
 	}
-	cut := len(list) - most
 	for i := len(list) - 1; i >= 0 && cut > 0; i-- {
-		if !list[i].owed {
+		if !list[i].req.Owed {
 			list = slices.Delete(list, i, i+1)
 			cut--
 		}
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -187,7 +187,7 @@
 	})
 	m.triage(out, now)
 	m.bound(out, now)
-	out = m.promote(m.byBound(out, maxRequests, now), now)
+	out = atMost(m.promote(m.byBound(out, now), now), maxRequests)
 	m.keepOffGPUs(out, jobs)
 	return append(out, last...)
 }
