--- a/cluster/nights_test.go
+++ b/cluster/nights_test.go
@@ -77,6 +77,9 @@
 	if !slices.Equal(ids, want) {
 		t.Errorf("in order %v, want %v", ids, want)
 	}
+	if w, ok := m.Why("wk-000001", at(100)); !ok || w.Ahead["a night's work"] != 4 || w.Ahead["priority"] != 1 {
+		t.Errorf("it waits for %+v", w)
+	}
 	// Without a calendar, as before.
 	m.SetPlan(Plan{Plan: &plan.Plan{}, Number: 2, Head: 2}, at(100))
 	if ids, _ := inOrder(m, 100); ids[1] != "wk-000001" {
--- a/cluster/why.go
+++ b/cluster/why.go
@@ -86,7 +86,9 @@
 		return "tier"
 	case o.req.Cause == uint8(order.ByTurn):
 		return order.Wait.String()
-	case k.missed != o.missed:
+	case k.night != o.night:
+		return "a night's work"
+	case k.missed != o.missed && !k.night:
 		return "can still meet its aim"
 	}
 	return "due sooner"
