--- a/controller/troubles_test.go
+++ b/controller/troubles_test.go
@@ -26,14 +26,14 @@
 // Launches went to a mute machine with every answer, and waited there for as long
 // as it was mute.
 func TestNothingWaitsForAMachineThatDoesNotHear(t *testing.T) {
-	story(t, fake.Options{Machines: 3, Capacity: 3}, func(t *testing.T, w *fake.World) {
+	story(t, fake.Options{Machines: 3, Capacity: 3, Lease: 30}, func(t *testing.T, w *fake.World) {
 		busy(t, w, 3)
 		at := w.Cloud.Machines()[0]
 		w.Mute(at, true)
 		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 3, 10 }))
 		// Two rounds of 10 s, and at worst one wait of 4 s for an answer.
 		mustReach(t, w, "wk-000001", wire.JobDone, 35*time.Second)
-		time.Sleep(20 * time.Second) // its lease is over, and it is empty
+		time.Sleep(35 * time.Second) // its lease is over, and it is empty
 		before := w.Started()
 		mustSubmit(t, w, job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 6, 3, 10 }))
 		time.Sleep(3 * time.Second)
@@ -60,7 +60,7 @@
 // elsewhere once that machine's lease is over. It never shows the next one's
 // token, and each of its reports was answered: tasks waited without end.
 func TestAMachineIsMuteWhileTheLeaderChanges(t *testing.T) {
-	story(t, fake.Options{Machines: 3, Capacity: 4}, func(t *testing.T, w *fake.World) {
+	story(t, fake.Options{Machines: 3, Capacity: 4, Lease: 30}, func(t *testing.T, w *fake.World) {
 		busy(t, w, 3)
 		at := w.Cloud.Machines()[0]
 		w.Mute(at, true)
@@ -68,7 +68,7 @@
 		time.Sleep(time.Second)
 		w.KillNode(w.Leader())
 		mustReach(t, w, "wk-000001", wire.JobDone, 60*time.Second)
-		time.Sleep(15 * time.Second)
+		time.Sleep(40 * time.Second)
 		if n := w.Running(); n != 3 {
 			t.Errorf("%d of 3 long tasks run", n)
 		}
@@ -98,22 +98,21 @@
 // Copies of reports of a machine that is gone come to a leader that has never
 // heard of it. It looked alive, and tasks were launched there.
 func TestCopiesOfReportsOfAMachineThatIsGone(t *testing.T) {
-	story(t, fake.Options{Machines: 3, Capacity: 3}, func(t *testing.T, w *fake.World) {
+	story(t, fake.Options{Machines: 3, Capacity: 3, Lease: 30}, func(t *testing.T, w *fake.World) {
 		busy(t, w, 3)
 		gone := w.Cloud.Machines()[0]
-		w.KeepReport(gone)
+		w.CopyReports(1)
+		time.Sleep(20 * time.Second)
+		w.CopyReports(0)
 		w.Cloud.Remove(gone)
 		w.KillNode(w.Leader())
 		time.Sleep(8 * time.Second)
-		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 2, 3, 5 }))
-		for range 3 {
-			for i := range w.Nodes() {
-				w.LateReport(gone, i)
-			}
-			time.Sleep(time.Second)
+		for i := range 8 {
+			// The two machines that are left have room for two of its tasks at a time.
+			id := job(1+i, nil).ID
+			mustSubmit(t, w, job(1+i, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 3, 2 }))
+			mustReach(t, w, id, wire.JobDone, 20*time.Second)
 		}
-		// Two machines of the two that are left have room for it.
-		mustReach(t, w, "wk-000001", wire.JobDone, 12*time.Second)
 		for range 100 {
 			if time.Sleep(time.Second); w.Running() == 3 {
 				break
