--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -158,6 +158,8 @@
 		{"stands still", func(w *fake.World, r int) { w.Stop(r, true) }, func(w *fake.World, r int) { w.Stop(r, false) }},
 		{"is cut from the others", func(w *fake.World, r int) { w.CutNode(r, true, "nodes") }, func(w *fake.World, r int) { w.CutNode(r, false, "nodes") }},
 		{"dies", func(w *fake.World, r int) { w.KillNode(r) }, func(w *fake.World, r int) { w.StartNode(r) }},
+		{"keeps only its workers", func(w *fake.World, r int) { w.KeepOnlyWorkers(r, true) }, func(w *fake.World, r int) { w.KeepOnlyWorkers(r, false) }},
+		{"is back at once", func(w *fake.World, r int) { w.Bounce(r, 200*time.Millisecond) }, func(w *fake.World, r int) { w.Bounce(r, 900*time.Millisecond) }},
 		{"and the leader with it", func(w *fake.World, r int) { w.KillNode(w.Leader()); w.Stop(r, true) },
 			func(w *fake.World, r int) { w.Stop(r, false) }},
 	} {
@@ -203,6 +205,12 @@
 		{"dies", func(w *fake.World, l int) { w.KillNode(l) }},
 		{"stands still", func(w *fake.World, l int) { w.Stop(l, true) }},
 		{"is cut from the workers", func(w *fake.World, l int) { w.CutNode(l, true, "workers") }},
+		{"keeps only its workers", func(w *fake.World, l int) { w.KeepOnlyWorkers(l, true) }},
+		{"is back at once, and the next in the election", func(w *fake.World, l int) {
+			w.Bounce(l, 100*time.Millisecond)
+			w.Bounce((l+1)%4, 300*time.Millisecond)
+			w.Bounce((l+2)%4, 700*time.Millisecond)
+		}},
 		{"is refused by the state service", func(w *fake.World, l int) { w.State.Refuse(fmt.Sprintf("n-%d", l), true) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
