--- a/cluster/hearing_test.go
+++ b/cluster/hearing_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// A reserved place is promised, and kept while its machine may hear again, but not
+// past the end of its lease.
+func TestAReservedPlaceIsGivenUpOnceAMuteMachinesLeaseHasEnded(t *testing.T) {
+	m := newModel(5)
+	rec := arrayJob("wk-000001", 1)
+	rec.Reserve = &ledger.Reserve{Owner: "w/y/a", Go: []int{0, 0}}
+	m.PutJob("wk-000001", rec, 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	if launches, _, _ := ops(answer(t, m, rep(2, 5), at(2))); launches != 1 {
+		t.Fatal("not launched")
+	}
+	task := &m.Job("wk-000001").Tasks[0]
+	answer(t, m, rep(3, 5), at(7))
+	if m.Tick(at(8)); task.Place == nil {
+		t.Fatal("not kept")
+	}
+	r := rep(4, 5)
+	r.Session = 2
+	if answer(t, m, r, at(11)); task.Place != nil || task.End != ledger.EndLost {
+		t.Errorf("kept, or ended as %d", task.End)
+	}
+}
+
 // A worker stays where it was answered.
 func TestTheNextReportComesToAnotherNode(t *testing.T) {
 	m := newModel(5)
