--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -26,6 +26,8 @@
 			s.Machines["noticed"]++
 		case mc.Up && m.ready(mc, now):
 			s.Machines["up"]++
+		case mc.Up && mc.deaf():
+			s.Machines["mute"]++
 		case mc.Up || len(mc.Tasks) > 0:
 			s.Machines["silent"]++
 		case mc.Ordered:
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -61,9 +61,9 @@
 	return sc
 }
 
-// Copied is the gang on two machines with a copy of a report that arrives late.
+// Copied is the gang in one zone with a copy of a report that arrives late.
 func Copied() *Scenario {
-	sc := Split()
+	sc := Gang()
 	sc.Name, sc.Copies = "late copy", 1
 	return sc
 }
