Submissions of earlier tiers go first where more wait than can be taken

A bucket's transaction takes earlier tiers first, and a quarter of it is of those that have waited longest.

--- a/controller/node.go
+++ b/controller/node.go
@@ -57,15 +57,17 @@
 	elector *election.Elector
 	peers   []*mesh.Peer
 	lanes   []*mesh.Lane
-	users   chan struct{}   // bounds the users' requests under way
-	reports *admission.Gate // and the workers' reports
-	door    *admission.Door // of users and workers; set before anybody is served
+	users   chan struct{}    // bounds the users' requests under way
+	tiers   *admission.Tiers // and of those, how many each tier of submissions has
+	reports *admission.Gate  // and the workers' reports
+	door    *admission.Door  // of users and workers; set before anybody is served
 	pulse   pulse
 	doubts  doubts
 
 	answered *admission.Answered          // when workers were last answered here
 	plan     atomic.Pointer[published]    // where workers report
 	ordered  atomic.Pointer[cluster.Plan] // what the operators decided; nil before it is read
+	inOrder  atomic.Pointer[inOrder]      // of that, the order of service
 	moves    *rate.Limiter                // paces workers' moves to other nodes
 	metrics  *metrics.Set                 // nil unless the operators watch
 	troubles *metrics.Troubles
@@ -104,6 +106,7 @@
 		cloud:    cloud.New(nw.Dial, cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.9),
 		workers:  worker.New(nw.Dial, min(64, cfg.Cluster.Limits.Sockets/20)),
 		users:    make(chan struct{}, max(32, cfg.Cluster.Limits.Sockets/8)),
+		tiers:    admission.NewTiers(max(32, cfg.Cluster.Limits.Sockets/8)),
 		reports:  admission.NewGate(max(64, cfg.Cluster.Limits.Sockets/2), cfg.Cluster.Limits.Sockets/8),
 		answered: admission.NewAnswered(guestsMost), moves: newMoves(),
 		sent: map[string]guest{}, askers: map[string]asker{}, news: make(chan struct{}),
@@ -123,6 +126,7 @@
 	n.reader = ledger.NewReader(forUsers)
 	n.reader.Limits = ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB}
 	n.reader.Log = log
+	n.reader.Tier = func(team, class string) int { return n.order().Tier(team, class) }
 	n.reader.Gap = func() time.Duration { return config.Seconds(min(barrierShare/max(forUsers.Rate(), 1), 0.6)) }
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
--- /dev/null
+++ b/controller/order.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/plan"
+)
+
+// This file is what a node does by the operators' order besides leading: whose
+// submissions and polls come first when there are too many.
+
+// inOrder is the order of a plan.
+type inOrder struct {
+	of *plan.Plan
+	o  *order.Order
+}
+
+// order is the one in force as far as this node knows, nil if there is none. One
+// that is a moment behind serves a request sooner or later than it might have, and
+// that is all.
+func (n *Node) order() *order.Order {
+	p := n.orders().Plan
+	if p == nil {
+		return nil
+	}
+	cur := n.inOrder.Load()
+	if cur == nil || cur.of != p {
+		cur = &inOrder{p, order.New(&p.Order)}
+		n.inOrder.Store(cur)
+	}
+	return cur.o
+}
+
+// enterTier admits a submission by its tier while many are under way; leave is to
+// be called once it is answered. Without an order, and while there is room for
+// all, everybody is admitted.
+func (n *Node) enterTier(team, class string) (leave func(), ok bool) {
+	o := n.order()
+	if o == nil {
+		return func() {}, true
+	}
+	tier, of := o.Tier(team, class), o.Tiers()
+	if !n.tiers.Enter(tier, of) {
+		return nil, false
+	}
+	return func() { n.tiers.Leave(tier, of) }, true
+}
--- a/controller/users.go
+++ b/controller/users.go
@@ -259,6 +259,11 @@
 // has passed on.
 func (n *Node) submit(ctx context.Context, body []byte, from string) (mesh.Answer, error) {
 	job, jerr := wire.DecodeJob(body)
+	leave, ok := n.enterTier(job.Team, job.Class)
+	if !ok {
+		return answer(http.StatusTooManyRequests, wire.Error{Error: "too many submissions under way"}, busyFor), nil
+	}
+	defer leave()
 	status := http.StatusBadRequest
 	if jerr == nil {
 		status, jerr = n.judge(&job)
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -118,6 +118,7 @@
 // submission waits for its job to be committed.
 type submission struct {
 	entry IntakeEntry
+	tier  int
 	done  chan accepted
 }
 
@@ -186,7 +187,7 @@
 				if many {
 					q.crowded = time.Now()
 				}
-				s, err := r.enqueue(bucket, q, entry)
+				s, err := r.enqueue(bucket, q, entry, r.tier(&j))
 				r.mu.Unlock()
 				if err != nil {
 					return false, err
@@ -262,11 +263,11 @@
 // enqueue has a job committed together with those that wait as well; the lock is
 // held. The first one waits for nobody; those that come while a transaction is
 // under way share the next.
-func (r *Reader) enqueue(bucket int, q *queue, e IntakeEntry) (*submission, error) {
+func (r *Reader) enqueue(bucket int, q *queue, e IntakeEntry, tier int) (*submission, error) {
 	if r.ctx == nil || r.ended {
 		return nil, fmt.Errorf("%w: shutting down", state.ErrRefused)
 	}
-	s := &submission{entry: e, done: make(chan accepted, 1)}
+	s := &submission{entry: e, tier: tier, done: make(chan accepted, 1)}
 	q.waiting = append(q.waiting, s)
 	if !q.busy {
 		q.busy = true
@@ -322,21 +323,41 @@
 func (r *Reader) gather(bucket int, q *queue) []*submission {
 	var batch []*submission
 	ids := map[string]bool{}
-	left, bytes, most := q.waiting[:0:0], 0, r.Limits.jobs(r.each(HeadKey(bucket)))
-	for _, s := range q.waiting {
+	taken := map[*submission]bool{}
+	bytes, most := 0, r.Limits.jobs(r.each(HeadKey(bucket)))
+	for _, s := range inTurn(q.waiting, most) {
 		size := s.entry.size()
 		if ids[s.entry.ID] || len(batch) >= most || len(batch) > 0 && bytes+size > 2*r.Limits.bytes() {
-			left = append(left, s)
 			continue
 		}
-		ids[s.entry.ID] = true
+		ids[s.entry.ID], taken[s] = true, true
 		bytes += size
 		batch = append(batch, s)
 	}
-	q.waiting = left
+	q.waiting = slices.DeleteFunc(q.waiting, func(s *submission) bool { return taken[s] })
 	return batch
 }
 
+// tier is a job's by the operators' order.
+func (r *Reader) tier(j *wire.Job) int {
+	if r.Tier == nil {
+		return 0
+	}
+	return r.Tier(j.Team, j.Class)
+}
+
+// inTurn puts submissions, of which a transaction takes so many, in the order in
+// which they are taken: earlier tiers first, but a quarter is of those that have
+// waited longest, whosever they are.
+func inTurn(waiting []*submission, most int) []*submission {
+	if len(waiting) <= most {
+		return waiting
+	}
+	out := slices.Clone(waiting)
+	slices.SortStableFunc(out[(most+3)/4:], func(a, b *submission) int { return a.tier - b.tier })
+	return out
+}
+
 // commitBatch commits submissions of a bucket, and answers each.
 func (r *Reader) commitBatch(ctx context.Context, bucket int, q *queue, batch []*submission) {
 	answer := func(which func(*submission) bool, a accepted) {
--- a/ledger/intake_test.go
+++ b/ledger/intake_test.go
@@ -507,3 +507,57 @@
 		}
 	})
 }
+
+// More submissions wait than a transaction takes. Those of the first tier go with
+// the next, whenever they came; of the others some go each time.
+func TestTheFirstTiersSubmissionsGoWithTheNextTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(1)
+		s.raise(1)
+		s.slow = 200 * time.Millisecond
+		nodes(t, 1, s, func(rs []*ledger.Reader) {
+			rs[0].Tier = func(_, class string) int {
+				if class == "clinic" {
+					return 0
+				}
+				return 1
+			}
+			var mu sync.Mutex
+			var order []string
+			var wg sync.WaitGroup
+			submit := func(n int, class string) {
+				wg.Go(func() {
+					j := job(n)
+					j.Class = class
+					if _, ok := accept(t.Context(), rs[0], j); ok {
+						mu.Lock()
+						order = append(order, class)
+						mu.Unlock()
+					}
+				})
+				time.Sleep(time.Millisecond)
+			}
+			if _, _, err := rs[0].Lookup(t.Context(), "wk-000001"); err != nil {
+				t.Fatal(err)
+			}
+			for n := range 120 {
+				submit(n, "craft")
+			}
+			before := len(order)
+			for n := range 4 {
+				submit(1000+n, "clinic")
+			}
+			wg.Wait()
+			last := 0
+			for i, c := range order {
+				if c == "clinic" {
+					last = i
+				}
+			}
+			t.Logf("%d were accepted when clinics' came, the last of these was number %d of %d", before, last, len(order))
+			if len(order) != 124 || last-before > 60 {
+				t.Errorf("%d accepted, %d of them before the last clinic's submission, which came after %d", len(order), last, before)
+			}
+		})
+	})
+}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -70,6 +70,10 @@
 	// Limits are what the state service takes, TxnOps and ValueKB of it. They are
 	// for the owner to set before Run.
 	Limits Limits
+	// Tier is a team's work of a class by the operators' order: where more
+	// submissions wait than a transaction takes, earlier tiers go first. It is for
+	// the owner to set before Run. Nil: in the order in which they came.
+	Tier func(team, class string) int
 	// Log is told of records that can't be read. Nil: nobody is.
 	Log *slog.Logger
 
