--- a/cluster/model.go
+++ b/cluster/model.go
@@ -25,8 +25,11 @@
 	Cycles   map[string]*Cycle
 	Tuning   config.Rebalance
 	Headroom float64
-	Freed    uint64 // counts the places that have become free
-	Timings  Timings
+	// BeginWithin is how soon after its acceptance a job begins at the latest; 0:
+	// there is no such bound.
+	BeginWithin time.Duration
+	Freed       uint64 // counts the places that have become free
+	Timings     Timings
 
 	loaded bool // an earlier leader's records
 
@@ -59,7 +62,11 @@
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	plan       Plan
+	nights     nights
 	notes      notes
+	pools      []*pool
+	poolsAt    time.Time // not before then the pools' next step
+	fetchNo    int       // of the last fetch of a pool's weights
 	classes    map[string]*class
 	tiers      tiers
 
@@ -70,6 +77,9 @@
 	refBuf   []Ref
 	playBuf  times
 	triageAt time.Time // not before then again
+	boundAt  time.Time
+	nameAt   time.Time
+	done     map[string]int // of late, by group
 }
 
 type offerKey struct {
@@ -83,7 +93,7 @@
 		Token: token, Takeover: now, Zones: cfg.Cluster.Zones, cfg: cfg, log: log, drift: 0.0005,
 		zoneIdx: map[string]int{}, teamIdx: map[string]int{}, typeIdx: map[string]int{},
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, imageIdx: map[string]int32{},
-		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, intakes: map[string]*intake{},
+		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, done: map[string]int{}, intakes: map[string]*intake{},
 		Timings: untimed{},
 	}
 	for i, z := range cfg.Cluster.Zones {
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -78,9 +78,12 @@
 	missed bool
 	putOff bool // from an aim it could still meet, for others' sake
 	urgent bool
+	owed   bool    // must begin now, before the aims of its priority
 	left   float64 // seconds that the longest of its waiting tasks takes
 	work   float64
 	req    placement.Request
+
+	nightRank
 }
 
 // next takes a job's next aim as what it is due for.
@@ -162,6 +165,7 @@
 		}
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
+		m.nightly(k)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j) || m.precedes(j)
 		out = append(out, k)
 	}
@@ -174,16 +178,16 @@
 			return x.j.Priority < y.j.Priority
 		case x.req.Tier != y.req.Tier:
 			return x.req.Tier < y.req.Tier
+		case x.night || y.night:
+			return byNight(x, y)
 		case x.missed != y.missed:
 			return y.missed
 		}
 		return x.due.Before(y.due)
 	})
 	m.triage(out, now)
-	out = m.promote(out, now)
-	if len(out) > maxRequests {
-		out = out[:maxRequests]
-	}
+	m.bound(out, now)
+	out = atMost(m.promote(m.byBound(out, now), now), maxRequests)
 	m.keepOffGPUs(out, jobs)
 	return append(out, last...)
 }
--- a/cluster/place.go
+++ b/cluster/place.go
@@ -36,6 +36,7 @@
 	mc.Tasks[Ref{Job: j.Idx, Task: task}] = true
 	m.fresh = append(m.fresh, Ref{Job: j.Idx, Task: task})
 	mc.Used = mc.Used.Add(j.Need, 1)
+	mc.worked = true
 	j.Placed++
 	j.Chunks[int(task)/ledger.ChunkSize].Placed++
 	if mc.Zone >= 0 {
@@ -91,6 +92,7 @@
 	m.touch(j, task)
 	if j.Done == len(j.Tasks) {
 		m.learn(j)
+		m.served(j)
 		m.log.Info("job's tasks done", "id", j.ID, "sinceAccept", now.Sub(j.At).Round(time.Millisecond).Seconds())
 	}
 }
--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -41,7 +41,11 @@
 
 // planChanged tells the plan's parts; the plan may have been read for the first
 // time, before any job is known.
-func (m *Model) planChanged(time.Time) { m.orderChanged() }
+func (m *Model) planChanged(now time.Time) {
+	m.orderChanged()
+	m.planNights(now)
+	m.poolsChanged(now)
+}
 
 // takeBack takes placements back that are not committed, and says how many.
 func (m *Model) takeBack(now time.Time) int {
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -41,9 +41,11 @@
 	reserved := map[string]bool{}
 	job := make([]*Job, 0, len(reqs)+4)
 	for k := range reqs {
-		for _, r := range m.reserves(reqs[k], reserved, now) {
-			in.Requests = append(in.Requests, r)
-			job = append(job, nil)
+		if !reqs[k].owed { // the bound goes before room that is kept for an aim
+			for _, r := range m.reserves(reqs[k], reserved, now) {
+				in.Requests = append(in.Requests, r)
+				job = append(job, nil)
+			}
 		}
 		job = append(job, reqs[k].j)
 		r := reqs[k].req
@@ -57,6 +59,7 @@
 			r.Avoid = avoid
 		}
 		r.Prefer = m.preferred(reqs[k].j, r.Tasks, fwd)
+		r.Pools = m.poolUses(reqs[k].j)
 		in.Requests = append(in.Requests, r)
 	}
 	for _, r := range m.phantoms(jobs, now) {
@@ -71,7 +74,9 @@
 	m.viewBuf = in.Machines
 	m.departures(&plan, &in, job, now)
 
-	return m.carryOut(plan, in.Requests, job, back, offers, now)
+	d := m.carryOut(plan, in.Requests, job, back, offers, now)
+	m.poolRent(d.Rent, offers, in.RentMax)
+	return d
 }
 
 // carryOut takes a plan into the model. job is whose each request is, nil for
@@ -93,6 +98,7 @@
 			a = j.Attempt
 			attempts[j.Idx] = a
 		}
+		m.poolPlaced(j, s.Task, mc)
 		m.place(j, s.Task, mc, a, now)
 		c := m.touch(j, s.Task)
 		c.PlaceGen = c.Gen
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -12,14 +12,17 @@
 	Jobs      int            // that are not over
 	Late      int            // of those, past their deadline
 	Longest   map[string]float64
-	LeaseLeft float64 // seconds, of the machine whose lease is nearest its end
+	Unbegun   []Unbegun // can't begin within the bound: those that wait for longest, and how
+	UnbegunN  int       // many there are
+	LeaseLeft float64   // seconds, of the machine whose lease is nearest its end
 
 	Departures map[string]uint64 // from the order, by whose cost and why, of all leaders' time
+	Pools      []PoolSummary
 }
 
 // Summary counts what is there; its cost grows with machines and open tasks.
 func (m *Model) Summary(now time.Time) Summary {
-	s := Summary{Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}, Departures: maps.Clone(m.tiers.record.Counts)}
+	s := Summary{Pools: m.poolSummaries(), Machines: map[string]int{}, Tasks: map[string]int{}, Longest: map[string]float64{}, Departures: maps.Clone(m.tiers.record.Counts)}
 	least := -1.0
 	for _, mc := range m.Machines {
 		switch {
@@ -43,6 +46,7 @@
 		}
 	}
 	s.LeaseLeft = max(least, 0)
+	s.Unbegun, s.UnbegunN = m.unbegun(now)
 	for _, j := range m.Jobs {
 		if j == nil || j.Finished {
 			continue
--- a/cluster/tiers.go
+++ b/cluster/tiers.go
@@ -145,6 +145,11 @@
 		for hi < len(line) && line[hi].abreast(line[lo]) {
 			hi++
 		}
+		if line[lo].req.Owed {
+			out = append(out, line[lo:hi]...) // in the order in which they must begin
+			lo = hi
+			continue
+		}
 		var first, rest []*ranked
 		for i := lo; i < hi; i++ {
 			k, a := line[i], ahead[i]
--- a/cluster/triage.go
+++ b/cluster/triage.go
@@ -76,6 +76,8 @@
 		sort.SliceStable(group, func(a, b int) bool {
 			x, y := group[a], group[b]
 			switch {
+			case x.night || y.night:
+				return byNight(x, y)
 			case x.missed != y.missed:
 				return y.missed
 			case x.putOff != y.putOff:
@@ -94,12 +96,13 @@
 // put off, the smallest first, whether it can meet a later aim without making
 // any of the others late.
 func (m *Model) triageClass(jobs []*ranked, now time.Time) {
-	places := times(m.places(jobs[0].j, now))
+	places := times(m.places(jobs[0].j, jobs[0].j.Zone, now))
 	if len(places) == 0 {
 		return
 	}
 	slices.Sort(places) // a sorted list is a heap
 	m.log.Debug("triage", "class", jobs[0].j.Spec.Class, "places", len(places), "first", places[0], "median", places[len(places)/2], "last", places[len(places)-1], "jobs", len(jobs))
+	jobs = m.afterOwed(jobs, places)
 	var off []*ranked
 	p := m.newPlayed(places, now)
 	for same := 0; ; {
@@ -134,6 +137,27 @@
 	}
 }
 
+// afterOwed plays those that begin by the bound first, on the places given, and
+// returns the others: they get what is left. Counted on twice, a place makes
+// two jobs late.
+func (m *Model) afterOwed(jobs []*ranked, places times) []*ranked {
+	if m.BeginWithin <= 0 {
+		return jobs
+	}
+	var out []*ranked
+	for _, k := range jobs {
+		n := k.j.toBegin()
+		if !k.j.owed || n == 0 {
+			out = append(out, k)
+			continue
+		}
+		for range min(n, triageTasks) {
+			places.later(k.left + m.spreadOf(k.j).delay())
+		}
+	}
+	return out
+}
+
 type times []float64
 
 // later moves the earliest place back, to when it is free again. This is the
@@ -206,18 +230,18 @@
 	return -1
 }
 
-// places says after how many seconds there is a place for a task like the
-// job's, once for each. Places that tasks of higher priority hold are not
+// places says after how many seconds there is a place in a zone (-1: in any)
+// for a task like the job's, once for each. Places that tasks of higher priority hold are not
 // counted, since others of theirs are likely to follow; those of lower
 // priority can be had at once.
-func (m *Model) places(j *Job, now time.Time) []float64 {
+func (m *Model) places(j *Job, zone int, now time.Time) []float64 {
 	var out []float64
 	type end struct {
 		at   float64
 		need placement.Res
 	}
 	for _, mc := range m.Machines {
-		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || zone >= 0 && zone != mc.Zone {
 			continue
 		}
 		room := m.Types[mc.Type].Cap
--- /dev/null
+++ b/controller/pools_test.go
@@ -0,0 +1,630 @@
+package controller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/pools"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// poolWorld has machines with a cache of 100 GB; an image of 40 GB takes 40 s.
+func poolWorld(machines, capacity int) fake.Options {
+	typ := fake.DefaultType
+	typ.CacheGB = 100
+	return fake.Options{Machines: machines, Capacity: capacity, Types: []wire.MachineType{typ},
+		Teams: []config.Team{{Name: "core"}, {Name: "speech"}, {Name: "clinic"}}}
+}
+
+// poolPlan is a plan with one pool of that many machines.
+func poolPlan(least, most int, more string) string {
+	return fmt.Sprintf(`note = "pools"
+[[pools]]
+name = "llm"
+model = "llm:v1"
+gb = 40
+types = ["m8"]
+zones = ["a", "b"]
+least = %d
+most = %d
+burst = { replicas = 4, within_s = 10 }
+cost_an_hour = 100
+payer = "speech"
+borrowers = ["core"]
+%s`, least, most, more)
+}
+
+// poolState reads what is recorded of the pool.
+func poolState(t *testing.T, w *fake.World) pools.State {
+	t.Helper()
+	notes := map[string]wire.Raw{}
+	for _, k := range w.State.Keys(ledger.Notes) {
+		notes[strings.TrimPrefix(k, ledger.Notes)] = w.State.Value(k)
+	}
+	all, bad := pools.ReadStates(notes)
+	if len(all) > 1 || len(bad) > 0 {
+		t.Fatalf("%d pools recorded, unreadable: %v", len(all), bad)
+	}
+	if len(all) == 0 {
+		return pools.State{Shards: make([]pools.Shard, 1)} // not yet
+	}
+	return all[0]
+}
+
+// mustBePaid checks that what the teams owe is what the machines cost.
+func mustBePaid(t *testing.T, s pools.State) {
+	t.Helper()
+	for _, why := range s.Audit() {
+		t.Error(why)
+	}
+	if _, machines := pools.Totals(s.Shards); machines.Ms == 0 {
+		t.Error("nothing is charged")
+	}
+}
+
+// awaitWarm waits until so many machines have an image.
+func awaitWarm(t *testing.T, w *fake.World, image string, n int, within time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(within); len(w.Cached(image)) < n; time.Sleep(time.Second) {
+		if time.Now().After(end) {
+			t.Fatalf("%d machines have %s, not %d, after %v", len(w.Cached(image)), image, n, within)
+		}
+	}
+}
+
+func replicas(n, count int) wire.Job {
+	return job(n, func(j *wire.Job) {
+		j.Kind, j.Class, j.Team, j.EstimateS, j.Tasks, j.CPUs = wire.KindService, "serve", "speech", 0, count, 8
+		j.Image, j.ImageGB = "llm:v1", 40
+	})
+}
+
+func TestAPoolHoldsWeightsAheadOfABurst(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitWarm(t, w, "llm:v1", 4, 5*time.Minute)
+		if n := w.FetchedMost(); n > 2 {
+			t.Errorf("%d machines fetched at the same time", n)
+		}
+		time.Sleep(10 * time.Minute)
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines hold the weights after a while of nothing", n)
+		}
+		began := w.Started()
+		loseLeader(w)
+		time.Sleep(time.Minute)
+		if n := w.Started() - began; n > 0 {
+			t.Errorf("the next leader fetches %d times what is there", n)
+		}
+		at := time.Now()
+		mustSubmit(t, w, replicas(1, 4))
+		for len(w.On("wk-000001/0"))+len(w.On("wk-000001/1"))+len(w.On("wk-000001/2"))+len(w.On("wk-000001/3")) < 4 {
+			time.Sleep(100 * time.Millisecond)
+			if time.Since(at) > 15*time.Second {
+				t.Fatal("the replicas do not run within 15 s: their weights were to be there")
+			}
+		}
+		time.Sleep(10 * time.Second)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		hits := int64(0)
+		for _, sh := range s.Shards {
+			hits += sh.Hits
+		}
+		if hits != 4 || s.Note.Held != 4 {
+			t.Errorf("%d hits, %+v", hits, s.Note)
+		}
+	})
+}
+
+// awaitPool waits until what is recorded of the pool is as wanted.
+func awaitPool(t *testing.T, w *fake.World, what string, within time.Duration, ok func(s pools.State) bool) pools.State {
+	t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(500 * time.Millisecond) {
+		s := poolState(t, w)
+		if ok(s) {
+			return s
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not %s within %v: %+v", what, within, s)
+		}
+	}
+}
+
+func full(n int) func(pools.State) bool {
+	return func(s pools.State) bool { return s.Note.Held == n && s.Note.Warm == n }
+}
+
+// loseLeader ends the leader, and starts its node again a while later.
+func loseLeader(w *fake.World) {
+	i := w.Leader()
+	w.KillNode(i)
+	time.Sleep(12 * time.Second)
+	w.StartNode(i)
+}
+
+func TestALeaderDiesWhileAPoolGrows(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(t *testing.T, w *fake.World)
+	}{
+		{"between record and rental", func(t *testing.T, w *fake.World) {
+			w.Cloud.SetOutage(true)
+			for len(w.State.Keys(ledger.Rentals)) == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			w.KillNode(w.Leader())
+			w.Cloud.SetOutage(false)
+		}},
+		{"while the rental is not answered", func(t *testing.T, w *fake.World) {
+			w.Cloud.SetSilent(true)
+			for len(w.Cloud.Machines()) == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			w.KillNode(w.Leader())
+			w.Cloud.SetSilent(false)
+		}},
+		{"between rental and fetch", func(t *testing.T, w *fake.World) {
+			for len(w.Cloud.Machines()) < 4 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			w.KillNode(w.Leader())
+		}},
+		{"while weights are fetched, and all others too", func(t *testing.T, w *fake.World) {
+			for w.FetchedMost() == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			for i := range 3 {
+				w.KillNode(i)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				w.StartNode(i)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 12), func(t *testing.T, w *fake.World) {
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				c.tell(t, w)
+				awaitWarm(t, w, "llm:v1", 4, 8*time.Minute)
+				s := awaitPool(t, w, "full", 3*time.Minute, full(4))
+				mustBePaid(t, s)
+				if w.FetchedMost() > 2 {
+					t.Errorf("%d machines fetched at the same time", w.FetchedMost())
+				}
+				time.Sleep(8 * time.Minute) // what was rented twice is returned
+				if n := len(w.Cloud.Machines()); n != 4 {
+					t.Errorf("%d machines", n)
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestALeaderDiesBetweenHoldAndReturn(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		applyPlan(t, w, 1, poolPlan(1, 4, ""))
+		awaitPool(t, w, "letting go", time.Minute, func(s pools.State) bool {
+			for _, m := range s.Shards[0].Members {
+				if m.Leaving {
+					return true
+				}
+			}
+			return false
+		})
+		loseLeader(w)
+		s := awaitPool(t, w, "small", 3*time.Minute, func(s pools.State) bool { return len(s.Shards[0].Members) == 1 })
+		mustBePaid(t, s)
+		if n := len(w.Cloud.Machines()); n != 1 || len(w.Cached("llm:v1")) != 1 {
+			t.Errorf("%d machines, %d with weights", n, len(w.Cached("llm:v1")))
+		}
+		if s.Shards[0].Closed.Ms < 3*60_000 {
+			t.Errorf("three machines are charged for %d ms", s.Shards[0].Closed.Ms)
+		}
+	})
+}
+
+func TestTheCloudRentsLateNeverOrTwice(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(w *fake.World)
+	}{
+		{"late", func(w *fake.World) { w.Cloud.SetSlow(40 * time.Second) }},
+		{"some never", func(w *fake.World) {
+			w.Cloud.SetBoots(func(n int) time.Duration {
+				if n%2 == 0 && n < 4 {
+					return -1
+				}
+				return 10 * time.Second
+			})
+		}},
+		{"twice", func(w *fake.World) {
+			w.Cloud.SetSilent(true)
+			time.AfterFunc(25*time.Second, func() { w.Cloud.SetSilent(false) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 12), func(t *testing.T, w *fake.World) {
+				c.tell(w)
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				time.Sleep(30 * time.Second)
+				loseLeader(w)
+				awaitPool(t, w, "full", 10*time.Minute, full(4))
+				time.Sleep(8 * time.Minute)
+				if n := len(w.Cloud.Machines()); n != 4 {
+					t.Errorf("%d machines", n)
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestAPoolMachineIsLostAsABurstBegins(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(w *fake.World, name string)
+	}{
+		{"dies", func(w *fake.World, n string) { w.KillMachine(n) }},
+		{"hangs", func(w *fake.World, n string) { w.Hang(n, true) }},
+		{"is taken back", func(w *fake.World, n string) {
+			w.Notice(n, 8*time.Second)
+			time.AfterFunc(8*time.Second, func() {
+				if slices.Contains(w.Cloud.Machines(), n) { // not returned by then
+					w.KillMachine(n)
+				}
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+				applyPlan(t, w, 0, poolPlan(4, 4, ""))
+				awaitPool(t, w, "full", 10*time.Minute, full(4))
+				c.lose(w, w.Cached("llm:v1")[0])
+				mustSubmit(t, w, replicas(1, 4))
+				loseLeader(w)
+				run := func() (n int) {
+					for i := range 4 {
+						n += len(w.On(fmt.Sprintf("wk-000001/%d", i)))
+					}
+					return n
+				}
+				if run() < 3 {
+					t.Errorf("%d replicas run 12 s after the burst, three had a healthy machine with weights", run())
+				}
+				mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+				awaitPool(t, w, "whole again", 10*time.Minute, full(4))
+				for end := time.Now().Add(3 * time.Minute); run() < 4 && time.Now().Before(end); {
+					time.Sleep(time.Second)
+				}
+				if run() != 4 {
+					t.Errorf("%d replicas run", run())
+				}
+				mustBePaid(t, poolState(t, w))
+			})
+		})
+	}
+}
+
+func TestAMachineThatDoesNotComeByItsWeightsIsReplaced(t *testing.T) {
+	story(t, poolWorld(2, 4), func(t *testing.T, w *fake.World) {
+		slow := w.Cloud.Machines()[0]
+		w.SlowFetch(slow)
+		applyPlan(t, w, 0, poolPlan(2, 2, ""))
+		time.Sleep(time.Minute)
+		loseLeader(w)
+		s := awaitPool(t, w, "full", 6*time.Minute, full(2))
+		if slices.Contains(w.Cached("llm:v1"), slow) || s.Shards[0].Member(slow) != nil {
+			t.Errorf("%s is held", slow)
+		}
+		mustBePaid(t, s)
+		time.Sleep(6 * time.Minute)
+		if n := len(w.Cloud.Machines()); n != 2 {
+			t.Errorf("%d machines: the slow one is not returned", n)
+		}
+	})
+}
+
+func TestAModelsImageChangesOvernight(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		// The plan names v1; what comes is v2.
+		mustSubmit(t, w, job(1, func(j *wire.Job) { *j = replicas(1, 1); j.Image = "llm:v2" }))
+		loseLeader(w)
+		awaitWarm(t, w, "llm:v2", 4, 8*time.Minute)
+		s := awaitPool(t, w, "full of the new version", 2*time.Minute, full(4))
+		if s.Note.Image != "llm:v2" || w.FetchedMost() > 2 {
+			t.Errorf("%+v, %d fetched at the same time", s.Note, w.FetchedMost())
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestTwoPoolsWhoseWeightsDoNotFitTogether(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		second := strings.Replace(strings.Replace(poolPlan(2, 2, ""), `name = "llm"`, `name = "asr"`, 1), `model = "llm:v1"`, `model = "asr:v1"`, 1)
+		_, second, _ = strings.Cut(second, "\n")
+		text := strings.ReplaceAll(poolPlan(2, 2, "")+"\n"+second, "gb = 40", "gb = 60")
+		applyPlan(t, w, 0, text)
+		awaitWarm(t, w, "llm:v1", 2, 10*time.Minute)
+		awaitWarm(t, w, "asr:v1", 2, 5*time.Minute)
+		loseLeader(w)
+		time.Sleep(5 * time.Minute)
+		a, b := w.Cached("llm:v1"), w.Cached("asr:v1")
+		if len(a) != 2 || len(b) != 2 || len(w.Cloud.Machines()) != 4 {
+			t.Errorf("%v hold the one, %v the other, of %v", a, b, w.Cloud.Machines())
+		}
+	})
+}
+
+func TestClinicWorkTakesThePoolsRoom(t *testing.T) {
+	story(t, poolWorld(0, 4), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		other := func(n int, team, rank string) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Team, j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = team, rank, 1, 8, 60, "slicer", 70
+			})
+		}
+		long := other(1, "clinic", wire.PriorityNormal)
+		long.EstimateS = 3000
+		mustSubmit(t, w, long, other(2, "clinic", wire.PriorityHigh))
+		mustReach(t, w, "wk-000002", wire.JobDone, 4*time.Minute)
+		if s := w.On("wk-000001/0"); len(s) > 0 {
+			t.Errorf("work of no higher tier took a pool's machine: %v", s)
+		}
+		loseLeader(w)
+		s := awaitPool(t, w, "full again", 5*time.Minute, full(4))
+		if s.Shards[0].Ceded != 1 || !strings.Contains(s.Shards[0].Why, "wk-000002/0 of clinic") || s.Shards[0].Teams["clinic"].Ms < 50_000 {
+			t.Errorf("recorded: %+v", s.Shards[0])
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestThePoolIsLentToWorkThatStopsInTime(t *testing.T) {
+	story(t, poolWorld(0, 4), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(4))
+		mustSubmit(t, w, job(1, func(j *wire.Job) {
+			j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.CheckpointS, j.SaveS, j.Image = wire.PriorityLow, 4, 8, 600, 60, 3, "craft"
+		}))
+		mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+		time.Sleep(time.Minute)
+		at := time.Now()
+		mustSubmit(t, w, replicas(2, 4))
+		loseLeader(w)
+		for len(w.On("wk-000002/0"))*len(w.On("wk-000002/1"))*len(w.On("wk-000002/2"))*len(w.On("wk-000002/3")) == 0 {
+			time.Sleep(100 * time.Millisecond)
+			if time.Since(at) > 35*time.Second {
+				t.Fatal("a fetch takes 40 s: the weights were to be there")
+			}
+		}
+		time.Sleep(20 * time.Second)
+		s := poolState(t, w)
+		if got := s.Shards[0].Teams["core"].Ms; got < 4*50_000 || got > 4*120_000 {
+			t.Errorf("the borrower owes %d ms for four machines and a minute or so", got)
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestTheStateServiceIsOutInABurst(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		before := awaitPool(t, w, "full", 10*time.Minute, full(4))
+		mustSubmit(t, w, replicas(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		w.State.SetOutage(true)
+		time.Sleep(time.Minute)
+		w.State.SetOutage(false)
+		mustReach(t, w, "wk-000001", wire.JobRunning, time.Minute)
+		time.Sleep(2 * time.Minute)
+		s := awaitPool(t, w, "full", time.Minute, full(4))
+		mustBePaid(t, s)
+		if len(s.Shards[0].Members) != 4 || s.Shards[0].AtMs-before.Shards[0].AtMs < 100_000 {
+			t.Errorf("no account of the outage: %+v", s.Shards[0])
+		}
+	})
+}
+
+func TestWithoutAPlanNothingIsRecorded(t *testing.T) {
+	story(t, poolWorld(2, 4), func(t *testing.T, w *fake.World) {
+		mustSubmit(t, w, replicas(1, 2))
+		mustReach(t, w, "wk-000001", wire.JobRunning, 2*time.Minute)
+		if keys := w.State.Keys(ledger.Notes); len(keys) > 0 {
+			t.Errorf("%v", keys)
+		}
+	})
+}
+
+func TestWorkersThatKnowNoFetchesAreFilledByReplicas(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		w.KnowNoOthers()
+		applyPlan(t, w, 0, poolPlan(2, 4, ""))
+		awaitPool(t, w, "told", 5*time.Minute, func(s pools.State) bool { return s.Note.Refused != "" })
+		mustSubmit(t, w, replicas(1, 4))
+		awaitWarm(t, w, "llm:v1", 4, 5*time.Minute)
+		loseLeader(w)
+		if s := w.Cancel("wk-000001"); s != wire.JobCancelled {
+			t.Fatal(s)
+		}
+		// The hour's peak was four, and four are kept for the rest of it.
+		time.Sleep(10 * time.Minute)
+		s := poolState(t, w)
+		if n := len(w.Cached("llm:v1")); n < 2 || s.Note.Warm != n {
+			t.Errorf("%d machines hold the weights: %+v", n, s.Note)
+		}
+		mustBePaid(t, s)
+	})
+}
+
+func TestAPoolIsThereForTheHourAndReturnedAfterIt(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		hour := time.Now().Truncate(time.Hour).Add(time.Hour)
+		burst{replicas: 4}.remember(t, w, hour)
+		applyPlan(t, w, 0, poolPlan(0, 4, ""))
+		time.Sleep(time.Until(hour.Add(-30 * time.Minute)))
+		if n := len(w.Cloud.Machines()); n != 0 {
+			t.Errorf("%d machines half an hour before", n)
+		}
+		time.Sleep(time.Until(hour.Add(-150 * time.Second)))
+		loseLeader(w)
+		time.Sleep(time.Until(hour))
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines have the weights as the hour begins", n)
+		}
+		time.Sleep(time.Until(hour.Add(time.Hour)))
+		if n := len(w.Cached("llm:v1")); n != 4 {
+			t.Errorf("%d machines have the weights as the hour ends", n)
+		}
+		time.Sleep(3 * time.Minute)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		if n := len(w.Cloud.Machines()); n != 0 || len(s.Shards[0].Members) != 0 {
+			t.Errorf("%d machines, %d in the pool after the hour", n, len(s.Shards[0].Members))
+		}
+		if h := float64(s.Shards[0].Closed.Ms) / 3.6e6; h < 4 || h > 4.5 {
+			t.Errorf("%.2f machine hours are charged", h)
+		}
+	})
+}
+
+// Pools under everything at once: afterwards the pool is whole, every machine has
+// been paid for once, and no rule was broken.
+func TestPoolsOutliveEverything(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := poolWorld(3, 14)
+			o.Seed, o.Nodes = seed, 5
+			story(t, o, func(t *testing.T, w *fake.World) {
+				rnd := rand.New(rand.NewPCG(seed, 11))
+				applyPlan(t, w, 0, poolPlan(3, 6, ""))
+				version, next, running := 1, 1, []string{}
+				for range 60 {
+					time.Sleep(time.Duration(5+rnd.IntN(15)) * time.Second)
+					machines := w.Cloud.Machines()
+					switch rnd.IntN(10) {
+					case 0:
+						loseLeader(w)
+					case 1:
+						i := rnd.IntN(5)
+						w.CutNode(i, true, "state", "workers")
+						time.AfterFunc(15*time.Second, func() { w.CutNode(i, false, "state", "workers") })
+					case 2:
+						w.State.SetOutage(true)
+						time.Sleep(8 * time.Second)
+						w.State.SetOutage(false)
+					case 3:
+						w.State.LateNext(20 * time.Second)
+					case 4:
+						if len(machines) > 0 {
+							w.KillMachine(machines[rnd.IntN(len(machines))])
+						}
+					case 5:
+						w.Cloud.SetSilent(true)
+						time.AfterFunc(12*time.Second, func() { w.Cloud.SetSilent(false) })
+					case 6:
+						if n, err := tryApply(w, version, poolPlan(rnd.IntN(5), 6, "")); err == nil {
+							version = n
+						}
+					case 7:
+						if len(running) > 0 {
+							w.Cancel(running[0])
+							running = running[1:]
+						}
+					default:
+						j := replicas(next, 1+rnd.IntN(3))
+						if rnd.IntN(2) == 0 {
+							j.Image = fmt.Sprintf("llm:v%d", 1+rnd.IntN(2))
+						}
+						if rnd.IntN(3) == 0 {
+							j.Kind, j.EstimateS, j.Image, j.Team, j.Priority = wire.KindArray, 30, "slicer", "clinic", wire.PriorityHigh
+						} else {
+							running = append(running, j.ID)
+						}
+						if w.Submit(j) {
+							next++
+						}
+					}
+				}
+				for _, id := range running {
+					w.Cancel(id)
+				}
+				for i := range 5 {
+					w.StartNode(i)
+				}
+				time.Sleep(90 * time.Second)
+				for k := 0; ; k++ {
+					if _, err := tryApply(w, version, poolPlan(4, 4, "")); err == nil {
+						break
+					}
+					if version++; k == 100 {
+						t.Fatal("no plan can be applied")
+					}
+				}
+				s := awaitPool(t, w, "whole", 15*time.Minute, full(4))
+				mustBePaid(t, s)
+			})
+		})
+	}
+}
+
+func TestWhatNobodyLedIsChargedToWhoPaidThen(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		before := awaitPool(t, w, "full", 10*time.Minute, full(4))
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		time.Sleep(9 * time.Second) // their leases outlast it
+		applyPlan(t, w, 1, strings.Replace(poolPlan(4, 4, ""), `payer = "speech"`, `payer = "clinic"`, 1))
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		time.Sleep(90 * time.Second)
+		s := poolState(t, w)
+		mustBePaid(t, s)
+		was, is, next := before.Shards[0], s.Shards[0].Teams["speech"].Ms, s.Shards[0].Teams["clinic"].Ms
+		if gap := is - was.Teams["speech"].Ms; gap < 4*9_000 || gap > 4*90_000 || next < 4*30_000 || s.Note.Payer != "clinic" {
+			t.Errorf("from then on the first payer owes %d ms more, the second %d", gap, next)
+		}
+	})
+}
+
+func TestAPoolOutlivesALostPlan(t *testing.T) {
+	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
+		applyPlan(t, w, 0, poolPlan(2, 2, ""))
+		awaitPool(t, w, "full", 10*time.Minute, full(2))
+		held := w.Cached("llm:v1")
+		for i := range 3 {
+			w.KillNode(i)
+		}
+		for _, k := range w.State.Keys("plan/t/") {
+			w.State.Damage(k)
+		}
+		for i := range 3 {
+			w.StartNode(i)
+		}
+		time.Sleep(10 * time.Minute)
+		applyPlan(t, w, 1, poolPlan(2, 2, ""))
+		time.Sleep(time.Minute)
+		if now := w.Cached("llm:v1"); !slices.Equal(now, held) || len(w.Cloud.Machines()) != 2 {
+			t.Errorf("%v held the weights, and then %v of %v", held, now, w.Cloud.Machines())
+		}
+		mustBePaid(t, awaitPool(t, w, "full", time.Minute, full(2)))
+	})
+}
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -18,6 +18,7 @@
 type store struct {
 	rnd        *rand.Rand
 	slow       time.Duration // how much longer an answer takes at most
+	listing    time.Duration // how much longer a page of the active records takes
 	lost, late float64       // shares of the transactions
 	lateBy     time.Duration // at most
 
@@ -58,19 +59,30 @@
 	return e, nil
 }
 
-func (s *store) List(_ context.Context, prefix string) ([]wire.Entry, uint64, error) {
+func (s *store) Span(ctx context.Context, prefix, after string, most int) ([]wire.Entry, bool, uint64, error) {
 	s.pause()
+	if prefix == ledger.Active {
+		time.Sleep(s.listing)
+	}
+	if ctx.Err() != nil {
+		return nil, false, 0, state.ErrUnknown
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked++
 	var out []wire.Entry
 	for k, e := range s.keys {
-		if strings.HasPrefix(k, prefix) {
+		if strings.HasPrefix(k, prefix) && k > after {
 			out = append(out, e)
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return out, s.rev, nil
+	return out[:min(most, len(out))], len(out) > most, s.rev, nil
+}
+
+func (s *store) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	entries, _, rev, err := s.Span(ctx, prefix, "", 1<<20)
+	return entries, rev, err
 }
 
 func (s *store) Follow(_ context.Context, prefix string, after uint64, _ time.Duration) (wire.Events, error) {
@@ -200,6 +212,15 @@
 	}
 }
 
+// set writes a key as nobody else would.
+func (s *store) set(key string, v wire.Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.keys[key] = wire.Entry{Key: key, Value: v, Version: s.rev}
+	s.log = append(s.log, wire.Event{Put: key, Value: v, Version: s.rev})
+}
+
 // raise writes the form in which jobs share pages.
 func (s *store) raise(buckets int) {
 	s.mu.Lock()
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
 )
 
 // Overview is what an operator asks of a node. Everything in it is of the moment
@@ -63,6 +65,8 @@
 
 // Fleet is the leader's view.
 type Fleet struct {
+	Nights []calendar.View `json:"nights,omitempty"` // of the plan's calendar
+
 	Node       string             `json:"node"`
 	Token      uint64             `json:"token"`
 	Since      time.Time          `json:"since"`
@@ -73,7 +77,52 @@
 	Late       int                `json:"late"` // past their deadline and not over
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
+	Pools      []Pool             `json:"pools,omitempty"`
 	Departures map[string]uint64  `json:"departures,omitempty"` // from the operators' order
+	// Jobs that can't begin in time: those that wait for longest, and how many.
+	Unbegun    []Unbegun `json:"unbegun"`
+	UnbegunAll int       `json:"unbegun_all"`
+}
+
+// Unbegun is a job that can't begin in time.
+type Unbegun struct {
+	ID     string  `json:"id"`
+	Class  string  `json:"class"`
+	Team   string  `json:"team"`
+	Tasks  int     `json:"tasks"`
+	InWay  string  `json:"in_the_way"`
+	WaitsS float64 `json:"waits_s"`
+}
+
+// Pool is a warm pool of the operators' plan. Costs are in the catalogue's unit.
+type Pool struct {
+	Name    string             `json:"name"`
+	Aim     int                `json:"aim"`
+	Held    int                `json:"held"`
+	Warm    int                `json:"warm"`
+	Filling int                `json:"filling"`
+	Hits    int64              `json:"hits"`
+	Misses  int64              `json:"misses"`
+	Ceded   int64              `json:"ceded"`
+	Limited bool               `json:"limited,omitempty"`
+	Refused string             `json:"refused,omitempty"`
+	Cost    map[string]float64 `json:"cost"` // by team
+}
+
+func (p *Pool) row() string {
+	var costs []string
+	for _, t := range slices.Sorted(maps.Keys(p.Cost)) {
+		costs = append(costs, fmt.Sprintf("%s %.2f", t, p.Cost[t]))
+	}
+	out := fmt.Sprintf("%d of %d machines held, %d with weights, %d fetch; %d hits, %d misses, %d ceded; cost %s",
+		p.Held, p.Aim, p.Warm, p.Filling, p.Hits, p.Misses, p.Ceded, strings.Join(costs, ", "))
+	if p.Limited {
+		out += "; at its limit"
+	}
+	if p.Refused != "" {
+		out += "; " + p.Refused
+	}
+	return out
 }
 
 // Print writes an overview as a table.
@@ -99,10 +148,19 @@
 			waits = append(waits, fmt.Sprintf("%s %.1f s", k, f.LongestS[k]))
 		}
 		row("longest waits", "%s", strings.Join(waits, ", "))
+		if f.UnbegunAll > 0 {
+			row("can't begin in time", "%d jobs", f.UnbegunAll)
+		}
+		for _, u := range f.Unbegun {
+			row("", "%s (%s of %s, %d tasks) waits for %.0f s: %s", u.ID, u.Class, u.Team, u.Tasks, u.WaitsS, u.InWay)
+		}
 		row("least lease left", "%.1f s", f.LeaseLeftS)
 		if len(f.Departures) > 0 {
 			row("departures from the order", "%s", list(f.Departures))
 		}
+		for i := range f.Pools {
+			row("pool "+f.Pools[i].Name, "%s", f.Pools[i].row())
+		}
 	}
 	if p := o.Plan; p != nil {
 		row("workers report", "%d, %d of them to the leader, the rest by way of %s", p.Workers, p.Direct, strings.Join(p.Relays, ", "))
@@ -124,9 +182,16 @@
 		}
 		row(name, "%s %s", t.At.Format("15:04:05"), t.Text)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || o.Fleet == nil || len(o.Fleet.Nights) == 0 {
+		return err
+	}
+	fmt.Fprintln(out, "nights, as the leader knows them now:")
+	return calendar.Print(out, o.Fleet.Nights, nightsShown)
 }
 
+// nightsShown is how many of a region's past nights an overview shows.
+const nightsShown = 2
+
 func list[N int | uint64](counts map[string]N) string {
 	var out []string
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
