Polls of earlier tiers come sooner; warm pools and last calls are reasons of departures

Last calls of the bound pass higher priorities, and warm pools keep machines from requests: both are named.

--- a/admission/turn.go
+++ b/admission/turn.go
@@ -16,8 +16,9 @@
 // the same time of day. By chance, some job would be shed fifteen times running.
 type Turns struct {
 	Round time.Duration
-	// Tier puts ids before others, the lower first, whatever their turns. Nil: all
-	// are of one tier.
+	// Tier is an id's by the operators' order. Later tiers have their turn as often as
+	// the first and for a shorter time, so that nobody is left out. Nil: all are of
+	// one tier.
 	Tier func(id string) int
 }
 
@@ -32,7 +33,7 @@
 func (t Turns) Key(id string, now time.Time) float64 {
 	key := t.Until(id, now).Seconds()
 	if t.Tier != nil {
-		key += float64(t.Tier(id)) * t.Round.Seconds()
+		key *= min(1+tierStep*float64(t.Tier(id)), tierMost)
 	}
 	return key
 }
@@ -47,5 +48,8 @@
 	return pollGap - 2 + int((xxhash.Sum64String(id)+uint64(now.Unix()))%4)
 }
 
+// By how much longer than it is an id's turn seems away for each tier, and at most.
+const tierStep, tierMost = 0.5, 2
+
 // pollGap is how many seconds lie between two polls of a user's.
 const pollGap = 5
--- a/controller/node.go
+++ b/controller/node.go
@@ -135,7 +135,8 @@
 	n.reader.Limits = ledger.Limits{TxnOps: sl.TxnOps, ValueKB: sl.ValueKB}
 	n.reader.Log = log
 	n.reader.Tier = func(team, class string) int { return n.order().Tier(team, class) }
-	n.reader.Order = func(id string) float64 { return n.turns.Key(id, time.Now()) }
+	n.reader.Order = func(id string) float64 { return admission.Turns{Round: pollRound}.Key(id, time.Now()) }
+	n.turns.Tier = n.tierOf
 	n.reader.Gap = func() time.Duration { return config.Seconds(min(barrierShare/max(forUsers.Rate(), 1), 0.6)) }
 	for _, s := range cfg.Siblings {
 		n.peers = append(n.peers, mesh.NewPeer(s.Name, s.Addr, nw.Dial))
--- a/controller/order.go
+++ b/controller/order.go
@@ -44,3 +44,15 @@
 	}
 	return func() { n.tiers.Leave(tier, of) }, true
 }
+
+// tierOf is a job's tier, the last for one that is not known to be unfinished.
+func (n *Node) tierOf(id string) int {
+	o := n.order()
+	if o == nil {
+		return 0
+	}
+	if team, class, ok := n.reader.Whose(id); ok {
+		return o.Tier(team, class)
+	}
+	return o.Tiers() - 1
+}
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -382,6 +382,18 @@
 	return batch
 }
 
+// Whose is the team and the class of an unfinished job, as last read; false if it
+// is not known.
+func (r *Reader) Whose(id string) (team, class string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	return j.rec.Job.Team, j.rec.Job.Class, true
+}
+
 // tier is a job's by the operators' order.
 func (r *Reader) tier(j *wire.Job) int {
 	if r.Tier == nil {
--- a/order/departure.go
+++ b/order/departure.go
@@ -19,11 +19,13 @@
 	Zone             // the higher one may not be in that zone, given its other tasks
 	Machine          // the machine's type or kind is not for the higher one, or it stays away from it
 	Gang             // the higher one needs more places at once than there are
+	Pool             // the machine is kept for a warm pool that the higher one may not use
+	Image            // the higher one's image would evict a warm pool's weights
 	Fault            // the higher one fails wherever it is tried, and is given spare room only
 	reasons
 )
 
-var reasonNames = [reasons]string{"none", "guarantee", "priority", "bound", "share", "wait", "limit", "zone", "machine", "gang", "fault"}
+var reasonNames = [reasons]string{"none", "guarantee", "priority", "bound", "share", "wait", "limit", "zone", "machine", "gang", "pool", "image", "fault"}
 
 func (r Reason) String() string { return reasonNames[min(r, reasons-1)] }
 
@@ -99,14 +101,16 @@
 		switch {
 		case high.Spare && !low.Spare:
 			return Fault
-		case low.Within != high.Within:
-			return when(low.Within, Guarantee)
-		case low.Priority != high.Priority:
-			return when(low.Priority < high.Priority, Priority)
-		case low.Owed != high.Owed:
-			return when(low.Owed, Bound)
+		case low.Within && !high.Within:
+			return Guarantee
+		case low.Priority < high.Priority && low.Within == high.Within:
+			return Priority
 		case low.Owed:
-			return Bound // both: the one whose time is nearer
+			// Before all of its priority, and at last before higher ones; of two
+			// that are owed, the one whose time is nearer.
+			return Bound
+		case low.Within != high.Within, low.Priority != high.Priority, high.Owed:
+			return None
 		case low.Cause == uint8(ByWait):
 			return Wait
 		case low.Cause == uint8(ByShare):
@@ -114,6 +118,7 @@
 		}
 		return None
 	}
+	pool, image := m.Refuses(high)
 	switch {
 	case h.limited:
 		return Limit
@@ -121,6 +126,10 @@
 		return Zone
 	case !high.Types[m.Type], m.Spot && !high.Spot, high.Avoid[s.Machine]:
 		return Machine
+	case pool:
+		return Pool
+	case image:
+		return Image
 	case high.All:
 		return Gang
 	case high.OneZone && high.Zone < 0:
@@ -128,10 +137,3 @@
 	}
 	return None
 }
-
-func when(ok bool, r Reason) Reason {
-	if ok {
-		return r
-	}
-	return None
-}
--- a/placement/pools.go
+++ b/placement/pools.go
@@ -42,6 +42,16 @@
 	return false
 }
 
+// Refuses says whether a warm pool keeps the request from the machine, altogether
+// or for its image, which would evict the pool's weights.
+func (m *Machine) Refuses(r *Request) (pool, image bool) {
+	if admits(m, r) {
+		return false, false
+	}
+	lent := m.use(r) == Lent
+	return !lent, lent
+}
+
 func poolCost(m *Machine, r *Request) float64 {
 	if m.Pool == 0 {
 		return 0
