--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -421,6 +421,24 @@
 	return false
 }
 
+// freeFor lists the machines that a pool may take.
+func (m *Model) freeFor(p *pool, im int32, types, zones []bool, now time.Time) (free []pools.Seen) {
+	for _, mc := range m.Machines {
+		if mc.Gone || mc.Type < 0 || mc.Zone < 0 {
+			continue
+		}
+		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot || now.Before(mc.unfit) {
+			continue
+		}
+		s := m.seenBy(p, mc, im, now)
+		if !s.Used && now.Sub(mc.IdleSince) < idleToJoin || s.Ready && !m.ready(mc, now) {
+			s.Ready, s.Booting = false, true // soon, perhaps
+		}
+		free = append(free, s)
+	}
+	return free
+}
+
 // steer takes machines in and lets others go, and says which fetch the weights.
 func (m *Model) steer(i int, p *pool, now time.Time) {
 	im := m.image(p.note.Image, p.note.GB)
@@ -438,13 +456,16 @@
 		}
 		price, boot, fetch = max(price, c), max(boot, t.Boot), min(fetch, t.Fetch)
 	}
-	if price == 0 {
-		return // none of its types is in the catalogue
+	if !slices.Contains(types, true) {
+		return // none of them is in the catalogue
 	}
 	zones := make([]bool, len(m.Zones))
 	for z, name := range m.Zones {
 		zones[z] = slices.Contains(p.Zones, name)
 	}
+	lead := p.Lead(p.Coming(&p.week, now, p.note.Per), boot, fetch)
+	p.note.Aim = p.Aim(&p.week, now, lead, p.note.Per, price)
+	p.note.Limited = p.note.Aim == p.Affords(price) && p.note.Aim < p.Most
 	waiting := m.fetchesWaiting(p, now)
 	var own, free []pools.Seen
 	for _, mc := range m.Machines {
@@ -460,22 +481,13 @@
 			}
 			s := m.seenBy(p, mc, im, now)
 			s.Leaving = e.Leaving
-			s.Filling = s.Filling || waiting[mc.Name] || now.Sub(p.asked[mc.Idx]) < fetchAsked
+			s.Filling = !s.Warm && (s.Filling || waiting[mc.Name] || now.Sub(p.asked[mc.Idx]) < fetchAsked)
 			own = append(own, s)
-			continue
-		}
-		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot || now.Before(mc.unfit) {
-			continue
 		}
-		s := m.seenBy(p, mc, im, now)
-		if !s.Used && now.Sub(mc.IdleSince) < idleToJoin || s.Ready && !m.ready(mc, now) {
-			s.Ready, s.Booting = false, true // soon, perhaps
-		}
-		free = append(free, s)
 	}
-	lead := p.Lead(p.Coming(&p.week, now, p.note.Per), boot, fetch)
-	p.note.Aim = p.Aim(&p.week, now, lead, p.note.Per, price)
-	p.note.Limited = p.note.Aim == p.Affords(price) && p.note.Aim < p.Most
+	if pools.Held(own) < p.note.Aim {
+		free = m.freeFor(p, im, types, zones, now)
+	}
 	c := p.Choose(own, free, p.note.Aim, p.Affords(price))
 	for _, name := range c.Join {
 		m.joinPool(i, m.Machines[m.machineIdx[name]], now)
--- /dev/null
+++ b/cluster/pools_test.go
@@ -0,0 +1,64 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/pools"
+)
+
+// pooled is a crowded model with pools that hold half of its machines.
+func pooled(machines, jobs int) *Model {
+	m := crowded(machines, jobs)
+	p := &plan.Plan{}
+	for i := range 3 {
+		p.Pools = append(p.Pools, pools.Pool{Name: fmt.Sprint("p", i), Model: fmt.Sprint("llm", i), GB: 20, Types: []string{m.Types[0].Name}, Zones: m.Zones,
+			Least: machines / 6, Most: machines / 6, Burst: pools.Burst{Replicas: 8, WithinS: 10}, PerHour: 1e9, Payer: m.cfg.Cluster.Teams[0].Name})
+	}
+	m.SetPlan(Plan{Plan: p, Number: 1, Head: 1}, at(0))
+	return m
+}
+
+// heard is a moment at which all machines have just reported.
+func heard(m *Model, now time.Time) {
+	for _, mc := range m.Machines {
+		mc.LastSeen, mc.LastAnswer, mc.Shown = now, now, true
+	}
+}
+
+// BenchmarkStepPools is what the pools take of a leader every two seconds.
+func BenchmarkStepPools(b *testing.B) {
+	m := pooled(1300, 400)
+	now := at(40)
+	for b.Loop() {
+		now = now.Add(poolsEvery)
+		heard(m, now)
+		m.stepPools(now)
+	}
+	held := 0
+	for _, p := range m.pools {
+		held += p.note.Held
+	}
+	b.ReportMetric(float64(held), "machines")
+}
+
+// What is joined is charged and kept, and what a pool takes is nobody else's.
+func TestMachinesOfAPoolAreNotReturned(t *testing.T) {
+	m := pooled(12, 0)
+	for s := 30.0; s < 40; s += 2 {
+		heard(m, at(s))
+		m.Tick(at(s))
+	}
+	heard(m, at(1000))
+	kept := 0
+	for _, mc := range m.Machines {
+		if mc.pool > 0 {
+			kept++
+		}
+	}
+	if back := m.Returnable(at(1000), time.Minute); kept != 6 || len(back) != 6 {
+		t.Errorf("%d machines are the pools', %v are returned", kept, back)
+	}
+}
--- a/pools/choose.go
+++ b/pools/choose.go
@@ -27,6 +27,17 @@
 // gone serves nobody, and is replaced at once.
 func (s *Seen) counts() bool { return (s.Ready || s.Booting) && !s.Leaving }
 
+// Held is how many of a pool's machines count as held.
+func Held(own []Seen) int {
+	n := 0
+	for i := range own {
+		if own[i].counts() {
+			n++
+		}
+	}
+	return n
+}
+
 // Change is what a pool does next.
 type Change struct {
 	Join    []string       // free machines that become the pool's
