--- a/cluster/classes.go
+++ b/cluster/classes.go
@@ -21,6 +21,9 @@
 	waits   bool        // an aim speaks of how soon its jobs start
 	runs    estimator
 	spread  spread
+	sizes   []int // tasks of the last jobs, the oldest at sized0 once there are enough
+	sized0  int
+	large   int // from how many tasks on a job is among the largest; 0: not worked out
 }
 
 const (
@@ -54,6 +57,7 @@
 	}
 	c.spec, c.seen = j, now
 	c.runs.came(j.Spec.EstimateS)
+	c.sized(len(j.Tasks))
 	if now.Sub(j.At) < recentFor && len(c.recent) < 1000 {
 		c.recent = append(c.recent, j.At)
 	}
@@ -75,13 +79,14 @@
 // is to start soon, and whose jobs may not stop those of the request's class,
 // room is kept for the jobs that are likely to come.
 func (m *Model) reserves(k *ranked, done map[string]bool, now time.Time) []placement.Request {
-	if own := m.classes[k.j.Spec.Class]; own == nil || own.waits || k.within {
+	own := m.classes[k.j.Spec.Class]
+	if own == nil || k.within {
 		return nil
 	}
 	var out []placement.Request
 	for _, n := range m.classNames() {
 		c := m.classes[n]
-		if done[n] || !c.waits || c.spec.Priority != k.j.Priority {
+		if done[n] || !c.waits || c.spec.Priority != k.j.Priority || !m.keepsFor(c, k, own) {
 			continue
 		}
 		done[n] = true
@@ -132,7 +137,7 @@
 		return nil
 	}
 	var out []placement.Request
-	for _, n := range m.classNames() {
+	for _, n := range m.byTier(m.classNames()) {
 		c := m.classes[n]
 		if now.Sub(c.seen) > 10*time.Minute {
 			continue
--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -42,6 +42,8 @@
 // planChanged tells the plan's parts; the plan may have been read for the first
 // time, before any job is known.
 func (m *Model) planChanged(now time.Time) {
+	m.orderChanged()
+	m.planNights(now)
 	m.poolsChanged(now)
 }
 
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -19,13 +19,14 @@
 	if mc.Gone {
 		return nil
 	}
-	// A message that was held back says what was, not what is.
-	if r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.Seq {
+	// A message that was held back, or a copy, says what was, not what is.
+	if !mc.newer(r.Session, r.Seq) {
 		return nil
 	}
 	if mc.Session == 0 {
 		m.cameUp(mc, now)
 	}
+	m.listen(mc, r, now)
 	if !mc.Up {
 		m.log.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
 		mc.IdleSince = now
@@ -36,7 +37,9 @@
 	mc.Up, mc.Session, mc.Seq, mc.Addr, mc.LastSeen = true, r.Session, r.Seq, r.Addr, now
 	mc.Shown = r.Token == m.Token
 	m.describe(mc, r.Type, r.Zone, r.Spot)
-	if r.NoticeS != nil && mc.Notice.IsZero() {
+	if r.NoticeS == nil {
+		mc.Notice = time.Time{} // what was known came with an older message
+	} else if mc.Notice.IsZero() {
 		mc.Notice = now.Add(config.Seconds(*r.NoticeS))
 		m.log.Info("notice", "machine", mc.Name, "seconds", *r.NoticeS)
 	}
@@ -44,6 +47,16 @@
 	return mc
 }
 
+func (mc *Machine) newer(session, seq uint64) bool {
+	return session > mc.Session || session == mc.Session && seq > mc.Seq
+}
+
+// News says whether a worker's message would be taken in.
+func (m *Model) News(machine string, session, seq uint64) bool {
+	i, known := m.machineIdx[machine]
+	return !known || !m.Machines[i].Gone && m.Machines[i].newer(session, seq)
+}
+
 // reconcile compares a newer report with what the model has on the machine.
 func (m *Model) reconcile(mc *Machine, r *wire.Report, now time.Time) {
 	listed := make(map[Ref]bool, len(r.Tasks))
@@ -71,6 +84,14 @@
 			continue
 		}
 		listed[ref] = true
+		if t.State == wire.TaskExited && t.Why != wire.WhyDone && p.Inherited && !mc.Shown {
+			// The report may be a late copy: a gang's task that was refused is tried
+			// again with the same attempt, and may be on the machine since.
+			continue
+		}
+		if p.Sent && p.Seen == seenNot && p.Session == r.Session {
+			m.heard(mc, now)
+		}
 		m.seen(j, int32(n), mc, p, t, now)
 	}
 	for k := range mc.exits {
@@ -104,6 +125,7 @@
 			// The answer with the launch was lost, and cannot be executed any
 			// more, since the worker has sent another report.
 			p.Sent = false
+			m.missed(mc, "launch", now)
 			continue
 		}
 		m.lost(j, ref.Task, "not on its machine", now)
@@ -312,7 +334,7 @@
 // noted as sent with it.
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
 	m.Timings.LeaseLeft(m.leaseOver(mc).Sub(now).Seconds())
-	mc.LastAnswer = now
+	mc.LastAnswer, mc.hearing.told, mc.hearing.at = now, true, r.Seq
 	var out []wire.Command
 	stop := func(name string, attempt uint64, grace float64) {
 		g := grace
@@ -336,6 +358,12 @@
 					continue // the outcome is not committed yet
 				}
 			}
+			if e == nil && j != nil && n < len(j.Tasks) {
+				if p := j.Tasks[n].Place; p != nil && p.Machine == mc.Idx && p.Attempt == t.Attempt {
+					continue // and not taken in yet
+				}
+			}
+			mc.hearing.forget = append(mc.hearing.forget, exitKey{t.Task, t.Attempt})
 			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
 			continue
 		}
@@ -364,13 +392,18 @@
 			if p.Seen == seenNot {
 				stop(name, p.Attempt, p.Stop.Grace)
 			}
-		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero():
+		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero() && !mc.deaf():
 			p.Sent, p.SentAt, p.Session, p.Seq = true, now, r.Session, r.Seq
 			m.Timings.Launched(now.Sub(p.At).Seconds())
 			out = append(out, wire.Command{Op: wire.OpStart, Task: name, Attempt: p.Attempt})
 			m.log.Debug("launch", "task", name, "attempt", p.Attempt, "machine", mc.Name, "sincePlaced", now.Sub(p.At).Seconds())
 		}
 	}
+	if mc.deaf() && mc.Shown {
+		if c, ok := m.ask(mc); ok {
+			out = append(out, c)
+		}
+	}
 	return out
 }
 
@@ -452,6 +485,7 @@
 
 // Tick takes the passing of time in: leases that are over, notices.
 func (m *Model) Tick(now time.Time) {
+	m.tickNights(now)
 	for _, mc := range m.Machines {
 		if mc.Gone {
 			continue
@@ -463,6 +497,7 @@
 			mc.Up, mc.Shown = false, false
 			mc.Session++ // whatever the ended session still sends is old
 			mc.Seq = 0
+			mc.orphans = placement.Res{}
 			m.dropTasks(mc, "its machine's lease is over", now)
 		}
 		if len(mc.Tasks) > 0 && !m.ready(mc, now) {
--- a/controller/load.go
+++ b/controller/load.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/cluster"
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -42,6 +44,7 @@
 	now := time.Now()
 	m := cluster.New(l.n.cfg, l.term.Token, now, l.log)
 	m.Tuning, m.Headroom = l.n.tuning.Rebalance, l.n.tuning.Renting.Headroom
+	m.BeginWithin = config.Seconds(l.n.tuning.Serving.BeginWithinS)
 	if l.n.metrics != nil {
 		m.Timings = timings{l.n.metrics}
 	}
@@ -55,7 +58,7 @@
 	if err := loadJobs(m, items, now); err != nil {
 		return err
 	}
-	if err := l.loadPages(ctx, m, items, now); err != nil {
+	if err := loadPages(ctx, st, m, items, now); err != nil {
 		return err
 	}
 	for _, it := range cycles {
@@ -111,7 +114,7 @@
 }
 
 // loadPages reads where tasks may be, also those of jobs that are over.
-func (l *leadership) loadPages(ctx context.Context, m *cluster.Model, items []wire.Entry, now time.Time) error {
+func loadPages(ctx context.Context, st *state.Client, m *cluster.Model, items []wire.Entry, now time.Time) error {
 	for _, it := range items {
 		n, ok := ledger.ParsePageKey(it.Key)
 		if !ok {
@@ -127,7 +130,7 @@
 				continue
 			}
 			// The job is over, but its tasks may still be somewhere.
-			e, err := l.n.state.Get(ctx, ledger.FinalKey(c.Job))
+			e, err := st.Get(ctx, ledger.FinalKey(c.Job))
 			if err != nil {
 				return err
 			}
--- a/metrics/overview.go
+++ b/metrics/overview.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
 )
 
 // Overview is what an operator asks of a node. Everything in it is of the moment
@@ -63,6 +65,8 @@
 
 // Fleet is the leader's view.
 type Fleet struct {
+	Nights []calendar.View `json:"nights,omitempty"` // of the plan's calendar
+
 	Node       string             `json:"node"`
 	Token      uint64             `json:"token"`
 	Since      time.Time          `json:"since"`
@@ -74,6 +78,20 @@
 	LongestS   map[string]float64 `json:"longest_wait_s"`
 	LeaseLeftS float64            `json:"least_lease_left_s"`
 	Pools      []Pool             `json:"pools,omitempty"`
+	Departures map[string]uint64  `json:"departures,omitempty"` // from the operators' order
+	// Jobs that can't begin in time: those that wait for longest, and how many.
+	Unbegun    []Unbegun `json:"unbegun"`
+	UnbegunAll int       `json:"unbegun_all"`
+}
+
+// Unbegun is a job that can't begin in time.
+type Unbegun struct {
+	ID     string  `json:"id"`
+	Class  string  `json:"class"`
+	Team   string  `json:"team"`
+	Tasks  int     `json:"tasks"`
+	InWay  string  `json:"in_the_way"`
+	WaitsS float64 `json:"waits_s"`
 }
 
 // Pool is a warm pool of the operators' plan. Costs are in the catalogue's unit.
@@ -130,7 +148,16 @@
 			waits = append(waits, fmt.Sprintf("%s %.1f s", k, f.LongestS[k]))
 		}
 		row("longest waits", "%s", strings.Join(waits, ", "))
+		if f.UnbegunAll > 0 {
+			row("can't begin in time", "%d jobs", f.UnbegunAll)
+		}
+		for _, u := range f.Unbegun {
+			row("", "%s (%s of %s, %d tasks) waits for %.0f s: %s", u.ID, u.Class, u.Team, u.Tasks, u.WaitsS, u.InWay)
+		}
 		row("least lease left", "%.1f s", f.LeaseLeftS)
+		if len(f.Departures) > 0 {
+			row("departures from the order", "%s", list(f.Departures))
+		}
 		for i := range f.Pools {
 			row("pool "+f.Pools[i].Name, "%s", f.Pools[i].row())
 		}
@@ -155,10 +182,17 @@
 		}
 		row(name, "%s %s", t.At.Format("15:04:05"), t.Text)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || o.Fleet == nil || len(o.Fleet.Nights) == 0 {
+		return err
+	}
+	fmt.Fprintln(out, "nights, as the leader knows them now:")
+	return calendar.Print(out, o.Fleet.Nights, nightsShown)
 }
 
-func list(counts map[string]int) string {
+// nightsShown is how many of a region's past nights an overview shows.
+const nightsShown = 2
+
+func list[N int | uint64](counts map[string]N) string {
 	var out []string
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
 		out = append(out, fmt.Sprintf("%s %d", k, counts[k]))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,7 @@
 	Loss     float64 // seconds of work that stopping it loses
 	Left     float64 // seconds until it should end by itself
 	Fixed    bool    // may not be stopped to make room
+	Tier     int     // by the operators' order: work of later tiers is stopped first
 	Stopping bool    // its room is among what is coming
 }
 
@@ -91,12 +92,22 @@
 	Spot      bool
 	Avoid     map[int]bool // machines this job stays away from for now
 	Prefer    map[int32]int
-	Phantom   bool   // no job's: room to be kept free
-	Reserve   bool   // a phantom for which room is kept from later requests, and nothing rented
-	Hold      bool   // machines are kept from later requests until they have room for this one
-	Spare     bool   // takes free room only: nothing is kept, stopped or rented for it
-	First     []bool // types to be tried first, also by stopping others there
-	Pools     []Use  // what it may do with each pool's machines; what is missing: nothing
+	Phantom   bool    // no job's: room to be kept free
+	Reserve   bool    // a phantom for which room is kept from later requests, and nothing rented
+	Hold      bool    // machines are kept from later requests until they have room for this one
+	HoldFor   float64 // with Hold: seconds ahead that room is kept; 0: as usual
+	Spare     bool    // takes free room only: nothing is kept, stopped or rented for it
+	First     []bool  // types to be tried first, also by stopping others there
+	Pools     []Use   // what it may do with each pool's machines; what is missing: nothing
+	Standing
+}
+
+// Standing is what bears on a request's place in the line, besides its priority
+// and its team's guarantee.
+type Standing struct {
+	Tier  int   // by the operators' order, 0 first
+	Owed  bool  // it has to begin now, by the bound that holds for all jobs
+	Cause uint8 // why it is served before higher tiers (package order); 0: it is not
 }
 
 // Offer is a kind of machine that may be rented.
@@ -124,6 +135,7 @@
 	Request int
 	Task    int32
 	Machine int
+	Room    Res // that the machine had left
 }
 
 // Plan is what to do.
@@ -143,6 +155,8 @@
 	vain    [modes][]vain
 	zones   int
 	classes *classes // nil: every machine is judged, in tests
+
+	lastTier int // of all that is on machines
 }
 
 // Make plans. Requests are served in their order. The input's machines are
@@ -156,6 +170,9 @@
 	p.plan.Rent = map[int]int{}
 	for i := range in.Machines {
 		p.zones = max(p.zones, in.Machines[i].Zone+1)
+		for k := range in.Machines[i].Tasks {
+			p.lastTier = max(p.lastTier, in.Machines[i].Tasks[k].Tier)
+		}
 	}
 	for i := range in.Requests {
 		p.serve(i)
@@ -163,13 +180,13 @@
 	return p.plan
 }
 
-// allowed is how many more tasks of the request its team's limit lets start.
-func (p *planner) allowed(r *Request) int {
+// Allowed is how many more tasks of the request its team's limit lets start.
+func Allowed(r *Request, teams []Team) int {
 	n := len(r.Tasks)
 	if r.Team < 0 {
 		return n
 	}
-	t := p.in.Teams[r.Team]
+	t := teams[r.Team]
 	limit := func(need, used, max float64) {
 		if max > 0 && need > 0 {
 			n = min(n, int((max-used+eps)/need))
@@ -182,7 +199,7 @@
 
 func (p *planner) serve(i int) {
 	r := &p.in.Requests[i]
-	n := p.allowed(r)
+	n := Allowed(r, p.in.Teams)
 	if n == 0 || r.All && n < len(r.Tasks) {
 		return
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -11,6 +11,8 @@
 
 	"github.com/BurntSushi/toml"
 
+	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/order"
 	"github.com/umberdeal/umberdeal/pools"
 )
 
@@ -20,8 +22,11 @@
 // Plan is a version of what the operators decided. A part that the text does
 // not speak of decides nothing.
 type Plan struct {
-	Note  string       `toml:"note"` // for people: what this version is for
-	Pools []pools.Pool `toml:"pools"`
+	Note string `toml:"note"` // for people: what this version is for
+
+	Calendar calendar.Settings `toml:"calendar"`
+	Order    order.Settings    `toml:"order"`
+	Pools    []pools.Pool      `toml:"pools"`
 }
 
 // part is what a plan is made of.
@@ -32,7 +37,7 @@
 
 // parts lists the plan's parts, in the order in which they are checked.
 func (p *Plan) parts() []part {
-	return []part{poolList(p.Pools)}
+	return []part{&p.Calendar, &p.Order, poolList(p.Pools)}
 }
 
 type poolList []pools.Pool
