--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -241,6 +241,7 @@
 type demand struct {
 	open   int // replicas, placed or waiting
 	rank   int
+	class  string
 	per    int
 	images map[string]int // replicas by image
 	gb     map[string]float64
@@ -261,7 +262,7 @@
 			}
 			d, n := &out[i], len(j.Tasks)-j.Done
 			if d.images == nil {
-				*d = demand{rank: j.Priority, images: map[string]int{}, gb: map[string]float64{}, newest: map[string]time.Time{}}
+				*d = demand{rank: j.Priority, class: j.Spec.Class, images: map[string]int{}, gb: map[string]float64{}, newest: map[string]time.Time{}}
 			}
 			d.open += n
 			d.rank = min(d.rank, j.Priority)
@@ -305,7 +306,7 @@
 	if d.open == 0 {
 		return
 	}
-	p.note.Rank, p.note.Per = d.rank, max(d.per, 1)
+	p.note.Rank, p.note.Per, p.note.Class = d.rank, max(d.per, 1), d.class
 	best := p.note.Image
 	for im, n := range d.images {
 		if n > d.images[best] || n == d.images[best] && d.newest[im].After(d.newest[best]) {
@@ -602,7 +603,7 @@
 	}
 	out := make([]placement.Use, len(m.pools))
 	w := pools.Work{Image: j.Spec.Image, Team: j.Spec.Team, Rank: j.Priority, Gang: j.Gang() && len(j.Tasks) > 1,
-		SavesS: j.Spec.SaveS, CanSave: j.Spec.CheckpointS > 0}
+		Tier: j.tier, SavesS: j.Spec.SaveS, CanSave: j.Spec.CheckpointS > 0}
 	for i, p := range m.pools {
 		if m.fetches(j) {
 			if j.res.Owner == fetchOwner(p.Name) {
@@ -610,7 +611,7 @@
 			}
 			continue
 		}
-		w.ModelOf = p.note.Rank
+		w.ModelOf, w.ModelIn = p.note.Rank, m.tiers.order.Tier(p.Payer, p.note.Class)
 		out[i] = p.May(&w)
 	}
 	return out
@@ -628,7 +629,7 @@
 			if p == on && m.poolUses(j)[i] == placement.Last {
 				n := p.of[mc.Idx]
 				p.shards[n].Ceded++
-				p.shards[n].Why = fmt.Sprintf("%s/%d of %s, %s, took room on %s", j.ID, task, j.Spec.Team, j.Spec.Priority, mc.Name)
+				p.shards[n].Why = fmt.Sprintf("%s/%d of %s, tier %q, %s, took room on %s", j.ID, task, j.Spec.Team, m.tiers.order.Name(j.tier), j.Spec.Priority, mc.Name)
 				p.changed[n] = true
 				m.log.Info("pool cedes room", "pool", p.Name, "machine", mc.Name, "job", j.ID, "task", task, "team", j.Spec.Team, "priority", j.Spec.Priority)
 			}
--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -279,6 +279,7 @@
 	}{
 		{"dies", func(w *fake.World, n string) { w.KillMachine(n) }},
 		{"hangs", func(w *fake.World, n string) { w.Hang(n, true) }},
+		{"is mute", func(w *fake.World, n string) { w.Mute(n, true) }},
 		{"is taken back", func(w *fake.World, n string) {
 			w.Notice(n, 8*time.Second)
 			time.AfterFunc(8*time.Second, func() {
@@ -370,18 +371,29 @@
 	})
 }
 
+// Clinic work is of a higher tier by the plan's order, or of a higher priority
+// where the plan gives none.
 func TestClinicWorkTakesThePoolsRoom(t *testing.T) {
+	for _, c := range []struct{ name, order, rank, not string }{
+		{"by its priority", "", wire.PriorityHigh, wire.PriorityNormal},
+		{"by the order", "[[order.tiers]]\nname = \"clinic\"\nclasses = [\"slicing\"]\n", wire.PriorityNormal, wire.PriorityNormal},
+	} {
+		t.Run(c.name, func(t *testing.T) { clinicStory(t, c.order, c.rank, c.not) })
+	}
+}
+
+func clinicStory(t *testing.T, order, rank, not string) {
 	story(t, poolWorld(0, 4), func(t *testing.T, w *fake.World) {
-		applyPlan(t, w, 0, poolPlan(4, 4, ""))
+		applyPlan(t, w, 0, poolPlan(4, 4, order))
 		awaitPool(t, w, "full", 10*time.Minute, full(4))
-		other := func(n int, team, rank string) wire.Job {
+		other := func(n int, class, rank string) wire.Job {
 			return job(n, func(j *wire.Job) {
-				j.Team, j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = team, rank, 1, 8, 60, "slicer", 70
+				j.Class, j.Team, j.Priority, j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = class, "clinic", rank, 1, 8, 60, "slicer", 70
 			})
 		}
-		long := other(1, "clinic", wire.PriorityNormal)
+		long := other(1, "c", not)
 		long.EstimateS = 3000
-		mustSubmit(t, w, long, other(2, "clinic", wire.PriorityHigh))
+		mustSubmit(t, w, long, other(2, "slicing", rank))
 		mustReach(t, w, "wk-000002", wire.JobDone, 4*time.Minute)
 		if s := w.On("wk-000001/0"); len(s) > 0 {
 			t.Errorf("work of no higher tier took a pool's machine: %v", s)
--- a/pools/records.go
+++ b/pools/records.go
@@ -37,7 +37,7 @@
 	Number  int     `msgpack:"n"` // counts the images
 	Per     int     `msgpack:"m"` // replicas that a machine takes
 	Rank    int     `msgpack:"r"` // priority of the replicas, 0 being the highest
-	Tier    int     `msgpack:"t,omitempty"`
+	Class   string  `msgpack:"t,omitempty"` // of the replicas
 	Payer   string  `msgpack:"w"`
 	Aim     int     `msgpack:"x"` // machines
 	Held    int     `msgpack:"y"`
