--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -241,6 +241,7 @@
 type demand struct {
 	open   int // replicas, placed or waiting
 	rank   int
+	class  string
 	per    int
 	images map[string]int // replicas by image
 	gb     map[string]float64
@@ -261,7 +262,7 @@
 			}
 			d, n := &out[i], len(j.Tasks)-j.Done
 			if d.images == nil {
-				*d = demand{rank: j.Priority, images: map[string]int{}, gb: map[string]float64{}, newest: map[string]time.Time{}}
+				*d = demand{rank: j.Priority, class: j.Spec.Class, images: map[string]int{}, gb: map[string]float64{}, newest: map[string]time.Time{}}
 			}
 			d.open += n
 			d.rank = min(d.rank, j.Priority)
@@ -305,7 +306,7 @@
 	if d.open == 0 {
 		return
 	}
-	p.note.Rank, p.note.Per = d.rank, max(d.per, 1)
+	p.note.Rank, p.note.Per, p.note.Class = d.rank, max(d.per, 1), d.class
 	best := p.note.Image
 	for im, n := range d.images {
 		if n > d.images[best] || n == d.images[best] && d.newest[im].After(d.newest[best]) {
@@ -421,6 +422,24 @@
 	return false
 }
 
+// freeFor lists the machines that a pool may take.
+func (m *Model) freeFor(p *pool, im int32, types, zones []bool, now time.Time) (free []pools.Seen) {
+	for _, mc := range m.Machines {
+		if mc.Gone || mc.Type < 0 || mc.Zone < 0 {
+			continue
+		}
+		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot || now.Before(mc.unfit) {
+			continue
+		}
+		s := m.seenBy(p, mc, im, now)
+		if !s.Used && now.Sub(mc.IdleSince) < idleToJoin || s.Ready && !m.ready(mc, now) {
+			s.Ready, s.Booting = false, true // soon, perhaps
+		}
+		free = append(free, s)
+	}
+	return free
+}
+
 // steer takes machines in and lets others go, and says which fetch the weights.
 func (m *Model) steer(i int, p *pool, now time.Time) {
 	im := m.image(p.note.Image, p.note.GB)
@@ -438,13 +457,16 @@
 		}
 		price, boot, fetch = max(price, c), max(boot, t.Boot), min(fetch, t.Fetch)
 	}
-	if price == 0 {
-		return // none of its types is in the catalogue
+	if !slices.Contains(types, true) {
+		return // none of them is in the catalogue
 	}
 	zones := make([]bool, len(m.Zones))
 	for z, name := range m.Zones {
 		zones[z] = slices.Contains(p.Zones, name)
 	}
+	lead := p.Lead(p.Coming(&p.week, now, p.note.Per), boot, fetch)
+	p.note.Aim = p.Aim(&p.week, now, lead, p.note.Per, price)
+	p.note.Limited = p.note.Aim == p.Affords(price) && p.note.Aim < p.Most
 	waiting := m.fetchesWaiting(p, now)
 	var own, free []pools.Seen
 	for _, mc := range m.Machines {
@@ -460,22 +482,13 @@
 			}
 			s := m.seenBy(p, mc, im, now)
 			s.Leaving = e.Leaving
-			s.Filling = s.Filling || waiting[mc.Name] || now.Sub(p.asked[mc.Idx]) < fetchAsked
+			s.Filling = !s.Warm && (s.Filling || waiting[mc.Name] || now.Sub(p.asked[mc.Idx]) < fetchAsked)
 			own = append(own, s)
-			continue
-		}
-		if mc.pool != 0 || mc.Returning || !types[mc.Type] || !zones[mc.Zone] || mc.Spot && !p.Spot || now.Before(mc.unfit) {
-			continue
 		}
-		s := m.seenBy(p, mc, im, now)
-		if !s.Used && now.Sub(mc.IdleSince) < idleToJoin || s.Ready && !m.ready(mc, now) {
-			s.Ready, s.Booting = false, true // soon, perhaps
-		}
-		free = append(free, s)
 	}
-	lead := p.Lead(p.Coming(&p.week, now, p.note.Per), boot, fetch)
-	p.note.Aim = p.Aim(&p.week, now, lead, p.note.Per, price)
-	p.note.Limited = p.note.Aim == p.Affords(price) && p.note.Aim < p.Most
+	if pools.Held(own) < p.note.Aim {
+		free = m.freeFor(p, im, types, zones, now)
+	}
 	c := p.Choose(own, free, p.note.Aim, p.Affords(price))
 	for _, name := range c.Join {
 		m.joinPool(i, m.Machines[m.machineIdx[name]], now)
@@ -590,7 +603,7 @@
 	}
 	out := make([]placement.Use, len(m.pools))
 	w := pools.Work{Image: j.Spec.Image, Team: j.Spec.Team, Rank: j.Priority, Gang: j.Gang() && len(j.Tasks) > 1,
-		SavesS: j.Spec.SaveS, CanSave: j.Spec.CheckpointS > 0}
+		Tier: j.tier, SavesS: j.Spec.SaveS, CanSave: j.Spec.CheckpointS > 0}
 	for i, p := range m.pools {
 		if m.fetches(j) {
 			if j.res.Owner == fetchOwner(p.Name) {
@@ -598,7 +611,7 @@
 			}
 			continue
 		}
-		w.ModelOf = p.note.Rank
+		w.ModelOf, w.ModelIn = p.note.Rank, m.tiers.order.Tier(p.Payer, p.note.Class)
 		out[i] = p.May(&w)
 	}
 	return out
@@ -616,7 +629,7 @@
 			if p == on && m.poolUses(j)[i] == placement.Last {
 				n := p.of[mc.Idx]
 				p.shards[n].Ceded++
-				p.shards[n].Why = fmt.Sprintf("%s/%d of %s, %s, took room on %s", j.ID, task, j.Spec.Team, j.Spec.Priority, mc.Name)
+				p.shards[n].Why = fmt.Sprintf("%s/%d of %s, tier %q, %s, took room on %s", j.ID, task, j.Spec.Team, m.tiers.order.Name(j.tier), j.Spec.Priority, mc.Name)
 				p.changed[n] = true
 				m.log.Info("pool cedes room", "pool", p.Name, "machine", mc.Name, "job", j.ID, "task", task, "team", j.Spec.Team, "priority", j.Spec.Priority)
 			}
