--- a/controller/plan_test.go
+++ b/controller/plan_test.go
@@ -15,7 +15,11 @@
 
 // tryApply applies a plan as the operators' command does.
 func tryApply(w *fake.World, base int, text string) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	return applyWithin(w, base, text, time.Minute)
+}
+
+func applyWithin(w *fake.World, base int, text string, within time.Duration) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
 	v, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16}, ledger.PlanChange{Base: base, Text: text, By: "ops", At: time.Now()})
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -25,16 +27,61 @@
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomStory(t, seed, 1) })
+			synctest.Test(t, func(t *testing.T) { randomStory(t, seed, 1, false) })
+		})
+		t.Run(fmt.Sprint("planned, seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomStory(t, seed, 1, true) })
 		})
 	}
 	t.Run("larger", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) { randomStory(t, 1, 6) })
+		synctest.Test(t, func(t *testing.T) { randomStory(t, 1, 6, false) })
 	})
 }
 
-// randomStory plays a story in a world that many times as large.
-func randomStory(t *testing.T, seed uint64, size int) {
+// randomPlan is a plan of every part, which one goes by its number: who comes first,
+// when the region opens, and how many machines a pool holds.
+func randomPlan(rnd *rand.Rand) string {
+	first, second := "core", "edge"
+	if rnd.IntN(2) == 0 {
+		first, second = second, first
+	}
+	return fmt.Sprintf(`
+[[order.tiers]]
+name = "first"
+teams = [%q]
+
+[[order.tiers]]
+name = "second"
+teams = [%q]
+share = 0.1
+longest_wait_s = 100
+
+[[calendar.regions]]
+name = "here"
+zone = "UTC"
+open = { fri = "23:50", sat = "00:%02d", sun = "08:00" }
+evening = "00:00"
+margin_s = 30
+work = [ { images = ["img-0"] } ]
+
+[[pools]]
+name = "warm"
+model = "img-1"
+gb = 5
+types = ["m8"]
+zones = ["a", "b"]
+least = %d
+most = 3
+burst = { replicas = 2, within_s = 30 }
+cost_an_hour = 100
+payer = "core"
+borrowers = ["edge"]
+`, first, second, 2+rnd.IntN(10), rnd.IntN(3))
+}
+
+// randomStory plays a story in a world that many times as large; planned says that
+// a plan holds, and another one now and then.
+func randomStory(t *testing.T, seed uint64, size int, planned bool) {
 	rnd := rand.New(rand.NewPCG(seed, 99))
 	o := fake.Options{Machines: 6 * size, Capacity: 10 * size, Seed: seed,
 		Teams: []config.Team{{Name: "core", CPUs: 12 * float64(size), CPUsMax: 28 * float64(size)}, {Name: "edge", CPUs: 8 * float64(size)}}}
@@ -46,6 +93,19 @@
 	time.Sleep(3 * time.Second)
 	var ids []string
 	cancelled, broken := map[string]bool{}, map[string]bool{}
+	version := 0
+	replan := func(within time.Duration) {
+		n, err := applyWithin(w, version, randomPlan(rnd), within)
+		var moved *ledger.PlanMoved
+		if err == nil {
+			version = n
+		} else if errors.As(err, &moved) {
+			version = moved.Current // an answer was lost
+		}
+	}
+	if planned {
+		replan(time.Minute)
+	}
 	for step := range 40 {
 		if rnd.IntN(3) > 0 {
 			j := randomJob(rnd, step+1, size)
@@ -63,6 +123,9 @@
 				cancelled[id] = true
 			}
 		}
+		if planned && step%6 == 5 {
+			replan(3 * time.Second)
+		}
 		randomFailure(rnd, w)
 		for range 2 {
 			if len(ids) > 0 {
@@ -104,6 +167,9 @@
 	for _, b := range w.Broken() {
 		t.Errorf("rule broken: %s", b)
 	}
+	if planned && version < 2 {
+		t.Errorf("only version %d of the plan was ever applied", version)
+	}
 	// However much went wrong, all is well in the end.
 	last := randomJob(rnd, 999, size)
 	if !w.Submit(last) || !w.Await(last.ID, wire.JobDone, 10*time.Minute) {
--- /dev/null
+++ b/routing/plan_test.go
@@ -0,0 +1,204 @@
+package routing_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// A fleet under a plan of every part, while the plan changes and everything else
+// goes wrong at once.
+
+// fleetPlan is a version of such a plan: which tier comes first, when the region
+// opens and how many machines the pool holds go by its number. Simulated time
+// begins at midnight UTC, 1 January 2000, a Saturday.
+func fleetPlan(number, minutes int) string {
+	tiers := []string{`name = "clinic"
+classes = ["clinic"]
+`, `name = "school"
+classes = ["school"]
+`}
+	if number%2 == 0 {
+		tiers[0], tiers[1] = tiers[1], tiers[0]
+	}
+	open := fmt.Sprintf("00:%02d", minutes-number%2)
+	return fmt.Sprintf(`note = "version %d"
+
+[[order.tiers]]
+%s
+[[order.tiers]]
+%sshare = 0.1
+longest_wait_s = 100
+
+[[calendar.regions]]
+name = "here"
+zone = "UTC"
+open = { fri = "23:50", sat = %q, sun = "08:00" }
+evening = "00:00"
+margin_s = 60
+work = [ { class = "tiles" } ]
+
+[[pools]]
+name = "llm"
+model = "llm:v1"
+gb = 20
+types = ["m8"]
+zones = ["a", "b"]
+least = %d
+most = 30
+burst = { replicas = 20, within_s = 30 }
+cost_an_hour = 1000
+payer = "core"
+borrowers = ["edge"]
+`, number, tiers[0], tiers[1], open, 5+number%3*5)
+}
+
+// fleetMinutes is how long everything goes wrong, in minutes; FLEET_MINUTES sets it.
+func fleetMinutes() int {
+	if n, err := strconv.Atoi(os.Getenv("FLEET_MINUTES")); err == nil && n > 1 && n < 50 {
+		return n
+	}
+	return 4
+}
+
+// Seven nodes and hundreds of machines: leaders are killed, stand still or keep only
+// their workers, the state service is out, a hundred machines are mute, others die,
+// reports are copied, and the plan changes all the while. No rule breaks; then
+// everything accepted is done, the night has one outcome, and another version can
+// be applied.
+func TestAFleetUnderAPlanOutlivesEverythingAtOnce(t *testing.T) {
+	if underRace {
+		t.Skip("played without the race detector by .ci/run")
+	}
+	minutes := fleetMinutes()
+	o := fake.Options{Nodes: 7, Machines: fleetMachines, Capacity: fleetMachines + 100, Sockets: fleetSockets, Gap: 4, Lease: 22, Seed: 3,
+		Teams: []config.Team{{Name: "core", CPUs: 400, CPUsMax: 5000}, {Name: "edge"}}}
+	tell.Story(t, o, func(t *testing.T, w *fake.World) {
+		rnd := rand.New(rand.NewPCG(3, 17))
+		time.Sleep(15 * time.Second)
+		version := 0
+		apply := func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
+			_, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16},
+				ledger.PlanChange{Base: version, Text: fleetPlan(version+1, minutes+3), At: time.Now()})
+			var moved *ledger.PlanMoved
+			switch {
+			case err == nil:
+				version++
+			case errors.As(err, &moved):
+				version = moved.Current // an answer was lost
+			}
+		}
+		for version == 0 {
+			apply()
+		}
+		next, accepted := 1, []string{}
+		submit := func(class, team string, tasks int, cpus, est float64) {
+			j := tell.Job(next, func(j *wire.Job) {
+				j.Class, j.Team, j.Tasks, j.CPUs, j.EstimateS = class, team, tasks, cpus, est
+				j.CheckpointS, j.SaveS = 5, 1
+			})
+			next++
+			if w.Submit(j) {
+				accepted = append(accepted, j.ID)
+			}
+		}
+		submit("tiles", "core", 500, 4, 40)
+		submit("tiles", "core", 300, 4, 30)
+		submit("long", "edge", 300, 4, 90)
+		service := tell.Job(900, func(j *wire.Job) {
+			j.Class, j.Team, j.Kind, j.Image, j.ImageGB, j.Tasks, j.CPUs, j.EstimateS = "chat", "core", wire.KindService, "llm:v1", 20, 10, 2, 0
+		})
+		tell.MustSubmit(t, w, service)
+		w.CopyReports(50)
+		end := time.Now().Add(time.Duration(minutes) * time.Minute)
+		for time.Now().Before(end) {
+			n := rnd.IntN(7)
+			all := w.Cloud.Machines()
+			switch rnd.IntN(9) {
+			case 0:
+				w.KillNode(w.Leader())
+			case 1:
+				w.Stop(w.Leader(), true)
+				time.Sleep(9 * time.Second)
+			case 2:
+				l := w.Leader()
+				w.KeepOnlyWorkers(l, true)
+				time.AfterFunc(30*time.Second, func() { w.KeepOnlyWorkers(l, false) })
+			case 3:
+				w.State.SetOutage(true)
+				time.Sleep(8 * time.Second)
+				w.State.SetOutage(false)
+			case 4:
+				for i := range 100 {
+					m := all[(n*97+i*3)%len(all)]
+					w.Mute(m, true)
+					time.AfterFunc(40*time.Second, func() { w.Mute(m, false) })
+				}
+			case 5:
+				for range 10 {
+					w.KillMachine(all[rnd.IntN(len(all))])
+				}
+			case 6:
+				w.Bounce(n, 200*time.Millisecond)
+			case 7:
+				w.State.LateNext(30 * time.Second)
+			}
+			apply()
+			submit([]string{"clinic", "school", "print"}[rnd.IntN(3)], []string{"core", "edge"}[rnd.IntN(2)], 1+rnd.IntN(60), 3, float64(10+rnd.IntN(30)))
+			time.Sleep(time.Duration(2+rnd.IntN(8)) * time.Second)
+			for i := range 7 {
+				if rnd.IntN(2) == 0 {
+					w.Stop(i, false)
+					w.StartNode(i)
+				}
+			}
+		}
+		w.CopyReports(0)
+		for i := range 7 {
+			w.Stop(i, false)
+			w.StartNode(i)
+		}
+		for _, id := range accepted {
+			tell.MustReach(t, w, id, wire.JobDone, 10*time.Minute)
+		}
+		if w.Cancel(service.ID) != wire.JobCancelled {
+			t.Error("the service is not cancelled")
+		}
+		time.Sleep(time.Minute)
+		was := version
+		apply()
+		if version != was+1 {
+			t.Errorf("after everything no plan can be applied on version %d", was)
+		}
+		var rec calendar.Record
+		if err := wire.Unmarshal(w.State.Value(ledger.Notes+calendar.NoteOf("here")), &rec); err != nil {
+			t.Fatal(err)
+		}
+		outcomes := 0
+		for _, o := range rec.Past {
+			if o.Date == "2000-01-01" {
+				outcomes++
+			}
+		}
+		if outcomes != 1 {
+			t.Errorf("the night has %d outcomes: %+v", outcomes, rec.Past)
+		}
+		t.Logf("%d jobs, version %d of the plan, %d leases ended, nights %+v", len(accepted), version, w.Expired(), rec.Past)
+	})
+}
