A tier's longest wait takes its place among what must begin by the bound

Cause: with clinic work coming without end everything is owed its beginning by the bound at last, and lower tiers whose longest wait was over waited behind all of it (3 min 30 s instead of 1). Change: what a wait promotes is put among the owed by the moment at which that wait was over.

--- a/cluster/tiers.go
+++ b/cluster/tiers.go
@@ -1,9 +1,11 @@
 package cluster
 
 import (
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/order"
 	"github.com/umberdeal/umberdeal/placement"
 	"github.com/umberdeal/umberdeal/wire"
@@ -175,12 +177,39 @@
 			x, y := &rest[a].req, &rest[b].req
 			return x.Tier < y.Tier || x.Tier == y.Tier && x.Cause == turn && y.Cause != turn
 		})
-		out = append(append(out, first...), rest...)
+		out = append(m.besideOwed(out, first), rest...)
 		lo = hi
 	}
 	return out
 }
 
+// besideOwed adds what is promoted behind what must begin by the bound. Those of a
+// tier whose longest wait is over take their place among these, by the moment at
+// which it was: where more comes than can be done, everything has to begin by the
+// bound in the end, and a wait that came after all of it would be none.
+func (m *Model) besideOwed(out, promoted []*ranked) []*ranked {
+	var first []*ranked
+	for _, k := range promoted {
+		if order.Cause(k.req.Cause) != order.ByWait {
+			first = append(first, k)
+			continue
+		}
+		over := k.j.At.Add(config.Seconds(m.tiers.order.LongestWait(k.req.Tier)))
+		at := len(out)
+		for at > 0 {
+			o := out[at-1]
+			if !o.req.Owed || o.within != k.within || o.j.Priority != k.j.Priority || o.j.floored ||
+				!o.j.hopeless && !o.j.latest.After(over) || order.Cause(o.req.Cause) == order.ByWait {
+				break
+			}
+			at--
+		}
+		k.req.Owed = true
+		out = slices.Insert(out, at, k)
+	}
+	return append(out, first...)
+}
+
 // abreast says whether only the order decides which of two is served first.
 func (k *ranked) abreast(o *ranked) bool {
 	return k.within == o.within && k.j.Priority == o.j.Priority && k.req.Owed == o.req.Owed
