--- a/controller/order_test.go
+++ b/controller/order_test.go
@@ -316,7 +316,7 @@
 				}
 			}
 		}
-		const most = 270 * time.Second // the bound, and a change of leader
+		const most = 180 * time.Second // the longest wait, those before it, and changes of leader
 		worst := time.Duration(0)
 		for id, at := range came {
 			worst = max(worst, began[id])
--- a/order/departure.go
+++ b/order/departure.go
@@ -105,14 +105,14 @@
 			return Guarantee
 		case low.Priority < high.Priority && low.Within == high.Within:
 			return Priority
+		case low.Within == high.Within && low.Priority == high.Priority && low.Cause == uint8(ByWait):
+			return Wait // among those that are owed their beginning by the bound, or not
 		case low.Owed:
 			// Before all of its priority, and at last before higher ones; of two
 			// that are owed, the one whose time is nearer.
 			return Bound
 		case low.Within != high.Within, low.Priority != high.Priority, high.Owed:
 			return None
-		case low.Cause == uint8(ByWait):
-			return Wait
 		case low.Cause == uint8(ByShare):
 			return Share
 		}
--- a/order/order.go
+++ b/order/order.go
@@ -146,12 +146,12 @@
 	return out
 }
 
-// owed says whether a job has waited its tier's longest wait, with nothing of it
-// running.
 // LongestWait is after how many seconds a job of the tier goes before higher ones;
 // 0: it never does for having waited.
 func (o *Order) LongestWait(tier int) float64 { return o.tiers[tier].LongestWaitS }
 
+// owed says whether a job has waited its tier's longest wait, with nothing of it
+// running.
 func (o *Order) owed(w *Waiting) bool {
 	if w.Tier <= 0 || w.Tier >= len(o.tiers) || w.Tasks <= 0 || w.Placed > 0 {
 		return false
