--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -76,6 +76,10 @@
 	// Limits are what the state service takes, TxnOps and ValueKB of it. They are
 	// for the owner to set before Run.
 	Limits Limits
+	// Tier is a team's work of a class by the operators' order: where more
+	// submissions wait than a transaction takes, earlier tiers go first. It is for
+	// the owner to set before Run. Nil: in the order in which they came.
+	Tier func(team, class string) int
 	// Order says who is read first while more ask for jobs that are over than can be
 	// read at once, the smallest first. Nil: who came first.
 	Order func(id string) float64
