--- a/pools/records.go
+++ b/pools/records.go
@@ -34,9 +34,9 @@
 	Peak    int     `msgpack:"p"` // of replicas wanted at once in it, so far
 	Image   string  `msgpack:"i"` // the weights that are held
 	GB      float64 `msgpack:"g"`
-	Number  int     `msgpack:"n"` // counts the images
-	Per     int     `msgpack:"m"` // replicas that a machine takes
-	Rank    int     `msgpack:"r"` // priority of the replicas, 0 being the highest
+	Number  int     `msgpack:"n"`           // counts the images
+	Per     int     `msgpack:"m"`           // replicas that a machine takes
+	Rank    int     `msgpack:"r"`           // priority of the replicas, 0 being the highest
 	Class   string  `msgpack:"t,omitempty"` // of the replicas
 	Payer   string  `msgpack:"w"`
 	Aim     int     `msgpack:"x"` // machines
