--- a/controller/plan_test.go
+++ b/controller/plan_test.go
@@ -69,7 +69,7 @@
 		for round, trouble := range []func(l int) func(){
 			func(l int) func() { w.KillNode(l); return func() { w.StartNode(l) } },
 			func(l int) func() { w.Stop(l, true); return func() { w.Stop(l, false) } },
-			func(l int) func() { w.CutNode(l, true, "state:1"); return func() { w.CutNode(l, false, "state:1") } },
+			func(l int) func() { w.CutNode(l, true, "state"); return func() { w.CutNode(l, false, "state") } },
 			func(l int) func() {
 				w.State.LateNext(time.Minute)
 				submit(2)
