--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -124,6 +124,16 @@
 	return nil
 }
 
+// readHead reads which versions there are, and says so if that can't be read as it
+// was written.
+func readHead(ctx context.Context, st *state.Client) (ledger.PlanHead, error) {
+	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
+	if trouble != nil {
+		fmt.Fprintln(os.Stderr, trouble)
+	}
+	return h, err
+}
+
 type planShowCmd struct {
 	stateFlags
 	Version int `default:"0" placeholder:"N" help:"An earlier version that is still kept."`
@@ -135,13 +145,10 @@
 		return err
 	}
 	defer stop()
-	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
+	h, err := readHead(ctx, st)
 	if err != nil {
 		return err
 	}
-	if trouble != nil {
-		fmt.Fprintln(os.Stderr, trouble)
-	}
 	v, ok := h.Find(c.Version)
 	if !ok && c.Version == 0 {
 		return ledger.ErrNoPlan
@@ -165,13 +172,10 @@
 		return err
 	}
 	defer stop()
-	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
+	h, err := readHead(ctx, st)
 	if err != nil {
 		return err
 	}
-	if trouble != nil {
-		fmt.Fprintln(os.Stderr, trouble)
-	}
 	if len(h.Versions) == 0 {
 		return ledger.ErrNoPlan
 	}
