A pool takes machines that are kept as headroom

Each pass renewed the time since when headroom is idle. A pool leaves a machine that has been idle for less than four seconds to work that waits, and took it for one that is about to be free: it neither took it nor rented another, as long as a job had come in the last ten minutes. What is kept as headroom is noted on its own now, for returns only.

--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -86,7 +86,7 @@
 			why = "silent"
 		case mc.Up && mc.Shown && m.letGo(mc):
 			why = "pool"
-		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(m.Takeover) > 30*time.Second && !m.keptByPool(mc):
+		case mc.Up && mc.Shown && now.Sub(mc.IdleSince) > idle && now.Sub(mc.keptAt) > idle && now.Sub(m.Takeover) > 30*time.Second && !m.keptByPool(mc):
 			why = "idle"
 		case m.mute(mc, now) && now.Sub(m.Takeover) > 30*time.Second:
 			why = "mute"
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -50,8 +50,9 @@
 	late       bool // the operator has been told
 	Tasks      map[Ref]bool
 	Used       placement.Res
-	IdleSince  time.Time
-	Held       int // answers to its reports that are being held back
+	IdleSince  time.Time // without work
+	keptAt     time.Time // last kept, empty, as headroom
+	Held       int       // answers to its reports that are being held back
 	hearing    hearing
 
 	orphans placement.Res // what tasks not in the model take
--- a/cluster/pools_test.go
+++ b/cluster/pools_test.go
@@ -62,3 +62,36 @@
 		t.Errorf("%d machines are the pools', %v are returned", kept, back)
 	}
 }
+
+// The room that is kept for jobs to come is idle, and renewed with each pass: a
+// pool must not wait for such machines to be left alone, nor take them for ones
+// that are about to be free.
+func TestAPoolTakesMachinesThatAreKeptAsHeadroom(t *testing.T) {
+	m := pooled(12, 0) // three pools of two machines
+	m.Headroom = 0.35
+	m.PutJob("wk-000001", arrayJob("wk-000001", 16), 1, at(0)) // four machines, and headroom of six
+	held := 0
+	for s := 30.0; s < 40; s++ {
+		heard(m, at(s))
+		m.Schedule(at(s), 0)
+		m.Tick(at(s))
+	}
+	kept := 0
+	for _, mc := range m.Machines {
+		if mc.pool > 0 {
+			held++
+		} else if !mc.keptAt.IsZero() {
+			kept++
+		}
+	}
+	if held != 6 || kept == 0 {
+		t.Errorf("the pools hold %d machines of 6, %d others are headroom", held, kept)
+	}
+	heard(m, at(200))
+	m.Schedule(at(200), 0)
+	for _, name := range m.Returnable(at(201), time.Minute) {
+		if mc := m.Machines[m.machineIdx[name]]; !mc.keptAt.IsZero() {
+			t.Errorf("%s is headroom, and returned", name)
+		}
+	}
+}
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -125,9 +125,10 @@
 		}
 	}
 	for v := range used {
-		// Kept as headroom: not idle in the sense of being returned.
+		// Kept as headroom: not idle in the sense of being returned. A pool may
+		// have it all the same, and the headroom is rented anew.
 		if mc := m.Machines[back[v]]; len(mc.Tasks) == 0 {
-			mc.IdleSince = now
+			mc.keptAt = now
 		}
 	}
 	return d
