--- a/controller/poolsmeasure_test.go
+++ b/controller/poolsmeasure_test.go
@@ -176,3 +176,76 @@
 		}
 	}
 }
+
+// notesWritten counts the changes of the parts' records, by part, while a plan of
+// all of them holds on that many machines, half of them in pools.
+func notesWritten(t *testing.T, machines int, during time.Duration) (by map[string]int) {
+	synctest.Test(t, func(t *testing.T) {
+		typ := fake.DefaultType
+		typ.CacheGB = 100
+		w := fake.New(fake.Options{Machines: machines, Capacity: machines, Types: []wire.MachineType{typ}, Gap: 5, Lease: 30,
+			Teams: []config.Team{{Name: "core"}, {Name: "speech"}}})
+		defer w.Close()
+		time.Sleep(8 * time.Second)
+		text := "[[order.tiers]]\nname = \"first\"\nclasses = [\"slicing\"]\n\n[[order.tiers]]\nname = \"second\"\nclasses = [\"tiles\"]\nshare = 0.1\nlongest_wait_s = 20\n"
+		for _, region := range []string{"north", "east", "south"} {
+			text += fmt.Sprintf("\n[[calendar.regions]]\nname = %q\nzone = \"UTC\"\nopen = { fri = \"23:30\", sat = \"00:12\", sun = \"08:00\" }\nevening = \"00:00\"\nmargin_s = 120\nwork = [ { images = [%q] } ]\n", region, region)
+		}
+		for i := range 3 {
+			text += fmt.Sprintf("\n[[pools]]\nname = \"llm%d\"\nmodel = \"llm%d:v1\"\ngb = 5\ntypes = [\"m8\"]\nzones = [\"a\", \"b\"]\nleast = %d\nmost = %d\nburst = { replicas = 8, within_s = 10 }\ncost_an_hour = 1e6\npayer = \"speech\"\nfetch_at_once = 100\n",
+				i, i, machines/6, machines/6)
+		}
+		applyPlan(t, w, 0, text)
+		by = map[string]int{}
+		versions := map[string]uint64{}
+		for end, n := time.Now().Add(during), 1; time.Now().Before(end); n++ {
+			mustSubmit(t, w, job(n, func(j *wire.Job) {
+				j.Class, j.Image, j.ImageGB = []string{"tiles", "slicing"}[n%2], []string{"north", "east", "south"}[n%3], 1
+				j.Tasks, j.CPUs, j.EstimateS = max(2, machines/40), 8, 60 // more than there is room for
+			}))
+			if n%20 == 0 { // what is booked on pools' machines changes as well
+				mustSubmit(t, w, job(10000+n, func(j *wire.Job) {
+					j.Team, j.Image, j.ImageGB, j.Tasks, j.CPUs, j.EstimateS = "speech", fmt.Sprintf("llm%d:v1", n/20%3), 5, max(2, machines/20), 2, 15
+				}))
+			}
+			for range 4 { // a key is written every half a second at most
+				time.Sleep(250 * time.Millisecond)
+				for key, v := range w.State.Versions(ledger.Notes) {
+					if versions[key] != v {
+						part, _, _ := strings.Cut(strings.TrimPrefix(key, ledger.Notes), "/")
+						part, _, _ = strings.Cut(part, ".")
+						by[part]++
+						versions[key] = v
+					}
+				}
+			}
+		}
+	})
+	return by
+}
+
+// TestMeasureNotes prints how often the parts' records are written; NOTES_MEASURE is
+// the number of machines. All of them together keep to their share, whatever there is
+// to write.
+func TestMeasureNotes(t *testing.T) {
+	machines, during := 24, 90*time.Second
+	if s := os.Getenv("NOTES_MEASURE"); s != "" {
+		if _, err := fmt.Sscan(s, &machines); err != nil {
+			t.Fatal(err)
+		}
+		during = 3 * time.Minute
+	}
+	by, sum := notesWritten(t, machines, during), 0
+	for _, part := range []string{"order", "night", "pools"} {
+		sum += by[part]
+		if by[part] == 0 {
+			t.Errorf("nothing is recorded by %q: %v", part, by)
+		}
+	}
+	const share = 0.02 * 60 // of the world's changes a second
+	each := float64(sum) / during.Seconds()
+	t.Logf("%d machines, %v: %v, %.2f changes a second of %.2f", machines, during, by, each, share)
+	if each > share*1.05 {
+		t.Errorf("%.2f changes a second", each)
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -108,6 +108,19 @@
 	return out
 }
 
+// Versions gives the keys that begin so, each with the version of its last change.
+func (s *State) Versions(prefix string) map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]uint64{}
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out[k] = e.Version
+		}
+	}
+	return out
+}
+
 // Changes counts the puts and deletes that were asked for and not refused.
 func (s *State) Changes() int {
 	s.mu.Lock()
