A pool pays for headroom it takes from when it joins

A machine that had never had work was taken for one that was rented for the pool, and paid for since its rental. Headroom can have been up for hours; only what joins within a minute of being up is paid for since its rental now.

--- a/cluster/pools.go
+++ b/cluster/pools.go
@@ -34,6 +34,7 @@
 	idleToJoin  = 4 * time.Second  // a machine just up may be for work that waits
 	settleEvery = time.Minute      // an account is recorded that often if nothing else happens
 	fetchAsked  = 20 * time.Second // until a fetch is asked for again
+	justUp      = time.Minute      // what has been idle for longer was not rented for a pool
 	unheardFor  = time.Minute      // a recorded machine that nobody has heard of is gone
 	rentPerStep = 50
 	otherZone   = 1e6 // added to the price of a machine in another zone than wanted
@@ -170,8 +171,8 @@
 	return m.pools[mc.pool-1]
 }
 
-// joinPool takes a machine in. One that has never had work was rented for this:
-// its boot is paid for as well.
+// joinPool takes a machine in. One that is just up and has never had work was rented
+// for this: its boot is paid for as well. What was headroom before was nobody's.
 func (m *Model) joinPool(i int, mc *Machine, now time.Time) {
 	p := m.pools[i]
 	n := slices.IndexFunc(p.shards, func(s *pools.Shard) bool { return len(s.Members) < pools.ShardSize })
@@ -179,7 +180,7 @@
 		return
 	}
 	since := now
-	if mc.Ordered && !mc.worked && mc.Created.Before(now) {
+	if mc.Ordered && !mc.worked && mc.Created.Before(now) && now.Sub(mc.IdleSince) < justUp {
 		since = mc.Created
 	}
 	p.shards[n].Join(pools.Member{Machine: mc.Name, Zone: m.Zones[mc.Zone], SinceMs: since.UnixMilli(), Rate: m.rate(mc)})
--- a/cluster/pools_test.go
+++ b/cluster/pools_test.go
@@ -70,8 +70,11 @@
 	m := pooled(12, 0) // three pools of two machines
 	m.Headroom = 0.35
 	m.PutJob("wk-000001", arrayJob("wk-000001", 16), 1, at(0)) // four machines, and headroom of six
+	for _, mc := range m.Machines {
+		mc.Ordered = true
+	}
 	held := 0
-	for s := 30.0; s < 40; s++ {
+	for s := 90.0; s < 100; s++ {
 		heard(m, at(s))
 		m.Schedule(at(s), 0)
 		m.Tick(at(s))
@@ -80,6 +83,9 @@
 	for _, mc := range m.Machines {
 		if mc.pool > 0 {
 			held++
+			if e := m.poolOf(mc).member(mc); e.SinceMs < at(90).UnixMilli() {
+				t.Errorf("%s was up for jobs to come, and the pool pays from %d on", mc.Name, e.SinceMs)
+			}
 		} else if !mc.keptAt.IsZero() {
 			kept++
 		}
@@ -87,9 +93,9 @@
 	if held != 6 || kept == 0 {
 		t.Errorf("the pools hold %d machines of 6, %d others are headroom", held, kept)
 	}
-	heard(m, at(200))
-	m.Schedule(at(200), 0)
-	for _, name := range m.Returnable(at(201), time.Minute) {
+	heard(m, at(300))
+	m.Schedule(at(300), 0)
+	for _, name := range m.Returnable(at(301), time.Minute) {
 		if mc := m.Machines[m.machineIdx[name]]; !mc.keptAt.IsZero() {
 			t.Errorf("%s is headroom, and returned", name)
 		}
