--- a/ledger/intake_test.go
+++ b/ledger/intake_test.go
@@ -543,7 +543,9 @@
 			for n := range 120 {
 				submit(n, "craft")
 			}
+			mu.Lock()
 			before := len(order)
+			mu.Unlock()
 			for n := range 4 {
 				submit(1000+n, "clinic")
 			}
