The stories' cloud rents nothing once its world ends

A rental that was delivered as a world ended began a machine while the end waited for all of them: a data race under the race detector in one of two runs.

--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -78,6 +78,14 @@
 	return name
 }
 
+// close ends renting. A request that is delivered late, as the world ends, would
+// begin a machine while the end waits for all of them.
+func (c *Cloud) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity = 0
+}
+
 // Machines lists the names of the machines that exist.
 func (c *Cloud) Machines() []string {
 	c.mu.Lock()
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -232,6 +232,7 @@
 	for i := range w.nodes {
 		w.KillNode(i)
 	}
+	w.Cloud.close()
 	for _, n := range w.Cloud.Machines() {
 		w.Cloud.machine(n).kill()
 	}
