--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -31,9 +31,8 @@
 	if p.Head < m.plan.Head || p.Head == m.plan.Head && p.Number == m.plan.Number && p.Lost == m.plan.Lost {
 		return
 	}
-	first := !m.loaded
 	m.plan = p
-	if !first {
+	if m.loaded {
 		m.log.Info("plan taken in", "version", p.Number, "lost", p.Lost, "takenBack", m.takeBack(now))
 	}
 	m.planChanged(now)
--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -124,14 +124,22 @@
 	return nil
 }
 
-// readHead reads which versions there are, and says so if that can't be read as it
-// was written.
-func readHead(ctx context.Context, st *state.Client) (ledger.PlanHead, error) {
+// readHead opens the state service and reads which versions there are, and says so
+// if that can't be read as it was written.
+func (f *stateFlags) readHead() (ctx context.Context, stop func(), st *state.Client, h ledger.PlanHead, err error) {
+	ctx, stop, _, st, err = f.open()
+	if err != nil {
+		return nil, nil, nil, h, err
+	}
 	h, _, trouble, err := ledger.ReadPlanHead(ctx, st)
 	if trouble != nil {
 		fmt.Fprintln(os.Stderr, trouble)
 	}
-	return h, err
+	if err != nil {
+		stop()
+		return nil, nil, nil, h, err
+	}
+	return ctx, stop, st, h, nil
 }
 
 type planShowCmd struct {
@@ -140,15 +148,11 @@
 }
 
 func (c *planShowCmd) Run() error {
-	ctx, stop, _, st, err := c.open()
+	ctx, stop, st, h, err := c.readHead()
 	if err != nil {
 		return err
 	}
 	defer stop()
-	h, err := readHead(ctx, st)
-	if err != nil {
-		return err
-	}
 	v, ok := h.Find(c.Version)
 	if !ok && c.Version == 0 {
 		return ledger.ErrNoPlan
@@ -167,15 +171,11 @@
 type planHistoryCmd struct{ stateFlags }
 
 func (c *planHistoryCmd) Run() error {
-	ctx, stop, _, st, err := c.open()
+	ctx, stop, st, h, err := c.readHead()
 	if err != nil {
 		return err
 	}
 	defer stop()
-	h, err := readHead(ctx, st)
-	if err != nil {
-		return err
-	}
 	if len(h.Versions) == 0 {
 		return ledger.ErrNoPlan
 	}
