--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -604,11 +604,15 @@
 		}
 		time.Sleep(9 * time.Second) // their leases outlast it
 		applyPlan(t, w, 1, strings.Replace(poolPlan(4, 4, ""), `payer = "speech"`, `payer = "clinic"`, 1))
+		back := time.Now()
 		for i := range 3 {
 			w.StartNode(i)
 		}
-		time.Sleep(90 * time.Second)
-		s := poolState(t, w)
+		// An account is committed once a minute, so that how much of the time
+		// since is in it hangs on when the next leader began.
+		s := awaitPool(t, w, "charged", 3*time.Minute, func(s pools.State) bool {
+			return s.Note.Payer == "clinic" && s.Shards[0].AtMs >= back.Add(50*time.Second).UnixMilli()
+		})
 		mustBePaid(t, s)
 		was, is, next := before.Shards[0], s.Shards[0].Teams["speech"].Ms, s.Shards[0].Teams["clinic"].Ms
 		if gap := is - was.Teams["speech"].Ms; gap < 4*9_000 || gap > 4*90_000 || next < 4*30_000 || s.Note.Payer != "clinic" {
