--- a/controller/passes.go
+++ b/controller/passes.go
@@ -60,7 +60,7 @@
 			// users get most of the processor even so.
 			took := time.Since(now)
 			l.n.metrics.Pass(took.Seconds())
-			pause = max(pause, passShare*took)
+			pause = max(pause+time.Duration(len(l.m.Machines))*passPace, passShare*took)
 			l.mu.Unlock()
 			for g, rec := range moves {
 				l.beginMoves(ctx, g, rec)
@@ -75,8 +75,14 @@
 	}
 }
 
-// passShare is how many times as long as a pass the leader does other things.
-const passShare = 3
+const (
+	// passShare is how many times as long as a pass the leader does other things.
+	passShare = 3
+	// passPace is how much longer it does for each machine that it knows, however
+	// fast its processor is: at 2,000 machines 25 passes a second were a quarter of
+	// a core, and nothing that waits minds a tenth of a second.
+	passPace = 50 * time.Microsecond
+)
 
 // abstainFor is for how long a leader that workers did not reach leaves the
 // leadership to others.
