Stories of plans share how plans are written, applied and waited for

Change: internal/plans writes a region and a pool; tell.Plans applies one plan after another where answers are lost; KillAll, StartAll, Until and MustFinish take the place of loops. The story of a lost plan looked for a job's tasks under a machine's name; it looks at the tasks. No story and no assertion is gone.

--- a/cluster/nights_test.go
+++ b/cluster/nights_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/plans"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/plan"
 	"github.com/umberdeal/umberdeal/wire"
@@ -16,23 +17,8 @@
 
 // Nights until 08:00 and 07:00 on 1 January 2026, which is a Thursday; t0 is its
 // midnight.
-const twoRegions = `
-[[calendar.regions]]
-name = "brussels"
-zone = "UTC"
-open = { wed = "08:00", thu = "08:00", fri = "08:00" }
-evening = "18:00"
-margin_s = 1800
-work = [ { class = "tiles" } ]
-
-[[calendar.regions]]
-name = "tunis"
-zone = "UTC"
-open = { wed = "07:00", thu = "07:00", fri = "07:00" }
-evening = "18:00"
-margin_s = 1800
-work = [ { class = "halls" } ]
-`
+var twoRegions = plans.Region("brussels", `wed = "08:00", thu = "08:00", fri = "08:00"`, "18:00", 1800, `class = "tiles"`) +
+	plans.Region("tunis", `wed = "07:00", thu = "07:00", fri = "07:00"`, "18:00", 1800, `class = "halls"`)
 
 func setPlan(t *testing.T, m *Model, head uint64, text string, now time.Time) {
 	t.Helper()
--- a/controller/grown_test.go
+++ b/controller/grown_test.go
@@ -43,13 +43,9 @@
 		if n := len(w.State.Keys("w/p/")); n == 0 || n > 1+jobs/3 {
 			t.Errorf("%d keys hold the placements of %d jobs", n, jobs)
 		}
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		time.Sleep(4 * time.Second)
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		for i := range jobs {
 			mustReach(t, w, fmt.Sprintf("wk-%06d", i), wire.JobDone, 5*time.Minute)
 		}
--- a/controller/known_test.go
+++ b/controller/known_test.go
@@ -89,14 +89,10 @@
 			})
 		}
 		wg.Wait()
-		for n := range w.Nodes() {
-			w.KillNode(n)
-		}
+		w.KillAll()
 		w.State.SetOutage(true)
 		time.Sleep(10 * time.Second)
-		for n := range w.Nodes() {
-			w.StartNode(n)
-		}
+		w.StartAll()
 		time.Sleep(5 * time.Second)
 		w.State.SetOutage(false)
 		var a asked
@@ -156,9 +152,7 @@
 					}
 				}
 				time.Sleep(time.Second)
-				for n := range w.Nodes() {
-					w.StartNode(n)
-				}
+				w.StartAll()
 				time.Sleep(12 * time.Second)
 				alone, _ := own(w)
 				for i := range w.Nodes() {
--- a/controller/ledger_test.go
+++ b/controller/ledger_test.go
@@ -97,9 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := fake.New(fake.Options{Machines: 4})
 		defer w.Close()
-		for n := range w.Nodes() {
-			w.KillNode(n)
-		}
+		w.KillAll()
 		time.Sleep(20 * time.Second)
 		w.State.Wipe()
 		to := state.New(w.Net.Dial("ops"), "state:1", 200, 200)
@@ -119,9 +117,7 @@
 		if len(jobs) != 6 {
 			t.Fatalf("%d jobs are recorded", len(jobs))
 		}
-		for n := range w.Nodes() {
-			w.StartNode(n)
-		}
+		w.StartAll()
 		time.Sleep(15 * time.Second)
 		mustReach(t, w, "wk-000503", wire.JobDone, 3*time.Minute)
 		mustReach(t, w, "wk-000504", wire.JobDone, 3*time.Minute)
@@ -171,13 +167,9 @@
 		}
 		wg.Go(func() {
 			time.Sleep(4 * time.Second)
-			for n := range w.Nodes() {
-				w.KillNode(n)
-			}
+			w.KillAll()
 			time.Sleep(3 * time.Second)
-			for n := range w.Nodes() {
-				w.StartNode(n)
-			}
+			w.StartAll()
 		})
 		wg.Wait()
 		changes := w.State.Changes() - before
@@ -259,15 +251,11 @@
 				time.Sleep(5 * time.Second)
 				mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
 				time.Sleep(8 * time.Second)
-				for n := range w.Nodes() {
-					w.KillNode(n)
-				}
+				w.KillAll()
 				w.State.Damage(c.key)
 				mark := w.Started()
 				time.Sleep(2 * time.Second)
-				for n := range w.Nodes() {
-					w.StartNode(n)
-				}
+				w.StartAll()
 				time.Sleep(10 * time.Second)
 				mustSubmit(t, w, job(2, nil), job(3, nil))
 				mustReach(t, w, "wk-000002", wire.JobDone, 3*time.Minute)
--- a/controller/nights_test.go
+++ b/controller/nights_test.go
@@ -14,6 +14,7 @@
 	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/controller"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/plans"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -21,23 +22,10 @@
 // Nights in these stories are minutes long. Simulated time begins at midnight UTC,
 // 1 January 2000, a Saturday.
 
-const nightPlan = `
-[[calendar.regions]]
-name = "here"
-zone = "UTC"
-open = { fri = "23:30", sat = "00:12", sun = "08:00" }
-evening = "00:00"
-margin_s = 120
-work = [ { class = "tiles" } ]
+const nightHours = `fri = "23:30", sat = "00:12", sun = "08:00"`
 
-[[calendar.regions]]
-name = "empty"
-zone = "UTC"
-open = { fri = "23:30", sat = "00:12", sun = "08:00" }
-evening = "00:00"
-margin_s = 120
-work = [ { class = "nobody's" } ]
-`
+var nightPlan = plans.Region("here", nightHours, "00:00", 120, `class = "tiles"`) +
+	plans.Region("empty", nightHours, "00:00", 120, `class = "nobody's"`)
 
 // nights is what is committed of a region.
 func nights(t *testing.T, w *fake.World, region string) (rec calendar.Record) {
--- a/controller/order_test.go
+++ b/controller/order_test.go
@@ -43,9 +43,7 @@
 			}))
 		w.Cancel("wk-000004")
 		time.Sleep(10 * time.Second)
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		got, _ := why(t, w, "wk-000002")
 		if len(got.Waiting) == 0 || !strings.HasPrefix(got.Waiting[0], "its team's limit: 8 of 8 CPUs") {
 			t.Errorf("%+v", got)
@@ -138,9 +136,7 @@
 					t.Errorf("%s was placed first, by the order before", got)
 				}
 				end()
-				for n := 1; n <= 4; n++ {
-					mustReach(t, w, job(n, nil).ID, wire.JobDone, 4*time.Minute)
-				}
+				mustFinish(t, w, 4*time.Minute, 1, 2, 3, 4)
 			})
 		})
 	}
@@ -206,9 +202,7 @@
 				if got := first(t, w, 2*time.Minute, "wk-000002", "wk-000003", "wk-000004"); got != "wk-000004" {
 					t.Errorf("%s was placed first, by an older order", got)
 				}
-				for n := 2; n <= 4; n++ {
-					mustReach(t, w, job(n, nil).ID, wire.JobDone, 4*time.Minute)
-				}
+				mustFinish(t, w, 4*time.Minute, 2, 3, 4)
 			})
 		})
 	}
@@ -222,15 +216,11 @@
 		applyPlan(t, w, 1, orderOf("craft", "clinic"))
 		mustSubmit(t, w, whole(1, "other", 30))
 		time.Sleep(8 * time.Second)
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		for _, k := range w.State.Keys("plan/t/2-") {
 			w.State.Damage(k)
 		}
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		mustSubmit(t, w, whole(2, "craft", 20), whole(3, "clinic", 20))
 		if got, _ := why(t, w, "wk-000002"); got.Tier != "craft" || got.Ahead["tier"] != 1 {
 			t.Errorf("%+v", got)
@@ -251,9 +241,7 @@
 		mustSubmit(t, w, whole(1, "other", 15))
 		time.Sleep(6 * time.Second)
 		mustSubmit(t, w, whole(2, "craft", 20), whole(3, "clinic", 20))
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		form := func(change int) {
 			var rec ledger.FormRecord
 			if err := wire.Unmarshal(w.State.Value(ledger.FormKey), &rec); err != nil || rec.Form < ledger.FormPlan {
@@ -265,9 +253,7 @@
 			}
 		}
 		form(ledger.Form + 1 - ledger.FormPlan)
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		time.Sleep(40 * time.Second)
 		if on := append(w.On("wk-000002/0"), w.On("wk-000003/0")...); len(on) > 0 {
 			t.Error("a version that can't read the order has placed work")
--- a/controller/plan_test.go
+++ b/controller/plan_test.go
@@ -1,51 +1,27 @@
 package controller_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/ledger"
-	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// tryApply applies a plan as the operators' command does.
-func tryApply(w *fake.World, base int, text string) (int, error) {
-	return applyWithin(w, base, text, time.Minute)
-}
-
-func applyWithin(w *fake.World, base int, text string, within time.Duration) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
-	v, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16}, ledger.PlanChange{Base: base, Text: text, By: "ops", At: time.Now()})
-	return v.Number, err
-}
-
-func applyPlan(t *testing.T, w *fake.World, base int, text string) {
-	t.Helper()
-	if n, err := tryApply(w, base, text); err != nil || n != base+1 {
-		t.Fatalf("version %d on %d: %v", n, base, err)
-	}
-}
-
 // knows waits until every node that is up knows a version of the plan.
 func knows(t *testing.T, w *fake.World, version int, nodes ...int) {
 	t.Helper()
 	for _, i := range nodes {
-		for k := 0; ; k++ {
-			o := overview(t, w, i)
-			if o.Orders != nil && o.Orders.Version == version && !o.Orders.Lost {
-				break
-			}
-			if k == 60 {
-				t.Fatalf("node %d knows %+v, not version %d", i, o.Orders, version)
-			}
-			time.Sleep(500 * time.Millisecond)
+		o := overview(t, w, i)
+		if !tell.Until(30*time.Second, 500*time.Millisecond, func() bool {
+			o = overview(t, w, i)
+			return o.Orders != nil && o.Orders.Version == version && !o.Orders.Lost
+		}) {
+			t.Fatalf("node %d knows %+v, not version %d", i, o.Orders, version)
 		}
 	}
 }
@@ -91,7 +67,7 @@
 		time.Sleep(time.Minute)
 		knows(t, w, version, 0, 1, 2, 3, 4)
 		for n := 1; n < next; n++ {
-			mustReach(t, w, job(n, nil).ID, wire.JobDone, 3*time.Minute)
+			mustFinish(t, w, 3*time.Minute, n)
 		}
 		if w.Repeated() > 0 {
 			t.Errorf("%d tasks were done twice", w.Repeated())
@@ -106,17 +82,13 @@
 		time.Sleep(5 * time.Second)
 		applyPlan(t, w, 0, `note = "one"`)
 		applyPlan(t, w, 1, `note = "two"`)
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		for _, k := range w.State.Keys("plan/t/2-") {
 			w.State.Damage(k)
 		}
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		mustSubmit(t, w, job(1, nil))
-		mustReach(t, w, job(1, nil).ID, wire.JobDone, 2*time.Minute)
+		mustFinish(t, w, 2*time.Minute, 1)
 		knows(t, w, 1, 0, 1, 2)
 		applyPlan(t, w, 2, `note = "three"`)
 		knows(t, w, 3, 0, 1, 2)
@@ -130,25 +102,21 @@
 		mustSubmit(t, w, job(1, func(j *wire.Job) { j.EstimateS = 60 }))
 		time.Sleep(5 * time.Second)
 		applyPlan(t, w, 0, `note = "one"`)
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		for _, k := range w.State.Keys("plan/t/") {
 			w.State.Damage(k)
 		}
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		mustSubmit(t, w, job(2, nil))
-		mustReach(t, w, job(1, nil).ID, wire.JobDone, 2*time.Minute)
-		if n := w.Load()[job(2, nil).ID]; n > 0 || w.Started() > 2 {
+		mustFinish(t, w, 2*time.Minute, 1)
+		if len(w.On("wk-000002/0"))+len(w.On("wk-000002/1")) > 0 || w.Started() > 2 {
 			t.Errorf("%d tasks were started by a plan that nobody can read", w.Started())
 		}
 		if o := overview(t, w, 0); o.Orders == nil || !o.Orders.Lost {
 			t.Errorf("status says %+v", o.Orders)
 		}
 		applyPlan(t, w, 1, `note = "two"`)
-		mustReach(t, w, job(2, nil).ID, wire.JobDone, 2*time.Minute)
+		mustFinish(t, w, 2*time.Minute, 2)
 	})
 }
 
@@ -157,7 +125,7 @@
 func TestNoPlanIsAppliedBeforeEveryNodeReadsPlans(t *testing.T) {
 	story(t, fake.Options{Machines: 4, Metrics: true, Older: []int{2}}, func(t *testing.T, w *fake.World) {
 		time.Sleep(5 * time.Second)
-		if _, err := tryApply(w, 0, `note = "one"`); !errors.Is(err, ledger.ErrPlanForm) {
+		if _, err := tell.TryPlan(w, 0, `note = "one"`, time.Minute); !errors.Is(err, ledger.ErrPlanForm) {
 			t.Fatalf("with a node that reads no plans: %v", err)
 		}
 		if o := overview(t, w, 0); o.Orders != nil {
--- a/controller/pools_test.go
+++ b/controller/pools_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/plans"
+	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/pools"
 	"github.com/umberdeal/umberdeal/wire"
@@ -25,20 +27,7 @@
 
 // poolPlan is a plan with one pool of that many machines.
 func poolPlan(least, most int, more string) string {
-	return fmt.Sprintf(`note = "pools"
-[[pools]]
-name = "llm"
-model = "llm:v1"
-gb = 40
-types = ["m8"]
-zones = ["a", "b"]
-least = %d
-most = %d
-burst = { replicas = 4, within_s = 10 }
-cost_an_hour = 100
-payer = "speech"
-borrowers = ["core"]
-%s`, least, most, more)
+	return plans.Pool("llm", "llm:v1", 40, "m8", least, most, 4, "speech", "borrowers = [\"core\"]\n"+more)
 }
 
 // poolState reads what is recorded of the pool.
@@ -182,13 +171,9 @@
 			for w.FetchedMost() == 0 {
 				time.Sleep(100 * time.Millisecond)
 			}
-			for i := range 3 {
-				w.KillNode(i)
-			}
+			w.KillAll()
 			time.Sleep(5 * time.Second)
-			for i := range 3 {
-				w.StartNode(i)
-			}
+			w.StartAll()
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -357,8 +342,7 @@
 func TestTwoPoolsWhoseWeightsDoNotFitTogether(t *testing.T) {
 	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
 		second := strings.Replace(strings.Replace(poolPlan(2, 2, ""), `name = "llm"`, `name = "asr"`, 1), `model = "llm:v1"`, `model = "asr:v1"`, 1)
-		_, second, _ = strings.Cut(second, "\n")
-		text := strings.ReplaceAll(poolPlan(2, 2, "")+"\n"+second, "gb = 40", "gb = 60")
+		text := strings.ReplaceAll(poolPlan(2, 2, "")+second, "gb = 40", "gb = 60")
 		applyPlan(t, w, 0, text)
 		awaitWarm(t, w, "llm:v1", 2, 10*time.Minute)
 		awaitWarm(t, w, "asr:v1", 2, 5*time.Minute)
@@ -525,7 +509,7 @@
 			story(t, o, func(t *testing.T, w *fake.World) {
 				rnd := rand.New(rand.NewPCG(seed, 11))
 				applyPlan(t, w, 0, poolPlan(3, 6, ""))
-				version, next, running := 1, 1, []string{}
+				plan, next, running := tell.Plans{World: w, Version: 1}, 1, []string{}
 				for range 60 {
 					time.Sleep(time.Duration(5+rnd.IntN(15)) * time.Second)
 					machines := w.Cloud.Machines()
@@ -550,9 +534,7 @@
 						w.Cloud.SetSilent(true)
 						time.AfterFunc(12*time.Second, func() { w.Cloud.SetSilent(false) })
 					case 6:
-						if n, err := tryApply(w, version, poolPlan(rnd.IntN(5), 6, "")); err == nil {
-							version = n
-						}
+						plan.Apply(poolPlan(rnd.IntN(5), 6, ""), time.Minute)
 					case 7:
 						if len(running) > 0 {
 							w.Cancel(running[0])
@@ -576,15 +558,10 @@
 				for _, id := range running {
 					w.Cancel(id)
 				}
-				for i := range 5 {
-					w.StartNode(i)
-				}
+				w.StartAll()
 				time.Sleep(90 * time.Second)
-				for k := 0; ; k++ {
-					if _, err := tryApply(w, version, poolPlan(4, 4, "")); err == nil {
-						break
-					}
-					if version++; k == 100 {
+				for k := 0; !plan.Apply(poolPlan(4, 4, ""), time.Minute); k++ {
+					if k == 100 {
 						t.Fatal("no plan can be applied")
 					}
 				}
@@ -599,15 +576,11 @@
 	story(t, poolWorld(0, 8), func(t *testing.T, w *fake.World) {
 		applyPlan(t, w, 0, poolPlan(4, 4, ""))
 		before := awaitPool(t, w, "full", 10*time.Minute, full(4))
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		time.Sleep(9 * time.Second) // their leases outlast it
 		applyPlan(t, w, 1, strings.Replace(poolPlan(4, 4, ""), `payer = "speech"`, `payer = "clinic"`, 1))
 		back := time.Now()
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		// An account is committed once a minute, so that how much of the time
 		// since is in it hangs on when the next leader began.
 		s := awaitPool(t, w, "charged", 3*time.Minute, func(s pools.State) bool {
@@ -626,15 +599,11 @@
 		applyPlan(t, w, 0, poolPlan(2, 2, ""))
 		awaitPool(t, w, "full", 10*time.Minute, full(2))
 		held := w.Cached("llm:v1")
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		for _, k := range w.State.Keys("plan/t/") {
 			w.State.Damage(k)
 		}
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		time.Sleep(10 * time.Minute)
 		applyPlan(t, w, 1, poolPlan(2, 2, ""))
 		time.Sleep(time.Minute)
--- a/controller/poolsmeasure_test.go
+++ b/controller/poolsmeasure_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/plans"
 	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/pools"
 	"github.com/umberdeal/umberdeal/state"
@@ -69,18 +70,7 @@
 			b.remember(t, w, hour)
 		}
 		if b.mode == "fixed" || b.mode == "hours" {
-			applyPlan(t, w, 0, fmt.Sprintf(`[[pools]]
-name = "llm"
-model = "llm:v1"
-gb = %g
-types = ["g8"]
-zones = ["a", "b"]
-least = %d
-most = %d
-burst = { replicas = %d, within_s = 10 }
-cost_an_hour = 1e6
-payer = "speech"
-fetch_at_once = %d`, b.gb, least, b.replicas, b.replicas, p.FetchAt))
+			applyPlan(t, w, 0, plans.Pool("llm", "llm:v1", b.gb, "g8", least, b.replicas, b.replicas, "speech", fmt.Sprint("fetch_at_once = ", p.FetchAt)))
 		}
 		time.Sleep(time.Until(hour.Add(after)))
 		if b.mode == "fixed" || b.mode == "hours" {
@@ -189,11 +179,10 @@
 		time.Sleep(8 * time.Second)
 		text := "[[order.tiers]]\nname = \"first\"\nclasses = [\"slicing\"]\n\n[[order.tiers]]\nname = \"second\"\nclasses = [\"tiles\"]\nshare = 0.1\nlongest_wait_s = 20\n"
 		for _, region := range []string{"north", "east", "south"} {
-			text += fmt.Sprintf("\n[[calendar.regions]]\nname = %q\nzone = \"UTC\"\nopen = { fri = \"23:30\", sat = \"00:12\", sun = \"08:00\" }\nevening = \"00:00\"\nmargin_s = 120\nwork = [ { images = [%q] } ]\n", region, region)
+			text += plans.Region(region, nightHours, "00:00", 120, fmt.Sprintf("images = [%q]", region))
 		}
 		for i := range 3 {
-			text += fmt.Sprintf("\n[[pools]]\nname = \"llm%d\"\nmodel = \"llm%d:v1\"\ngb = 5\ntypes = [\"m8\"]\nzones = [\"a\", \"b\"]\nleast = %d\nmost = %d\nburst = { replicas = 8, within_s = 10 }\ncost_an_hour = 1e6\npayer = \"speech\"\nfetch_at_once = 100\n",
-				i, i, machines/6, machines/6)
+			text += plans.Pool(fmt.Sprint("llm", i), fmt.Sprintf("llm%d:v1", i), 5, "m8", machines/6, machines/6, 8, "speech", "fetch_at_once = 100")
 		}
 		applyPlan(t, w, 0, text)
 		by = map[string]int{}
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -1,7 +1,6 @@
 package controller_test
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -13,7 +12,8 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
-	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/internal/plans"
+	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -55,28 +55,8 @@
 teams = [%q]
 share = 0.1
 longest_wait_s = 100
-
-[[calendar.regions]]
-name = "here"
-zone = "UTC"
-open = { fri = "23:50", sat = "00:%02d", sun = "08:00" }
-evening = "00:00"
-margin_s = 30
-work = [ { images = ["img-0"] } ]
-
-[[pools]]
-name = "warm"
-model = "img-1"
-gb = 5
-types = ["m8"]
-zones = ["a", "b"]
-least = %d
-most = 3
-burst = { replicas = 2, within_s = 30 }
-cost_an_hour = 100
-payer = "core"
-borrowers = ["edge"]
-`, first, second, 2+rnd.IntN(10), rnd.IntN(3))
+`, first, second) + plans.Region("here", fmt.Sprintf(`fri = "23:50", sat = "00:%02d", sun = "08:00"`, 2+rnd.IntN(10)), "00:00", 30, `images = ["img-0"]`) +
+		plans.Pool("warm", "img-1", 5, "m8", rnd.IntN(3), 3, 2, "core", `borrowers = ["edge"]`)
 }
 
 // randomStory plays a story in a world that many times as large; planned says that
@@ -93,18 +73,9 @@
 	time.Sleep(3 * time.Second)
 	var ids []string
 	cancelled, broken := map[string]bool{}, map[string]bool{}
-	version := 0
-	replan := func(within time.Duration) {
-		n, err := applyWithin(w, version, randomPlan(rnd), within)
-		var moved *ledger.PlanMoved
-		if err == nil {
-			version = n
-		} else if errors.As(err, &moved) {
-			version = moved.Current // an answer was lost
-		}
-	}
+	plan := tell.Plans{World: w}
 	if planned {
-		replan(time.Minute)
+		plan.Apply(randomPlan(rnd), time.Minute)
 	}
 	for step := range 40 {
 		if rnd.IntN(3) > 0 {
@@ -124,7 +95,7 @@
 			}
 		}
 		if planned && step%6 == 5 {
-			replan(3 * time.Second)
+			plan.Apply(randomPlan(rnd), 3*time.Second)
 		}
 		randomFailure(rnd, w)
 		for range 2 {
@@ -167,8 +138,8 @@
 	for _, b := range w.Broken() {
 		t.Errorf("rule broken: %s", b)
 	}
-	if planned && version < 2 {
-		t.Errorf("only version %d of the plan was ever applied", version)
+	if planned && plan.Version < 2 {
+		t.Errorf("only version %d of the plan was ever applied", plan.Version)
 	}
 	// However much went wrong, all is well in the end.
 	last := randomJob(rnd, 999, size)
--- a/controller/story_test.go
+++ b/controller/story_test.go
@@ -19,6 +19,8 @@
 	gang       = tell.Gang
 	mustSubmit = tell.MustSubmit
 	mustReach  = tell.MustReach
+	mustFinish = tell.MustFinish
+	applyPlan  = tell.ApplyPlan
 )
 
 func TestArrayGangAndServiceLive(t *testing.T) {
@@ -43,13 +45,9 @@
 		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Kind = wire.KindService; j.EstimateS = 0 }), job(2, nil))
 		time.Sleep(8 * time.Second)
 		w.Cancel("wk-000001")
-		for i := range 3 {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		time.Sleep(8 * time.Second)
-		for i := range 3 {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		mustReach(t, w, "wk-000002", wire.JobDone, 2*time.Minute)
 		mustReach(t, w, "wk-000001", wire.JobCancelled, 5*time.Second)
 		time.Sleep(40 * time.Second) // the checker watches for tasks past cancel_s
--- a/controller/summon_test.go
+++ b/controller/summon_test.go
@@ -202,9 +202,7 @@
 				w.Hang(m, true)
 				time.Sleep(hang)
 				w.Hang(m, false)
-				for n := 1; n <= 3; n++ {
-					mustReach(t, w, job(n, nil).ID, wire.JobDone, 3*time.Minute)
-				}
+				mustFinish(t, w, 3*time.Minute, 1, 2, 3)
 			})
 		})
 	}
--- a/controller/troubles_test.go
+++ b/controller/troubles_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -15,12 +16,9 @@
 func busy(t *testing.T, w *fake.World, machines int) {
 	t.Helper()
 	mustSubmit(t, w, job(900, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = machines, 5, 3600 }))
-	for range 40 {
-		if time.Sleep(time.Second); w.Running() == machines {
-			return
-		}
+	if !tell.Until(40*time.Second, time.Second, func() bool { return w.Running() == machines }) {
+		t.Fatalf("%d tasks run", w.Running())
 	}
-	t.Fatalf("%d tasks run", w.Running())
 }
 
 // Launches went to a mute machine with every answer, and waited there for as long
@@ -44,12 +42,7 @@
 			t.Errorf("%d tasks on the mute machine", n)
 		}
 		w.Mute(at, false)
-		for range 100 {
-			if time.Sleep(100 * time.Millisecond); w.Load()[at] > 0 {
-				break
-			}
-		}
-		if w.Load()[at] == 0 {
+		if !tell.Until(10*time.Second, 100*time.Millisecond, func() bool { return w.Load()[at] > 0 }) {
 			t.Error("10 s after it hears again it has no task")
 		}
 		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
@@ -113,13 +106,8 @@
 			mustSubmit(t, w, job(1+i, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 3, 3, 2 }))
 			mustReach(t, w, id, wire.JobDone, 20*time.Second)
 		}
-		for range 100 {
-			if time.Sleep(time.Second); w.Running() == 3 {
-				break
-			}
-		}
-		if n := w.Running(); n != 3 {
-			t.Errorf("%d of the 3 long tasks run: the one that was on the machine waits for it", n)
+		if !tell.Until(100*time.Second, time.Second, func() bool { return w.Running() == 3 }) {
+			t.Errorf("%d of the 3 long tasks run: the one that was on the machine waits for it", w.Running())
 		}
 	})
 }
@@ -134,9 +122,7 @@
 			mustSubmit(t, w, job(1+i, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs, j.EstimateS, j.OneZone = 2, 3, 15, i%2 == 0 }))
 		}
 		w.KillNode(w.Leader())
-		for i := range 6 {
-			mustReach(t, w, job(1+i, nil).ID, wire.JobDone, 2*time.Minute)
-		}
+		mustFinish(t, w, 2*time.Minute, 1, 2, 3, 4, 5, 6)
 		if n := w.Started() - before; n > 12 || w.Expired() > 0 {
 			t.Errorf("%d starts of 12 tasks, %d leases ended", n, w.Expired())
 		}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -315,6 +315,20 @@
 	n.end = nil
 }
 
+// KillAll ends every controller.
+func (w *World) KillAll() {
+	for i := range w.nodes {
+		w.KillNode(i)
+	}
+}
+
+// StartAll starts every controller that is not up.
+func (w *World) StartAll() {
+	for i := range w.nodes {
+		w.StartNode(i)
+	}
+}
+
 // Stop makes a controller's process stand still while its clocks run on, or lets
 // it go on.
 func (w *World) Stop(i int, on bool) { w.Net.SetStill(w.nodes[i].name, on) }
--- /dev/null
+++ b/internal/tell/plans.go
@@ -0,0 +1,49 @@
+package tell
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/state"
+)
+
+// TryPlan applies a plan on a version as the operators' command does, and returns
+// the number of the new one.
+func TryPlan(w *fake.World, base int, text string, within time.Duration) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
+	v, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16}, ledger.PlanChange{Base: base, Text: text, By: "ops", At: time.Now()})
+	return v.Number, err
+}
+
+// ApplyPlan applies a plan, which must become the next version.
+func ApplyPlan(t *testing.T, w *fake.World, base int, text string) {
+	t.Helper()
+	if n, err := TryPlan(w, base, text, time.Minute); err != nil || n != base+1 {
+		t.Fatalf("version %d on %d: %v", n, base, err)
+	}
+}
+
+// Plans applies one plan after another, also where answers are lost.
+type Plans struct {
+	World   *fake.World
+	Version int // the one in force as far as is known
+}
+
+// Apply applies a plan on the version that is known, and says whether that is told
+// to have worked. Where another version is in force, that one is known from now on.
+func (p *Plans) Apply(text string, within time.Duration) bool {
+	n, err := TryPlan(p.World, p.Version, text, within)
+	var moved *ledger.PlanMoved
+	if err == nil {
+		p.Version = n
+	} else if errors.As(err, &moved) {
+		p.Version = moved.Current
+	}
+	return err == nil
+}
--- a/internal/tell/tell.go
+++ b/internal/tell/tell.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Until waits, looking every so often, until something holds, and says whether it does.
+func Until(within, every time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); {
+		if time.Sleep(every); ok() {
+			return true
+		}
+	}
+	return false
+}
+
+// MustFinish waits until the jobs of some numbers are done, for each so long at most.
+func MustFinish(t *testing.T, w *fake.World, within time.Duration, numbers ...int) {
+	t.Helper()
+	for _, n := range numbers {
+		MustReach(t, w, Job(n, nil).ID, wire.JobDone, within)
+	}
+}
+
 // MustReach waits until a job is in a state.
 func MustReach(t *testing.T, w *fake.World, id, state string, within time.Duration) {
 	t.Helper()
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -33,11 +33,7 @@
 	o.Gap, o.Lease = 4, 22
 	tell.Story(t, o, func(t *testing.T, w *fake.World) {
 		tell.MustSubmit(t, w, tell.Job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = o.Machines, 8, 400 }))
-		for range 60 {
-			if time.Sleep(time.Second); w.Started() == o.Machines {
-				break
-			}
-		}
+		tell.Until(time.Minute, time.Second, func() bool { return w.Started() == o.Machines })
 		if n := w.Started(); n != o.Machines || w.Expired() != 0 {
 			t.Fatalf("%d of %d tasks run, %d leases have ended", n, o.Machines, w.Expired())
 		}
@@ -89,14 +85,10 @@
 
 func TestAllNodesRestartWhileTheFleetReports(t *testing.T) {
 	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
-		for i := range w.Nodes() {
-			w.KillNode(i)
-		}
+		w.KillAll()
 		time.Sleep(6 * time.Second)
 		at := time.Now()
-		for i := range w.Nodes() {
-			w.StartNode(i)
-		}
+		w.StartAll()
 		allAnswered(t, w, at, 13*time.Second)
 		noneLost(t, w, fleetMachines)
 		tell.MustSubmit(t, w, tell.Job(2, nil))
@@ -132,11 +124,7 @@
 		w.CutZone("b", false)
 		at := time.Now()
 		allAnswered(t, w, at, 12*time.Second)
-		for range 40 {
-			if time.Sleep(time.Second); w.Started() >= fleetMachines*3/2 {
-				break
-			}
-		}
+		tell.Until(40*time.Second, time.Second, func() bool { return w.Started() >= fleetMachines*3/2 })
 		if n := w.Started(); n != fleetMachines*3/2 {
 			t.Errorf("%d starts, wanted each task of the zone once more: %d", n, fleetMachines*3/2)
 		}
@@ -232,11 +220,7 @@
 func TestAnswersAreHeldForAWholeFleetWhileAllNodesAreSlow(t *testing.T) {
 	fleet(t, fake.Options{Machines: fleetMachines}, func(t *testing.T, w *fake.World) {
 		tell.MustSubmit(t, w, tell.Job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = fleetMachines, 8, 60 }))
-		for range 600 { // the first job's tasks run 400 s
-			if time.Sleep(time.Second); w.Finished("wk-000001") > 0 {
-				break
-			}
-		}
+		tell.Until(10*time.Minute, time.Second, func() bool { return w.Finished("wk-000001") > 0 }) // the first job's tasks run 400 s
 		began := time.Now()
 		for range 10 {
 			for i := range w.Nodes() {
@@ -249,11 +233,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		allAnswered(t, w, time.Now(), 10*time.Second)
-		for range 90 {
-			if time.Sleep(time.Second); w.Started() >= 2*fleetMachines {
-				break
-			}
-		}
+		tell.Until(90*time.Second, time.Second, func() bool { return w.Started() >= 2*fleetMachines })
 		t.Logf("all of the second job's tasks on their machines %v after the first's end", time.Since(began))
 		noneLost(t, w, 2*fleetMachines)
 	})
@@ -320,11 +300,7 @@
 	all := w.Cloud.Machines()
 	// A task on each machine leaves room for another.
 	tell.MustSubmit(t, w, tell.Job(2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = len(all), 5, 900 }))
-	for range 60 {
-		if time.Sleep(time.Second); w.Running() == len(all) {
-			break
-		}
-	}
+	tell.Until(time.Minute, time.Second, func() bool { return w.Running() == len(all) })
 	w.CopyReports(20)
 	for i := range n {
 		w.Mute(all[i*len(all)/n], true)
@@ -336,11 +312,7 @@
 	began := time.Now()
 	hear := len(all) - n
 	tell.MustSubmit(t, w, tell.Job(3, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = hear, 3, 900 }))
-	for range 400 {
-		if time.Sleep(100 * time.Millisecond); w.Started()-before >= hear {
-			break
-		}
-	}
+	tell.Until(40*time.Second, 100*time.Millisecond, func() bool { return w.Started()-before >= hear })
 	started, took := w.Started()-before, time.Since(began)
 	if started < hear {
 		t.Errorf("%d of %d tasks that fit on machines that hear have started after %v", started, hear, took)
@@ -355,11 +327,7 @@
 		w.Mute(all[i*len(all)/n], false)
 	}
 	began = time.Now()
-	for range 600 {
-		if time.Sleep(100 * time.Millisecond); w.Running() == len(all)+hear {
-			break
-		}
-	}
+	tell.Until(time.Minute, 100*time.Millisecond, func() bool { return w.Running() == len(all)+hear })
 	if r := w.Running(); r != len(all)+hear {
 		t.Errorf("a minute after they hear again %d of %d tasks run", r, len(all)+hear)
 	}
--- a/routing/plan_test.go
+++ b/routing/plan_test.go
@@ -1,8 +1,6 @@
 package routing_test
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,9 +11,9 @@
 	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/plans"
 	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/ledger"
-	"github.com/umberdeal/umberdeal/state"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -42,28 +40,8 @@
 [[order.tiers]]
 %sshare = 0.1
 longest_wait_s = 100
-
-[[calendar.regions]]
-name = "here"
-zone = "UTC"
-open = { fri = "23:50", sat = %q, sun = "08:00" }
-evening = "00:00"
-margin_s = 60
-work = [ { class = "tiles" } ]
-
-[[pools]]
-name = "llm"
-model = "llm:v1"
-gb = 20
-types = ["m8"]
-zones = ["a", "b"]
-least = %d
-most = 30
-burst = { replicas = 20, within_s = 30 }
-cost_an_hour = 1000
-payer = "core"
-borrowers = ["edge"]
-`, number, tiers[0], tiers[1], open, 5+number%3*5)
+`, number, tiers[0], tiers[1]) + plans.Region("here", fmt.Sprintf("fri = \"23:50\", sat = %q, sun = \"08:00\"", open), "00:00", 60, `class = "tiles"`) +
+		plans.Pool("llm", "llm:v1", 20, "m8", 5+number%3*5, 30, 20, "core", `borrowers = ["edge"]`)
 }
 
 // fleetMinutes is how long everything goes wrong, in minutes; FLEET_MINUTES sets it.
@@ -89,22 +67,9 @@
 	tell.Story(t, o, func(t *testing.T, w *fake.World) {
 		rnd := rand.New(rand.NewPCG(3, 17))
 		time.Sleep(15 * time.Second)
-		version := 0
-		apply := func() {
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			st := state.New(w.Net.Dial("operator"), "state:1", 20, 20)
-			_, err := ledger.ApplyPlan(ctx, st, ledger.Limits{TxnOps: 12, ValueKB: 16},
-				ledger.PlanChange{Base: version, Text: fleetPlan(version+1, minutes+3), At: time.Now()})
-			var moved *ledger.PlanMoved
-			switch {
-			case err == nil:
-				version++
-			case errors.As(err, &moved):
-				version = moved.Current // an answer was lost
-			}
-		}
-		for version == 0 {
+		plan := tell.Plans{World: w}
+		apply := func() bool { return plan.Apply(fleetPlan(plan.Version+1, minutes+3), 10*time.Second) }
+		for plan.Version == 0 {
 			apply()
 		}
 		next, accepted := 1, []string{}
@@ -181,9 +146,7 @@
 			t.Error("the service is not cancelled")
 		}
 		time.Sleep(time.Minute)
-		was := version
-		apply()
-		if version != was+1 {
+		if was := plan.Version; !apply() || plan.Version != was+1 {
 			t.Errorf("after everything no plan can be applied on version %d", was)
 		}
 		var rec calendar.Record
@@ -199,6 +162,6 @@
 		if outcomes != 1 {
 			t.Errorf("the night has %d outcomes: %+v", outcomes, rec.Past)
 		}
-		t.Logf("%d jobs, version %d of the plan, %d leases ended, nights %+v", len(accepted), version, w.Expired(), rec.Past)
+		t.Logf("%d jobs, version %d of the plan, %d leases ended, nights %+v", len(accepted), plan.Version, w.Expired(), rec.Past)
 	})
 }
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -155,9 +155,7 @@
 		w := fake.New(fake.Options{Machines: 4})
 		defer w.Close()
 		time.Sleep(5 * time.Second)
-		for n := range w.Nodes() {
-			w.KillNode(n)
-		}
+		w.KillAll()
 		time.Sleep(30 * time.Second)
 		if _, err := snapshot.Restore(t.Context(), client(w), r.Header, all, 12); !errors.Is(err, snapshot.ErrNotEmpty) {
 			t.Errorf("into one that is not empty: %v", err)
--- a/yarn/door_test.go
+++ b/yarn/door_test.go
@@ -302,13 +302,9 @@
 	}{
 		{"the leader dies", func(w *fake.World) { l := w.Leader(); w.KillNode(l); time.Sleep(8 * time.Second); w.StartNode(l) }},
 		{"all nodes die", func(w *fake.World) {
-			for i := range w.Nodes() {
-				w.KillNode(i)
-			}
+			w.KillAll()
 			time.Sleep(5 * time.Second)
-			for i := range w.Nodes() {
-				w.StartNode(i)
-			}
+			w.StartAll()
 		}},
 		{"the state service is out", func(w *fake.World) { w.State.SetOutage(true); time.Sleep(30 * time.Second); w.State.SetOutage(false) }},
 		{"a node stands still", func(w *fake.World) { l := w.Leader(); w.Stop(l, true); time.Sleep(20 * time.Second); w.Stop(l, false) }},
--- a/yarn/known_test.go
+++ b/yarn/known_test.go
@@ -35,13 +35,9 @@
 			})
 		}
 		wg.Wait()
-		for n := range w.Nodes() {
-			w.KillNode(n)
-		}
+		w.KillAll()
 		time.Sleep(4 * time.Second)
-		for n := range w.Nodes() {
-			w.StartNode(n)
-		}
+		w.StartAll()
 		end := time.Now().Add(80 * time.Second)
 		for n := range many {
 			wg.Go(func() {
