A plan's last piece is committed with the head, so that a draft is never whole

Cause: a text of several pieces was written whole before the head that names it. With both heads damaged, one whose writer had died in between was taken for a version. Change: the last piece goes with the heads' transaction; without a head, versions are texts of which every piece is there.

--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -245,17 +245,16 @@
 		next.Versions = next.Versions[:len(next.Versions)-1]
 	}
 	heads := []wire.Op{{Put: PlanHeadKey, Value: next}, {Put: planCopyKey, Value: next}}
-	if len(puts) > 1 {
-		// What is too large for one transaction goes ahead of the head that
-		// names it.
-		for _, p := range puts {
-			if err := surely(ctx, s, []wire.Guard{{Key: p.Put}}, []wire.Op{p}, func() bool { return isThere(ctx, s, p.Put) }); err != nil {
-				return PlanVersion{}, fmt.Errorf("the plan's text: %w", err)
-			}
+	// What is too large for one transaction goes ahead of the head that names it,
+	// but for the last piece: a text is there as a whole only if it was committed as
+	// a version, also where no head can be read to say so.
+	last := len(puts) - 1
+	for _, p := range puts[:last] {
+		if err := surely(ctx, s, []wire.Guard{{Key: p.Put}}, []wire.Op{p}, func() bool { return isThere(ctx, s, p.Put) }); err != nil {
+			return PlanVersion{}, fmt.Errorf("the plan's text: %w", err)
 		}
-	} else {
-		heads = append(heads, puts...)
 	}
+	heads = append(heads, puts[last])
 	guards := []wire.Guard{{Key: PlanHeadKey, Version: version}, {Key: FormKey, Version: form}}
 	err = surely(ctx, s, guards, heads, func() bool {
 		h, _, _, err := ReadPlanHead(ctx, s)
@@ -362,26 +361,35 @@
 }
 
 // planFromTexts finds the versions by their texts alone, where neither head can be
-// read: those that are whole and the only one of their number. A draft whose
-// writer failed before it named it can't be told from a version there.
+// read: those that are whole and the only one of their number. A draft whose writer
+// failed before it named it lacks its last piece; one of a program that wrote all
+// pieces ahead can't be told from a version.
 func planFromTexts(ctx context.Context, s ReadStore) (PlanHead, error) {
 	texts, _, err := s.List(ctx, planTexts)
 	if err != nil {
 		return PlanHead{}, err
 	}
 	drafts := map[string]PlanVersion{}
-	of := map[int]int{} // drafts of a number
+	there := map[string]int{} // pieces of a draft
+	of := map[int]int{}       // drafts of a number
 	for _, e := range texts {
 		n, draft, ok := draftNumber(e.Key)
+		if ok {
+			there[draft]++ // also one that is damaged: it is no draft's for that
+		}
 		var p planPiece
 		if !ok || wire.Unmarshal(e.Value, &p) != nil || p.Pieces < 1 {
 			continue
 		}
-		if _, ok := drafts[draft]; !ok {
-			of[n]++
-		}
 		drafts[draft] = PlanVersion{Number: n, Draft: draft, Pieces: p.Pieces, Digest: p.Digest}
 	}
+	for draft, v := range drafts {
+		if there[draft] < v.Pieces {
+			delete(drafts, draft)
+			continue
+		}
+		of[v.Number]++
+	}
 	var h PlanHead
 	for _, v := range drafts {
 		if of[v.Number] == 1 {
--- a/ledger/plan_test.go
+++ b/ledger/plan_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -101,7 +102,8 @@
 }
 
 // Whoever applies a plan that needs many pieces dies after any of them: the version
-// before holds, whole, and the next one that is applied sweeps what was left.
+// before holds, whole, also where no head can be read, and the next one that is
+// applied sweeps what was left.
 func TestAPlanIsTakenInAsAWholeOrNotAtAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore(1)
@@ -123,6 +125,9 @@
 				}
 			}
 			base := loadPlan(t, s).Number
+			s.mu.Lock()
+			before := maps.Clone(s.keys)
+			s.mu.Unlock()
 			_, err := ledger.ApplyPlan(ctx, dying{s, ctx}, limits, ledger.PlanChange{Base: base, Text: large, At: time.Now()})
 			s.answering = nil
 			s.mu.Lock()
@@ -134,6 +139,22 @@
 				if err == nil {
 					t.Fatalf("died after %d: told that it holds, and it does not", dies)
 				}
+				s.mu.Lock()
+				sound := maps.Clone(s.keys)
+				for k := range before { // of two drafts of a number neither would count
+					if strings.HasPrefix(k, fmt.Sprintf("plan/t/%d-", base+1)) {
+						delete(s.keys, k)
+					}
+				}
+				s.mu.Unlock()
+				s.damage("plan/head")
+				s.damage("plan/copy")
+				if st := loadPlan(t, s); st.Number != base {
+					t.Fatalf("died after %d, and both heads are damaged: version %d holds, not %d", dies, st.Number, base)
+				}
+				s.mu.Lock()
+				s.keys = sound
+				s.mu.Unlock()
 			case st.Number == base+1 && st.Text == large && dies > 12:
 				goto whole
 			default:
