Stops to make room wait until the plan they were decided by has been compared

Cause: a stop is no transaction. A leader that had not heard of the newest order stopped tasks by the older one for as long as it was sure of its lease (found by a story: cut off from the state service, refused by it, or back from standing still). Records of moves and stops of pools' fetches have the same condition. Without a plan nothing is held back. One tier: starts and stops are the same with and without an order, and with stops that are compared.

--- a/cluster/cycle.go
+++ b/cluster/cycle.go
@@ -178,7 +178,7 @@
 		j := m.Jobs[ref.Job]
 		p := j.Tasks[ref.Task].Place
 		name := j.ID + "/" + strconv.Itoa(int(ref.Task))
-		movable := !j.Gang() && p.Stop == nil && p.Seen == seenRunning && j.Spec.CheckpointS > 0 &&
+		movable := !j.Gang() && p.Stop == nil && !p.Held && p.Seen == seenRunning && j.Spec.CheckpointS > 0 &&
 			now.Sub(p.Since).Seconds() < m.Tuning.LongS &&
 			rec.Rest[name] == 0 && rec.Quarantine[name] == 0 && !j.Spec.Spread
 		h.Tasks = append(h.Tasks, rebalance.Task{Ref: ref, Need: j.Need, Movable: movable, Spot: j.Spec.Spot})
--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -76,6 +76,9 @@
 			if p := t.Place; p != nil {
 				fmt.Fprintf(w, "g%tP%s,%d,%t,%t,%d,%t,%s", j.Chunks[i/ledger.ChunkSize].Committed >= p.gen, p.name, p.Attempt, p.Inherited, p.Sent, p.Seen, now.Sub(p.Summoned) < summonAgain,
 					behind(p.name, p.Session, p.Seq))
+				if p.Held {
+					fmt.Fprint(w, "H")
+				}
 				if p.Stop != nil {
 					fmt.Fprintf(w, "S%g,%t", p.Stop.Grace, p.Stop.Direct.IsZero())
 				}
--- a/cluster/flush.go
+++ b/cluster/flush.go
@@ -15,6 +15,7 @@
 	Ops    []wire.Op
 	// Committed takes the revision in after a success.
 	Committed func(rev uint64, now time.Time)
+	Stops     int // that go out once it is committed
 
 	pages  map[string]*page
 	jobs   map[string]*Job
@@ -180,6 +181,7 @@
 	if b.places {
 		b.Guards = append(b.Guards, m.PlanGuard())
 	}
+	m.compare(b)
 	b.Committed = b.committed
 	return b
 }
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -38,6 +38,7 @@
 	Seen      uint8
 	Since     time.Time // when it was first seen running
 	Stop      *Stop
+	Held      bool      // a stop waits for the plan to be compared
 	Summoned  time.Time // when its machine was last told to report
 
 	name string // of the machine
--- a/cluster/model.go
+++ b/cluster/model.go
@@ -62,6 +62,8 @@
 	fresh      []Ref           // tasks placed, whose machines have not been summoned
 	refused    map[offerKey]time.Time
 	plan       Plan
+	planned    bool       // there may be a plan
+	held       []heldStop // until the plan is compared
 	nights     nights
 	notes      notes
 	pools      []*pool
--- a/cluster/plan.go
+++ b/cluster/plan.go
@@ -32,6 +32,7 @@
 		return
 	}
 	m.plan = p
+	m.DropStops()
 	if m.loaded {
 		m.log.Info("plan taken in", "version", p.Number, "lost", p.Lost, "takenBack", m.takeBack(now))
 	}
--- a/cluster/poolfetch.go
+++ b/cluster/poolfetch.go
@@ -44,7 +44,7 @@
 			m.spend(j, 0, ledger.EndReleased, now)
 			continue
 		case vain && t.Place != nil && t.Place.Stop == nil:
-			m.stop(j, 0, 0, whyReleased, now)
+			m.stopByPlan(Ref{Job: j.Idx}, whyReleased, now)
 			continue
 		}
 		out[j.res.Only[0]] = true
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -108,7 +108,7 @@
 		m.log.Debug("placed", "job", j.ID, "task", s.Task, "attempt", a, "machine", mc.Name, "waited", now.Sub(j.At).Seconds())
 	}
 	for _, ref := range plan.Stops {
-		m.StopTask(ref, "preempted", now)
+		m.stopByPlan(ref, "preempted", now)
 	}
 	for i, n := range plan.Rent {
 		d.Rent[offers[i]] += n
--- a/cluster/summary.go
+++ b/cluster/summary.go
@@ -91,6 +91,7 @@
 	Running(seconds float64)   // since the launch
 	LeaseLeft(seconds float64) // of the machine that is answered
 	Departed(tier, why string) // from the order, at that tier's cost
+	StopHeld(seconds float64)  // until the plan was compared
 }
 
 // untimed is what a model has that nobody watches.
@@ -101,3 +102,4 @@
 func (untimed) Running(float64)      {}
 func (untimed) LeaseLeft(float64)    {}
 func (untimed) Departed(_, _ string) {}
+func (untimed) StopHeld(float64)     {}
--- a/cluster/tiers_test.go
+++ b/cluster/tiers_test.go
@@ -109,6 +109,9 @@
 		p.rev++
 		b.Committed(p.rev, now)
 	}
+	if b := p.m.CompareBatch(); b != nil {
+		b.Committed(p.rev, now)
+	}
 }
 
 func sortCommands(cmds []wire.Command) {
@@ -136,19 +139,23 @@
 	}
 }
 
-// Where all work is of one tier, an order decides nothing: what is placed, where
-// and when is what it is without.
+// Where all work is of one tier, an order decides nothing: what is placed and
+// stopped, where and when is what it is without, also where stops wait for the plan
+// to be compared.
 func TestAnOrderChangesNothingAmongWorkOfOneTier(t *testing.T) {
 	one := order.New(&order.Settings{Tiers: []order.Tier{{Name: "all", Classes: []string{"slicing", "lesson", "print"}}}})
 	for seed := range uint64(3) {
-		var logs [2][]string
-		for i, o := range []*order.Order{nil, one} {
+		var logs [3][]string
+		for i, o := range []*order.Order{nil, one, one} {
 			p := newFleetPlay(6, o)
+			if i == 2 {
+				p.m.PlanWanted()
+			}
 			p.m.cfg.Cluster.Objectives = []config.Objective{{Kind: "wait", Class: "slicing", WithinS: 30}, {Kind: "finished", Class: "lesson", WithinS: 200}}
 			p.day(seed, 300, func(r *rand.Rand) string { return []string{"slicing", "lesson", "print"}[r.IntN(3)] })
 			logs[i] = p.log
 		}
-		if len(logs[0]) < 100 || !slices.Equal(logs[0], logs[1]) {
+		if len(logs[0]) < 100 || !strings.Contains(strings.Join(logs[0], ","), "stopped") || !slices.Equal(logs[0], logs[1]) || !slices.Equal(logs[0], logs[2]) {
 			t.Fatalf("seed %d: %d starts and stops without an order, %d with one that orders nothing, and they differ", seed, len(logs[0]), len(logs[1]))
 		}
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -145,12 +145,13 @@
 				v.Backlog += left
 			}
 		}
-		if p.Stop != nil {
+		stopping := p.Stop != nil || p.Held
+		if stopping {
 			v.Coming = v.Coming.Add(j.Need, 1)
 		}
 		m.taskBuf = append(m.taskBuf, placement.Occupant{
 			Task: ref, Need: j.Need, Priority: j.Priority, Team: j.Team, Over: over[ref], Tier: j.tier,
-			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: p.Stop != nil, Fixed: p.Stop != nil || j.Gang() && len(j.Tasks) > 1 || m.beginning(j, now),
+			Loss: m.loss(j, p, now), Left: m.left(j, ref.Task, now), Stopping: stopping, Fixed: stopping || j.Gang() && len(j.Tasks) > 1 || m.beginning(j, now),
 		})
 	}
 	for _, im := range mc.images {
--- a/controller/form.go
+++ b/controller/form.go
@@ -93,6 +93,9 @@
 			return false, err
 		}
 	}
+	if max(now.Form, form) >= ledger.FormPlan {
+		l.planWanted() // also where this one's commit is applied and its answer lost
+	}
 	if now.Form >= form {
 		return true, nil
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -28,6 +28,7 @@
 	schedKick chan struct{}
 	flushKick chan struct{}
 	formKick  chan struct{}
+	stopKick  chan struct{}
 	direct    chan struct{} // bounds direct stops under way
 	summoning chan struct{} // bounds summonses under way
 	gate      *admission.Gate
@@ -61,7 +62,7 @@
 // runLeader leads until ctx ends. It implements election.Elector.Lead.
 func (n *Node) runLeader(ctx context.Context, t *election.Term, ready func()) error {
 	l := &leadership{
-		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1), formKick: make(chan struct{}, 1),
+		n: n, term: t, log: n.log, schedKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1), formKick: make(chan struct{}, 1), stopKick: make(chan struct{}, 1),
 		direct: make(chan struct{}, 16), summoning: make(chan struct{}, min(64, n.cfg.Cluster.Limits.Sockets/20)), syncing: make(chan struct{}, 1), turned: make(chan struct{}),
 		gate: admission.NewGate(reportsAtOnce, 2*n.cfg.Cluster.Limits.Sockets),
 	}
@@ -96,7 +97,7 @@
 	}()
 	ready()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes, l.tellEnds, l.fillPools} {
+	for _, duty := range []func(context.Context){l.follow, l.flush, l.compareStops, l.schedule, l.runCloud, l.raiseForm, l.writeNotes, l.tellEnds, l.fillPools} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(ctx) }()
 	}
--- a/controller/load.go
+++ b/controller/load.go
@@ -92,6 +92,9 @@
 		if it.Key == ledger.FormKey && (wire.Unmarshal(it.Value, &form) != nil || form.Form > ledger.Form) {
 			return ledger.ErrNewer
 		}
+		if form.Form >= ledger.FormPlan {
+			m.PlanWanted()
+		}
 		if ledger.IsIntake(it.Key) {
 			pg := cluster.IntakePage{Key: it.Key, Version: it.Version}
 			if err := wire.Unmarshal(it.Value, &pg.Record); err != nil {
--- a/controller/order_test.go
+++ b/controller/order_test.go
@@ -146,6 +146,79 @@
 	}
 }
 
+// runs waits until task 0 of each job is on a machine, and says on which.
+func runs(t *testing.T, w *fake.World, ids ...string) (on []string) {
+	t.Helper()
+	for _, id := range ids {
+		first(t, w, time.Minute, id)
+		on = append(on, w.On(id + "/0")[0])
+	}
+	return on
+}
+
+// A leader is in trouble as the order is turned round, and learns only then, from a
+// worker, that its team has room for urgent work again, which stops other work. It
+// stops none of what the older order would have stopped first.
+func TestNobodyIsStoppedByAnOlderOrder(t *testing.T) {
+	at := func(typ string) func(*wire.Job) { return func(j *wire.Job) { j.Types = []string{typ} } }
+	typ := func(name string) wire.MachineType { v := fake.DefaultType; v.Name = name; return v }
+	for _, c := range []struct {
+		name string
+		do   func(w *fake.World, l int) (end func())
+	}{
+		{"is cut off from the state service", func(w *fake.World, l int) func() {
+			w.CutNode(l, true, "state")
+			return func() { w.CutNode(l, false, "state") }
+		}},
+		{"is refused by it", func(w *fake.World, l int) func() {
+			w.State.Refuse(fmt.Sprintf("n-%d", l), true)
+			return func() { w.State.Refuse(fmt.Sprintf("n-%d", l), false) }
+		}},
+		{"stands still for a moment", func(w *fake.World, l int) func() {
+			w.Stop(l, true)
+			time.AfterFunc(4*time.Second, func() { w.Stop(l, false) })
+			return func() {}
+		}},
+		{"finds the state service slow", func(w *fake.World, l int) func() {
+			w.State.Slow(300 * time.Millisecond)
+			return func() { w.State.Slow(0) }
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			teams := []config.Team{{Name: "core"}, {Name: "edge", CPUsMax: 8}}
+			story(t, fake.Options{Machines: 3, Capacity: 3, Types: []wire.MachineType{typ("m8"), typ("m9"), typ("m8")}, Teams: teams, Metrics: true}, func(t *testing.T, w *fake.World) {
+				urgent := func(n int, seconds float64, change func(*wire.Job)) wire.Job {
+					j := whole(n, "other", seconds)
+					j.Team, j.Priority = "edge", wire.PriorityHigh
+					change(&j)
+					return j
+				}
+				applyPlan(t, w, 0, orderOf("craft", "clinic"))
+				mustSubmit(t, w, whole(2, "craft", 300), whole(3, "clinic", 300), urgent(1, 40, at("m9")))
+				on := runs(t, w, "wk-000002", "wk-000003", "wk-000001")
+				mustSubmit(t, w, urgent(4, 20, at("m8"))) // waits for its team's limit
+				time.Sleep(37 * time.Second)
+				l := w.Leader()
+				end := c.do(w, l)
+				applyPlan(t, w, 1, orderOf("clinic", "craft"))
+				for began := time.Now(); len(w.On("wk-000004/0")) == 0; time.Sleep(100 * time.Millisecond) {
+					if time.Since(began) > 2*time.Minute {
+						t.Fatal("nobody is stopped for urgent work")
+					}
+					if len(w.On("wk-000003/0")) == 0 && w.Leader() == l {
+						t.Fatal("clinic work is stopped, by the order before")
+					}
+				}
+				// The next leader may have heard of one machine only by then.
+				if got := w.On("wk-000004/0")[0]; got != on[0] && w.Leader() == l {
+					t.Errorf("urgent work is on %s, not in the place of crafts' on %s", got, on[0])
+				}
+				end()
+			})
+		})
+	}
+}
+
 // The order is changed twice while the transaction that places by the first one
 // hangs, and is applied a minute late, or not.
 func TestALateTransactionPlacesByNoOlderOrder(t *testing.T) {
--- a/controller/passes.go
+++ b/controller/passes.go
@@ -68,6 +68,7 @@
 			l.pushStops(ctx)
 			l.summon(ctx)
 			kick(l.flushKick)
+			kick(l.stopKick)
 		}
 		if !call.Pause(ctx, pause) {
 			return
@@ -101,9 +102,12 @@
 // beginMoves commits a cycle's record, so that a new leader knows of the
 // moves, and then begins them.
 func (l *leadership) beginMoves(ctx context.Context, group string, rec ledger.CycleRecord) {
-	_, err := l.n.state.Commit(ctx, []wire.Guard{l.guard()}, []wire.Op{{Put: ledger.Cycles + group, Value: rec}})
+	l.mu.Lock()
+	guards := append([]wire.Guard{l.guard()}, l.m.MoveGuards()...)
+	l.mu.Unlock()
+	_, err := l.n.state.Commit(ctx, guards, []wire.Op{{Put: ledger.Cycles + group, Value: rec}})
 	if err != nil {
-		l.log.Debug("cycle record", "group", group, "err", err)
+		l.movesRefused(ctx, group, err)
 		return
 	}
 	l.log.Info("rebalancing", "group", group, "moves", len(rec.Moves))
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// planWanted tells the model that there may be a plan.
+func (l *leadership) planWanted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.m.PlanWanted()
+}
+
 // planAsked has a leader look again whether the records may be written in the form
 // that says that there may be a plan.
 func (n *Node) planAsked() {
--- a/controller/pools.go
+++ b/controller/pools.go
@@ -43,7 +43,7 @@
 		l.log.Debug("fetches of weights", "count", len(jobs), "err", err)
 		var c *state.Conflict
 		if errors.As(err, &c) {
-			l.rereadPlan(ctx)
+			l.otherPlan(ctx)
 		}
 	}
 }
--- a/controller/writing.go
+++ b/controller/writing.go
@@ -64,6 +64,9 @@
 			l.mu.Lock()
 			b.Committed(rev, time.Now())
 			l.mu.Unlock()
+			if b.Stops > 0 {
+				l.pushStops(ctx)
+			}
 			l.summon(ctx)
 			continue
 		}
@@ -107,7 +110,7 @@
 				continue // the watch tells what happened to it
 			}
 			if key == ledger.PlanHeadKey {
-				l.rereadPlan(ctx)
+				l.otherPlan(ctx)
 				continue
 			}
 			if e, gerr := l.n.state.Get(ctx, key); gerr == nil {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -34,6 +34,7 @@
 	asked   int             // puts and deletes
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
+	slow    time.Duration   // that much longer than usual for an answer
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
@@ -93,6 +94,13 @@
 	s.late = by
 }
 
+// Slow makes every answer take that much longer than the usual 4 ms.
+func (s *State) Slow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 // Keys lists the keys with a prefix.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -223,7 +231,10 @@
 // ServeHTTP implements the interface.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(4*time.Millisecond + slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outage || s.refuse[nodeOf(r)] {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -32,6 +32,7 @@
 	steps   [steps]prometheus.Histogram
 	lease   prometheus.Histogram
 	passes  prometheus.Histogram
+	held    prometheus.Histogram
 	leaders prometheus.Counter
 	refused *prometheus.CounterVec
 	departs *prometheus.CounterVec
@@ -52,13 +53,15 @@
 		Help: "What a worker's lease had left when its report was answered.", Buckets: prometheus.LinearBuckets(0, 2, 20)})
 	s.passes = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "umberdeal_pass_seconds",
 		Help: "Length of a scheduling pass.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)})
+	s.held = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "umberdeal_stop_held_seconds",
+		Help: "How long a stop waited until the plan it was decided by was compared.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 14)})
 	s.leaders = prometheus.NewCounter(prometheus.CounterOpts{Name: "umberdeal_leader_changes_total",
 		Help: "Times that this node has seen another leader, or none."})
 	s.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umberdeal_refused_total",
 		Help: "Requests that were given a final answer other than what they asked for, by reason."}, []string{"why"})
 	s.departs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umberdeal_order_departures_total",
 		Help: "Tasks placed on room that a waiting job of a higher tier could have had, by that tier and reason."}, []string{"tier", "why"})
-	in.MustRegister(s.lease, s.passes, s.leaders, s.refused, s.departs)
+	in.MustRegister(s.lease, s.passes, s.held, s.leaders, s.refused, s.departs)
 	return s
 }
 
@@ -90,6 +93,13 @@
 	}
 }
 
+// StopHeld takes in how long a stop waited until the plan was compared.
+func (s *Set) StopHeld(seconds float64) {
+	if s != nil {
+		s.held.Observe(max(seconds, 0))
+	}
+}
+
 // Pass takes in the length of a scheduling pass.
 func (s *Set) Pass(seconds float64) {
 	if s != nil {
--- a/modelcheck/orders.go
+++ b/modelcheck/orders.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/ledger"
@@ -12,26 +15,34 @@
 )
 
 // This file is the operators' order of service, which is changed while the leader
-// decides, commits, and is replaced. The rule: no placement is committed that was
-// decided by an order older than the one in force at that commit.
+// decides, commits, and is replaced. The rules: no placement is committed that was
+// decided by an order older than the one in force at that commit, and nobody is
+// stopped to make room by an order older than the one in force when it was compared.
 
 // OldOrder takes the condition away that ties a commit to the plan in force.
 const OldOrder Breach = 100
 
+// OldStops lets stops go out without the plan being compared.
+const OldStops Breach = 101
+
 // What may happen to an order, where a scenario has any.
 const (
 	Decide Kind = 100 + iota // the leader plans, and has committed nothing yet
 	Apply                    // another order is applied
 	Hear                     // the leader hears of it
+	Arrive                   // a job that comes later is accepted
 )
 
-var orderNames = map[Kind]string{Decide: "leader decides", Apply: "an order is applied", Hear: "leader hears of the order"}
+var orderNames = map[Kind]string{Decide: "leader decides", Apply: "an order is applied", Hear: "leader hears of the order", Arrive: "a job arrives"}
 
 // orders is what a world knows of them.
 type orders struct {
 	applied int
+	arrived bool               // what comes later
 	known   int                // to the leader
 	decided map[taskKey]uint64 // by which version of the plan's key a task was placed
+	victims map[taskKey]uint64 // by which one it is to be stopped, while nobody is told
+	stopped map[taskKey]bool   // to make room
 }
 
 // Ordered is two jobs of two classes, one machine for one of them at a time, and
@@ -41,6 +52,14 @@
 		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Class = "craft" }), job("wk-000002", func(j *wire.Job) { j.Class = "clinic" })}}
 }
 
+// Preempted is work that is running, and urgent work that comes for its place while
+// the order is changed.
+func Preempted() *Scenario {
+	return &Scenario{Name: "stops by orders", Zones: []string{"a"}, Capacity: 2, Takeovers: 1, Plans: 2, Later: 1,
+		Jobs: []wire.Job{job("wk-000001", func(j *wire.Job) { j.Class = "craft" }),
+			job("wk-000002", func(j *wire.Job) { j.Class, j.Priority = "clinic", wire.PriorityHigh })}}
+}
+
 // apply puts the next version in force.
 func (w *World) apply() {
 	w.applied++
@@ -74,6 +93,74 @@
 			w.decided[k] = w.model.PlanGuard().Version
 		}
 	})
+	w.seeStops()
+}
+
+// seeStops notes by which order somebody is to be stopped, and holds those of whom
+// the leader now tells against the one in force. It is asked after each of the
+// leader's steps.
+func (w *World) seeStops() {
+	if w.sc.Plans == 0 {
+		return
+	}
+	if w.victims == nil {
+		w.victims, w.stopped = map[taskKey]uint64{}, map[taskKey]bool{}
+	}
+	was := w.victims
+	w.victims = map[taskKey]uint64{}
+	for _, j := range w.model.Jobs {
+		if j == nil {
+			continue
+		}
+		for i := range j.Tasks {
+			p := j.Tasks[i].Place
+			if p == nil {
+				continue
+			}
+			k := taskKey{wire.TaskName(j.ID, i), p.Attempt}
+			by, held := was[k]
+			if !held {
+				by = w.model.PlanGuard().Version
+			}
+			if p.Held {
+				w.victims[k] = by
+			}
+			if p.Stop != nil && p.Stop.Why == "preempted" && !w.stopped[k] {
+				w.stopped[k] = true
+				if by != w.store[ledger.PlanHeadKey].version {
+					w.broke("old order", fmt.Sprintf("%s is stopped by an order that is no longer in force", k.name))
+				}
+			}
+		}
+	}
+}
+
+// compare has the leader compare the plan, if somebody is to be stopped by it.
+func (w *World) compare(answerLost bool) {
+	b := w.model.CompareBatch()
+	if b == nil {
+		return
+	}
+	if w.breach == OldStops {
+		b.Guards = nil
+	}
+	failed := w.commit(b.Guards, nil)
+	switch {
+	case failed != nil:
+		w.refusedFor(failed)
+	case !answerLost:
+		b.Committed(w.rev, w.now())
+		w.seeStops()
+	}
+}
+
+// refusedFor has the leader take in that a transaction failed for these keys.
+func (w *World) refusedFor(keys []string) {
+	if slices.Contains(keys, ledger.PlanHeadKey) {
+		w.model.DropStops()
+		w.hear(w.model)
+		w.seeStops()
+	}
 }
 
 // placements goes through what the leader has placed, in its order.
@@ -138,6 +225,9 @@
 	if w.applied < w.sc.Plans {
 		out = append(out, Action{Kind: Apply})
 	}
+	if w.sc.Later > 0 && !w.arrived {
+		out = append(out, Action{Kind: Arrive})
+	}
 	if w.model.PlanGuard().Version != w.store[ledger.PlanHeadKey].version {
 		out = append(out, Action{Kind: Hear})
 	}
@@ -153,9 +243,19 @@
 		w.apply()
 	case Hear:
 		w.hear(w.model)
+		w.seeStops()
+	case Arrive:
+		w.arrived = true
+		w.rev++
+		rec := ledger.JobRecord{Job: w.last(), AtMs: w.now().UnixMilli()}
+		w.store[ledger.JobKey(rec.Job.ID)] = value{rec, w.rev}
+		w.model.PutJob(rec.Job.ID, rec, w.rev, w.now())
+		w.seen = max(w.seen, w.rev)
 	}
 }
 
+func (w *World) last() wire.Job { return w.sc.Jobs[len(w.sc.Jobs)-1] }
+
 // orderDigest writes what of the order bears on what may follow.
 func (w *World) orderDigest(out io.Writer) {
 	if w.sc.Plans == 0 {
@@ -166,4 +266,7 @@
 	w.placements(func(k taskKey, committed bool) {
 		fmt.Fprintf(out, ";%s%t%t", k.name, committed, w.decided[k] == head)
 	})
+	for _, k := range slices.SortedFunc(maps.Keys(w.victims), func(a, b taskKey) int { return strings.Compare(a.name, b.name) }) {
+		fmt.Fprintf(out, ";v%s%t", k.name, w.victims[k] == head)
+	}
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -130,7 +130,7 @@
 func (w *World) Do(a Action) {
 	i := int(a.Arg)
 	switch a.Kind {
-	case Decide, Apply, Hear:
+	case Decide, Apply, Hear, Arrive:
 		w.doOrder(a.Kind)
 	case Pass, PassLost:
 		w.pass(a.Kind == PassLost)
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -45,8 +45,11 @@
 )
 
 func (b Breach) String() string {
-	if b == OldOrder {
+	switch b {
+	case OldOrder:
 		return "old order"
+	case OldStops:
+		return "old order's stops"
 	}
 	return [...]string{"none", "uncommitted launch", "short lease", "no wait after takeover", "stale reports", "token not shown",
 		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel", "copies count", "unheard answers"}[b]
@@ -66,6 +69,7 @@
 	Shared    bool    // the jobs' records share a page
 	Mutes     int     // how often a worker's reports arrive, and nothing reaches it
 	Copies    int     // late copies of reports
+	Later     int     // of the last so many jobs, each is accepted later: 0 or 1
 	Plans     int     // orders of service that are applied, at most
 }
 
@@ -189,7 +193,7 @@
 		w.store[ledger.SealedKey(0, 1)] = value{page, w.rev}
 	}
 	for i := range sc.Jobs {
-		if sc.Shared {
+		if sc.Shared || i >= len(sc.Jobs)-sc.Later {
 			break
 		}
 		w.rev++
@@ -220,6 +224,9 @@
 	m := cluster.New(&cfg, w.token, at, slog.New(slog.DiscardHandler))
 	m.Tuning = config.DefaultTuning().Rebalance
 	m.SetTypes([]wire.MachineType{{Name: "m", CPUs: w.sc.Capacity, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: w.cfg.Cluster.Zones}})
+	if w.sc.Plans > 0 {
+		m.PlanWanted()
+	}
 	w.hear(m)
 	keys := slices.Sorted(maps.Keys(w.store))
 	for _, k := range keys {
@@ -248,6 +255,7 @@
 	}
 	m.Loaded(w.now())
 	w.model, w.seen = m, w.rev
+	w.victims, w.stopped = nil, nil // the leader before's
 }
 
 // learn is the leader's watch: it sees which active records are gone.
@@ -281,6 +289,9 @@
 	if failed != nil {
 		return failed
 	}
+	if len(ops) == 0 {
+		return nil
+	}
 	w.rev++
 	for _, o := range ops {
 		w.checkOrder(o)
@@ -322,12 +333,11 @@
 		failed := w.commit(b.Guards, b.Ops)
 		if failed == nil && !answerLost {
 			b.Committed(w.rev, now)
+			w.seeStops()
 			continue
 		}
+		w.refusedFor(failed)
 		for _, key := range failed {
-			if key == ledger.PlanHeadKey {
-				w.hear(w.model)
-			}
 			if !b.IsJob(key) {
 				w.model.Reread(b, key, w.store[key].version)
 			}
@@ -340,6 +350,7 @@
 			break
 		}
 	}
+	w.compare(answerLost)
 	w.sendDirects()
 }
 
