Nights at risk rent ahead, as few machines and as late as keeps them

Cause: what waits is rented for, 64 tasks of a job in a pass, so that a layer of 1,500 tasks got its machines a boot's time after another. Change: calendar.Ahead says how many places the nights lack and until when they must be ordered, by the boots learnt; a phantom request asks for them, counted against all that is there and boots. BenchmarkPass and BenchmarkReports measure a leader with and without a plan.

--- a/calendar/forecast.go
+++ b/calendar/forecast.go
@@ -12,6 +12,7 @@
 	Tasks   int
 	Seconds float64
 	Wide    float64
+	Vain    bool // they can't go on, whatever places there are
 }
 
 // Load is what is left of a night.
--- a/calendar/forecast_test.go
+++ b/calendar/forecast_test.go
@@ -13,9 +13,9 @@
 func TestNightsArePlannedBackwardsFromTheirOpenings(t *testing.T) {
 	free := []float64{0, 0, 0, 100}
 	loads := []Load{
-		{Promise: after(4000), Batches: []Batch{{8, 300, 1}}}, // 600 s alone
-		{Promise: after(2000), Batches: []Batch{{4, 500, 1}}}, // 500 s alone, served first
-		{Promise: after(4100), Batches: []Batch{{1, 200, 4}}}, // all places at once
+		{Promise: after(4000), Batches: []Batch{{8, 300, 1, false}}}, // 600 s alone
+		{Promise: after(2000), Batches: []Batch{{4, 500, 1, false}}}, // 500 s alone, served first
+		{Promise: after(4100), Batches: []Batch{{1, 200, 4, false}}}, // all places at once
 	}
 	f := Expect(t0, loads, free)
 	if !f[1].Finish.Equal(after(600)) || f[1].AtRisk {
@@ -34,7 +34,7 @@
 }
 
 func TestWhatStandsInTheWayIsNamed(t *testing.T) {
-	work := []Batch{{10, 100, 1}}
+	work := []Batch{{10, 100, 1, false}}
 	for _, tc := range []struct {
 		load Load
 		free []float64
--- /dev/null
+++ b/cluster/ahead.go
@@ -0,0 +1,149 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/placement"
+)
+
+// This file rents machines for the calendar's nights ahead of what waits for room:
+// package calendar says how many places they lack, and until when.
+
+// ahead is what the nights want rented. It is decided anew with each forecast and
+// rests on nothing that was decided before: a next leader counts what there is then,
+// rented by whomever.
+type ahead struct {
+	job    *Job // what a place is for: the kind of which the nights have most work; nil: nothing is wanted yet
+	places int  // that there should be, all machines empty
+	at     time.Time
+	want   calendar.Want // as last worked out
+}
+
+const (
+	aheadFor  = 3 * expectEvery            // a decision holds that long if there is no other
+	aheadEasy = 2*expectEvery + refusedFor // for a forecast that comes late, and a refusal
+	aheadMost = rentAtOnce                 // machines wanted at a time
+)
+
+// wantAhead decides what is rented for the nights, and says what of it is to be told
+// beside a forecast.
+func (m *Model) wantAhead(loads []calendar.Load, usual *Job, free []float64, now time.Time) string {
+	was := m.nights.ahead.want
+	m.nights.ahead = ahead{}
+	if usual == nil || now.Sub(m.Takeover) < m.aheadQuiet() {
+		return ""
+	}
+	boot, per := m.bootFor(usual)
+	if per == 0 {
+		return "" // no type is for it
+	}
+	w := calendar.Ahead(now, loads, free, boot.Seconds(), aheadMost*per)
+	there := int(m.emptyPlaces(usual, now))
+	w.Places = min(w.Places, m.placesLeft(usual, there))
+	if w.Places <= 0 {
+		return ""
+	}
+	if was.Places > 0 && w.Places >= was.Places && was.By.Before(w.By) {
+		// While work goes slower than expected, a few places more each time would
+		// put the order off, again and again.
+		w.By = was.By
+	}
+	m.nights.ahead.want = w
+	if w.By.Sub(now) > aheadEasy {
+		return fmt.Sprintf("; room for %d tasks more is to be rented until %s", w.Places, w.By.UTC().Format(time.RFC3339))
+	}
+	m.nights.ahead = ahead{job: usual, places: there + w.Places, at: now, want: w}
+	note := fmt.Sprintf("; room for %d tasks more is rented", w.Places)
+	if offers, _ := m.offers(now); !m.offered(usual, offers) {
+		note = fmt.Sprintf("; room for %d tasks more is wanted, and no machines are to be had", w.Places)
+	}
+	return note
+}
+
+// aheadQuiet is how long after takeover machines are taken for lost that have not
+// been heard of: workers come back within their lease, and what an earlier leader
+// rented shows in the cloud's list by then.
+func (m *Model) aheadQuiet() time.Duration {
+	w := m.cfg.Cluster.Workers
+	return max(config.Seconds(w.LeaseS), config.Seconds(2*m.cfg.Cluster.Cloud.ListLagS+10)) + config.Seconds(w.ReportS)
+}
+
+// bootFor is how long the machine that would be rented for a job takes to be up, by
+// what has been learnt, and how many of its tasks it takes; 0: there is none.
+func (m *Model) bootFor(j *Job) (boot time.Duration, per int) {
+	least := 0.0
+	for ti := range m.Types {
+		t := &m.Types[ti]
+		if !j.Types[ti] || !j.Need.Fits(t.Cap) {
+			continue
+		}
+		c := t.Boot.Seconds() + 2*t.Price
+		if t.Cap.GPU > 0 && j.Need.GPU == 0 {
+			c += 10
+		}
+		if per == 0 || c < least {
+			least, per = c, fit(j.Need, t.Cap)
+			boot = time.Duration(float64(t.Boot)*t.boots.expect()) + config.Seconds(m.cfg.Cluster.Workers.ReportS)
+		}
+	}
+	return boot, per
+}
+
+// placesLeft is how many places more than there are a job's team may use.
+func (m *Model) placesLeft(j *Job, there int) int {
+	n := 1 << 30
+	if j.Team < 0 {
+		return n
+	}
+	limit := m.teams[j.Team].Max
+	for _, x := range [][2]float64{{j.Need.CPU, limit.CPU}, {j.Need.GPU, limit.GPU}} {
+		if x[0] > 0 && x[1] > 0 {
+			n = min(n, int(x[1]/x[0]+1e-6)-there)
+		}
+	}
+	return n
+}
+
+func (m *Model) offered(j *Job, offers []placement.Offer) bool {
+	for i := range offers {
+		o := &offers[i]
+		if j.Types[o.Type] && (j.Zone < 0 || j.Zone == o.Zone) && (!o.Spot || j.Spec.Spot) && j.Need.Fits(o.Machine.Cap) {
+			return true
+		}
+	}
+	return false
+}
+
+// aheadRequest asks for the places that are lacking now. It is a phantom, served
+// after all that waits.
+func (m *Model) aheadRequest(now time.Time) (placement.Request, bool) {
+	a := &m.nights.ahead
+	if a.job == nil || now.Sub(a.at) > aheadFor || m.settling(now) {
+		return placement.Request{}, false
+	}
+	n := a.places - m.placesToCome(a.job, now)
+	if n <= 0 {
+		return placement.Request{}, false
+	}
+	r := m.phantom(&class{spec: a.job}, n)
+	r.Ahead, r.Zone = true, a.job.Zone
+	return r, true
+}
+
+// placesToCome is as emptyPlaces, with the machines whose reports are late: they are
+// replaced once their leases are over, not before.
+func (m *Model) placesToCome(j *Job, now time.Time) int {
+	n := 0
+	for _, mc := range m.Machines {
+		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
+			continue
+		}
+		if _, boots := m.booting(mc, now); boots || mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() {
+			n += fit(j.Need, m.Types[mc.Type].Cap)
+		}
+	}
+	return n
+}
--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"fmt"
+	"runtime"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/umberdeal/umberdeal/calendar"
 	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/order"
+	"github.com/umberdeal/umberdeal/plan"
+	"github.com/umberdeal/umberdeal/pools"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -60,3 +67,116 @@
 	}
 	return m
 }
+
+// plans are a plan's parts by name, for a crowded fleet of that size: a night for
+// arrays, gangs before arrays, and pools that hold a fifth of the machines.
+func plans(m *Model, machines int) map[string]*plan.Plan {
+	night, tiers, held := &plan.Plan{}, &plan.Plan{}, &plan.Plan{}
+	for _, r := range []struct{ name, class string }{{"north", "arrays"}, {"south", "gangs"}} {
+		night.Calendar.Regions = append(night.Calendar.Regions, calendar.RegionSettings{Name: r.name, Zone: "UTC", Evening: "18:00", MarginS: 1800,
+			Open: map[string]string{"wed": "07:00", "thu": "07:00", "fri": "07:00"}, Work: []calendar.Work{{Class: r.class}}})
+	}
+	tiers.Order.Tiers = []order.Tier{{Name: "first", Classes: []string{"gangs"}}, {Name: "second", Classes: []string{"arrays"}, Share: 0.2, LongestWaitS: 60}}
+	for i := range 3 {
+		held.Pools = append(held.Pools, pools.Pool{Name: fmt.Sprint("p", i), Model: fmt.Sprint("llm", i), GB: 20, Types: []string{m.Types[0].Name}, Zones: m.Zones,
+			Least: machines / 15, Most: machines / 15, Burst: pools.Burst{Replicas: 8, WithinS: 10}, PerHour: 1e9, Payer: m.cfg.Cluster.Teams[0].Name})
+	}
+	return map[string]*plan.Plan{"none": nil, "calendar": night, "order": tiers, "pools": held,
+		"all": {Calendar: night.Calendar, Order: tiers.Order, Pools: held.Pools}}
+}
+
+// full is a crowded model with a plan, whose machines run what they were given.
+func full(machines, jobs int, name string) *Model {
+	m := crowded(machines, jobs)
+	m.SetPlan(Plan{Plan: plans(m, machines)[name], Number: 1, Head: 1}, at(0))
+	for s := 1.0; s < 36; s++ { // until pools have joined machines
+		run(m, s)
+	}
+	return m
+}
+
+// run is a pass and what a leader does around it, with all that is placed running.
+func run(m *Model, s float64) {
+	now := at(s)
+	heard(m, now)
+	m.Tick(now)
+	m.Schedule(now, 1000)
+	for b := m.NextBatch(12); b != nil; b = m.NextBatch(12) {
+		b.Committed(uint64(s*100), now)
+	}
+	for b := m.NoteBatch(12); b != nil; b = m.NoteBatch(12) {
+		b.Committed(uint64(s*100), now)
+	}
+	for _, ref := range m.fresh {
+		if p := m.Jobs[ref.Job].Tasks[ref.Task].Place; p != nil {
+			p.Sent, p.Seen, p.Since = true, seenRunning, now
+		}
+	}
+	m.fresh = m.fresh[:0]
+}
+
+// threadTime is the processor time that this thread has taken, in all: unlike the
+// clock's, it says the same on a machine that others use as well.
+func threadTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(1, &u); err != nil { // RUSAGE_THREAD
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkPass is a leader's whole pass on a large full fleet, twice a second, with
+// and without a plan: what its parts do now and then is in the mean of 20 s.
+func BenchmarkPass(b *testing.B) {
+	for _, name := range []string{"none", "calendar", "order", "pools", "all"} {
+		b.Run(name, func(b *testing.B) {
+			m := full(1300, 400, name)
+			var sum, most time.Duration
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			for b.Loop() {
+				for s := 40.0; s < 60; s += 0.5 {
+					heard(m, at(s))
+					began := threadTime()
+					m.Tick(at(s))
+					m.Schedule(at(s), 1000)
+					took := threadTime() - began
+					sum, most = sum+took, max(most, took)
+				}
+				m.nights.looked, m.nights.guessed, m.poolsAt, m.triageAt, m.boundAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+			}
+			b.ReportMetric(sum.Seconds()*1e3/40/float64(b.N), "cpu-ms/pass")
+			b.ReportMetric(most.Seconds()*1e3, "cpu-ms-most")
+		})
+	}
+}
+
+// BenchmarkReports is what the reports of a large full fleet take, each of them
+// heard and answered once.
+func BenchmarkReports(b *testing.B) {
+	for _, name := range []string{"none", "all"} {
+		b.Run(name, func(b *testing.B) {
+			m := full(1300, 400, name)
+			var reps []*wire.Report
+			for _, mc := range m.Machines {
+				r := rep(1, 5)
+				r.Machine, r.Zone = mc.Name, m.Zones[mc.Zone]
+				for _, ref := range sortedRefs(mc.Tasks) {
+					j := m.Jobs[ref.Job]
+					r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskName(j.ID, int(ref.Task)), Attempt: j.Tasks[ref.Task].Place.Attempt, State: wire.TaskRunning})
+				}
+				reps = append(reps, r)
+			}
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			began := threadTime()
+			for s := 40.0; b.Loop(); s += 1.5 {
+				for _, r := range reps {
+					r.Seq++
+					m.Answer(m.Observe(r, at(s)), r, at(s))
+				}
+			}
+			b.ReportMetric((threadTime()-began).Seconds()*1e6/float64(b.N*len(reps)), "cpu-us/report")
+		})
+	}
+}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -104,6 +104,7 @@
 			boots: m.Types[idx].boots,
 		}
 	}
+	m.nights.ahead = ahead{} // its job may be out of the model, and know none of the new types
 	for _, mc := range m.Machines {
 		if mc.Type < 0 {
 			mc.Type = m.typeOf(mc.TypeName)
--- a/cluster/nights.go
+++ b/cluster/nights.go
@@ -37,6 +37,7 @@
 	now     time.Time    // as last told
 	looked  time.Time
 	guessed time.Time // when forecasts were last made
+	ahead   ahead
 }
 
 // nightBook is a region's book, and what its last recorded forecasts rest on.
@@ -192,6 +193,9 @@
 func (m *Model) tickNights(now time.Time) {
 	n := &m.nights
 	n.now = now
+	if n.cal == nil {
+		n.ahead = ahead{}
+	}
 	if n.cal == nil || now.Sub(n.looked) < nightsEvery {
 		return
 	}
@@ -274,15 +278,19 @@
 	if len(loads) == 0 {
 		return
 	}
-	free := m.nightLoads(jobs, loads, at, now)
+	usual, free := m.nightLoads(jobs, loads, at, now)
 	machines := 0
 	for _, mc := range m.Machines {
 		if m.ready(mc, now) {
 			machines++
 		}
 	}
+	note := m.wantAhead(loads, usual, free, now)
 	for i, f := range calendar.Expect(now, loads, free) {
 		b, date := keys[i].book, keys[i].date
+		if f.AtRisk {
+			f.Why += note
+		}
 		b.Expected(date, f, b.why(date, machines, now), machines, now)
 	}
 	for _, b := range n.books {
@@ -317,8 +325,8 @@
 }
 
 // nightLoads fills in what is left of the nights, and lists the places, each room
-// for a task of the kind that has most work.
-func (m *Model) nightLoads(jobs []*Job, loads []calendar.Load, at map[nightKey]int, now time.Time) []float64 {
+// for a task of the kind that has most work: of that job, nil where nothing waits.
+func (m *Model) nightLoads(jobs []*Job, loads []calendar.Load, at map[nightKey]int, now time.Time) (*Job, []float64) {
 	type shape struct {
 		need  placement.Res
 		types string
@@ -372,7 +380,7 @@
 			stuck[i] = append(stuck[i], j.ID+": no machine that is up can take it")
 		}
 		sp := m.spreadOf(j)
-		b := calendar.Batch{Tasks: idle, Seconds: sum/float64(idle) + sp.delay(), Wide: 1}
+		b := calendar.Batch{Tasks: idle, Seconds: sum/float64(idle) + sp.delay(), Wide: 1, Vain: j.aside || j.record.atFault()}
 		if j.Gang() {
 			b.Tasks, b.Wide = 1, float64(idle)
 		}
@@ -382,7 +390,7 @@
 		}
 	}
 	if most == nil {
-		return nil
+		return nil, nil
 	}
 	usual := places(most)
 	for _, l := range all {
@@ -397,7 +405,7 @@
 			loads[i].Stuck += fmt.Sprintf("; and %d more", more)
 		}
 	}
-	return m.places(most, -1, now)
+	return most, m.places(most, -1, now)
 }
 
 // emptyPlaces is how many tasks like a job's the machines could take that are up
--- a/cluster/schedule.go
+++ b/cluster/schedule.go
@@ -66,6 +66,10 @@
 		in.Requests = append(in.Requests, r)
 		job = append(job, nil)
 	}
+	if r, ok := m.aheadRequest(now); ok {
+		in.Requests = append(in.Requests, r)
+		job = append(job, nil)
+	}
 	in.Teams = append(in.Teams, m.teams...)
 	var offers []Offer
 	in.Offers, offers = m.offers(now)
--- a/controller/nights_test.go
+++ b/controller/nights_test.go
@@ -471,3 +471,92 @@
 		delete(came, id)
 	}
 }
+
+// aheadNight plays a night of a layer of so many tasks of a minute, on machines for
+// eight of them that take a minute to boot, of which one is there. It says how it
+// came out, how many machines were rented, and for how many seconds machines were paid.
+func aheadNight(t *testing.T, o fake.Options, tasks int, opens string, trouble func(w *fake.World)) (out calendar.Outcome, rented, paid int) {
+	t.Helper()
+	big := fake.DefaultType
+	big.CPUs, big.MemoryGB, big.BootS = 32, 256, 60
+	o.Types, o.Machines = []wire.MachineType{big}, 1
+	story(t, o, func(t *testing.T, w *fake.World) {
+		clock("00:00:40") // the leader knows its machines
+		applyPlan(t, w, 0, strings.ReplaceAll(nightPlan, "00:12", opens))
+		mustSubmit(t, w, tiles(1, tasks, 60))
+		go trouble(w)
+		over := make(chan struct{})
+		defer close(over)
+		go func() {
+			for ; ; paid++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(time.Second):
+					paid += max(0, len(w.Cloud.Machines())-1)
+				}
+			}
+		}()
+		if o.Capacity == 1 {
+			clock("00:03:00")
+			if n := nights(t, w, "here").Nights; len(n) != 1 || !strings.Contains(n[0].Forecast.Why, "no machines are to be had") {
+				t.Errorf("%+v", n)
+			}
+		}
+		out = outcome(t, w, "here")
+		if w.Cancel("wk-000001") != wire.JobCancelled {
+			mustReach(t, w, "wk-000001", wire.JobDone, time.Minute)
+		}
+		time.Sleep(90 * time.Second)
+		if n := len(w.Cloud.Machines()); n > 2 {
+			t.Errorf("%d machines are kept when all is done", n)
+		}
+		rented = w.Cloud.Rented
+	})
+	return out, rented, paid
+}
+
+// A layer of more tasks than a pass asks room for: without machines rented ahead, a
+// boot's time brings room for 64 tasks more, and the night is late. What is rented
+// is the same when the leader dies over it, and when machines are lost they are
+// replaced in time. Where there are none, the forecast says so.
+func TestNightsRentAhead(t *testing.T) {
+	plain := 0
+	for _, c := range []struct {
+		name    string
+		room    int
+		how     string
+		trouble func(w *fake.World)
+		extra   int // machines rented beyond those of the night untroubled
+	}{
+		{"untroubled", 200, calendar.Met, func(*fake.World) {}, 0},
+		{"the leader dies between record and rental", 200, calendar.Met, func(w *fake.World) {
+			w.Cloud.SetSilent(true)
+			for len(w.Cloud.Machines()) < 12 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			crash(w)
+			w.Cloud.SetSilent(false)
+		}, 30},
+		{"the cloud answers late, and half of the machines are lost", 200, calendar.Met, func(w *fake.World) {
+			w.Cloud.SetSlow(15 * time.Second)
+			clock("00:04:00")
+			all := w.Cloud.Machines()
+			for _, name := range all[:len(all)/2] {
+				w.KillMachine(name)
+			}
+		}, 60},
+		{"there are no machines", 1, calendar.Incomplete, func(w *fake.World) {}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, rented, paid := aheadNight(t, fake.Options{Capacity: c.room}, 1500, "00:08", c.trouble)
+			t.Logf("%s; %d machines rented, %d machine-seconds (simulated)", o.String(), rented, paid)
+			if o.How != c.how || rented > plain+c.extra && plain > 0 {
+				t.Errorf("%s, want %s; %d machines rented, untroubled %d", o.String(), c.how, rented, plain)
+			}
+			if plain == 0 {
+				plain = rented
+			}
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,7 @@
 	Avoid     map[int]bool // machines this job stays away from for now
 	Prefer    map[int32]int
 	Phantom   bool    // no job's: room to be kept free
+	Ahead     bool    // a phantom for which machines are rented, so many places more than there are and will be
 	Reserve   bool    // a phantom for which room is kept from later requests, and nothing rented
 	Hold      bool    // machines are kept from later requests until they have room for this one
 	HoldFor   float64 // with Hold: seconds ahead that room is kept; 0: as usual
@@ -204,6 +205,10 @@
 		return
 	}
 	rest := r.Tasks[:n]
+	if r.Ahead {
+		p.rentAhead(r)
+		return
+	}
 	if r.First != nil {
 		first := *r // searches in vain are remembered with the types they were for
 		first.Types = r.First
--- a/placement/rent.go
+++ b/placement/rent.go
@@ -47,3 +47,19 @@
 		p.vain[booting] = p.vain[booting][:0]
 	}
 }
+
+// rentAhead adds machines for places that are lacking beyond those there are; what
+// is rented for others that wait counts.
+func (p *planner) rentAhead(r *Request) {
+	n := len(r.Tasks)
+	for _, o := range p.rented {
+		m := &p.in.Offers[o].Machine
+		if !r.Types[m.Type] || m.Spot && !r.Spot || r.Zone >= 0 && r.Zone != m.Zone {
+			continue
+		}
+		for room := m.Cap; n > 0 && r.Need.Fits(room); room = room.Add(r.Need, -1) {
+			n--
+		}
+	}
+	p.rent(r, r.Tasks[:n])
+}
