--- a/cluster/nights.go
+++ b/cluster/nights.go
@@ -37,15 +37,17 @@
 	now     time.Time    // as last told
 	looked  time.Time
 	guessed time.Time // when forecasts were last made
+	ahead   ahead
 }
 
 // nightBook is a region's book, and what its last recorded forecasts rest on.
 type nightBook struct {
 	*calendar.Book
 	region  *calendar.Region
-	basis   map[string]nightBasis // by night
-	cause   string                // why all forecasts are to be made anew
-	gen     uint64                // as last kept
+	basis   map[string]nightBasis     // by night
+	ids     map[string]calendar.Night // jobs that are not over, from look to look
+	cause   string                    // why all forecasts are to be made anew
+	gen     uint64                    // as last kept
 	kept    time.Time
 	decided bool // an outcome has not been kept yet
 }
@@ -106,7 +108,7 @@
 				b.cause = "another leader leads"
 			}
 		}
-		b.region, b.basis = r, map[string]nightBasis{}
+		b.region, b.basis, b.ids = r, map[string]nightBasis{}, map[string]calendar.Night{}
 		b.Replan(r, now)
 		n.books = append(n.books, b)
 	}
@@ -192,13 +194,16 @@
 func (m *Model) tickNights(now time.Time) {
 	n := &m.nights
 	n.now = now
+	if n.cal == nil {
+		n.ahead = ahead{}
+	}
 	if n.cal == nil || now.Sub(n.looked) < nightsEvery {
 		return
 	}
 	n.looked = now
-	jobs, ids := m.nightJobs()
+	jobs := m.nightJobs()
 	for _, b := range n.books {
-		b.See(ids[b])
+		b.See(b.ids)
 		for _, id := range b.Unknown() {
 			if j := m.Job(id); j != nil && !j.Cancelled {
 				b.Told(id, calendar.Whole, calendar.Night{}, false, now) // it belongs elsewhere now
@@ -215,10 +220,13 @@
 	}
 }
 
-// nightJobs lists the jobs that belong to nights and are not known to be over.
-func (m *Model) nightJobs() ([]*Job, map[*nightBook]map[string]calendar.Night) {
+// nightJobs lists the jobs that belong to nights and are not known to be over, also
+// by their books.
+func (m *Model) nightJobs() []*Job {
 	var jobs []*Job
-	ids := map[*nightBook]map[string]calendar.Night{}
+	for _, b := range m.nights.books {
+		clear(b.ids)
+	}
 	for _, idx := range m.live {
 		j := m.Jobs[idx]
 		if j == nil || j.Cancelled {
@@ -228,13 +236,10 @@
 		if book == nil {
 			continue
 		}
-		if ids[book] == nil {
-			ids[book] = map[string]calendar.Night{}
-		}
-		ids[book][j.ID] = night
+		book.ids[j.ID] = night
 		jobs = append(jobs, j)
 	}
-	return jobs, ids
+	return jobs
 }
 
 // keepBook has a region's record written: an outcome at once, other changes every
@@ -274,15 +279,19 @@
 	if len(loads) == 0 {
 		return
 	}
-	free := m.nightLoads(jobs, loads, at, now)
+	usual, free := m.nightLoads(jobs, loads, at, now)
 	machines := 0
 	for _, mc := range m.Machines {
 		if m.ready(mc, now) {
 			machines++
 		}
 	}
+	note := m.wantAhead(loads, usual, free, now)
 	for i, f := range calendar.Expect(now, loads, free) {
 		b, date := keys[i].book, keys[i].date
+		if f.AtRisk {
+			f.Why += note
+		}
 		b.Expected(date, f, b.why(date, machines, now), machines, now)
 	}
 	for _, b := range n.books {
@@ -317,8 +326,8 @@
 }
 
 // nightLoads fills in what is left of the nights, and lists the places, each room
-// for a task of the kind that has most work.
-func (m *Model) nightLoads(jobs []*Job, loads []calendar.Load, at map[nightKey]int, now time.Time) []float64 {
+// for a task of the kind that has most work: of that job, nil where nothing waits.
+func (m *Model) nightLoads(jobs []*Job, loads []calendar.Load, at map[nightKey]int, now time.Time) (*Job, []float64) {
 	type shape struct {
 		need  placement.Res
 		types string
@@ -372,7 +381,7 @@
 			stuck[i] = append(stuck[i], j.ID+": no machine that is up can take it")
 		}
 		sp := m.spreadOf(j)
-		b := calendar.Batch{Tasks: idle, Seconds: sum/float64(idle) + sp.delay(), Wide: 1}
+		b := calendar.Batch{Tasks: idle, Seconds: sum/float64(idle) + sp.delay(), Wide: 1, Vain: j.aside || j.record.atFault()}
 		if j.Gang() {
 			b.Tasks, b.Wide = 1, float64(idle)
 		}
@@ -382,7 +391,7 @@
 		}
 	}
 	if most == nil {
-		return nil
+		return nil, nil
 	}
 	usual := places(most)
 	for _, l := range all {
@@ -397,7 +406,7 @@
 			loads[i].Stuck += fmt.Sprintf("; and %d more", more)
 		}
 	}
-	return m.places(most, -1, now)
+	return most, m.places(most, -1, now)
 }
 
 // emptyPlaces is how many tasks like a job's the machines could take that are up
