--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -68,9 +68,9 @@
 	return m
 }
 
-// plans are a plan's parts by name, for a crowded fleet of that size: a night for
+// planned are a plan's parts by name, for a crowded fleet of that size: a night for
 // arrays, gangs before arrays, and pools that hold a fifth of the machines.
-func plans(m *Model, machines int) map[string]*plan.Plan {
+func planned(m *Model, machines int) map[string]*plan.Plan {
 	night, tiers, held := &plan.Plan{}, &plan.Plan{}, &plan.Plan{}
 	for _, r := range []struct{ name, class string }{{"north", "arrays"}, {"south", "gangs"}} {
 		night.Calendar.Regions = append(night.Calendar.Regions, calendar.RegionSettings{Name: r.name, Zone: "UTC", Evening: "18:00", MarginS: 1800,
@@ -88,7 +88,7 @@
 // full is a crowded model with a plan, whose machines run what they were given.
 func full(machines, jobs int, name string) *Model {
 	m := crowded(machines, jobs)
-	m.SetPlan(Plan{Plan: plans(m, machines)[name], Number: 1, Head: 1}, at(0))
+	m.SetPlan(Plan{Plan: planned(m, machines)[name], Number: 1, Head: 1}, at(0))
 	for s := 1.0; s < 36; s++ { // until pools have joined machines
 		run(m, s)
 	}
