--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -85,6 +85,7 @@
 	end  context.CancelFunc
 	done chan struct{}
 	dies *atomic.Bool
+	down time.Time // when its power was cut; zero: it is up. Guarded by the world's lock
 
 	older bool // reads the form of records before
 }
@@ -271,6 +272,9 @@
 		return
 	}
 	w.Net.SetDown(n.name, false)
+	w.mu.Lock()
+	n.down = time.Time{}
+	w.mu.Unlock()
 	gated := call.WithGate(w.ctx, func(ctx context.Context) { w.Net.await(n.name, ctx.Done()) })
 	ctx, end := context.WithCancel(gated)
 	n.end, n.done = end, make(chan struct{})
@@ -308,6 +312,9 @@
 		return
 	}
 	n.dies.Store(true)
+	w.mu.Lock()
+	n.down = time.Now()
+	w.mu.Unlock()
 	w.Net.SetDown(n.name, true)
 	w.Net.SetStill(n.name, false)
 	n.end()
