--- a/cluster/damaged.go
+++ b/cluster/damaged.go
@@ -1,8 +1,11 @@
 package cluster
 
 import (
+	"time"
+
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
 )
 
 // This file is about records of earlier leaders that can't be read. What they say
@@ -27,13 +30,30 @@
 }
 
 // DamagedIntake names a page of jobs that can't be read: which jobs stand on it is
-// not known. Chunks of jobs that are not known otherwise are kept.
-func (m *Model) DamagedIntake(key string, err error) {
-	m.log.Error("unreadable page of jobs: they are set aside", "key", key, "err", err)
+// not known. Chunks of jobs that are not known otherwise are kept. since is from
+// when on no leader has known its jobs, by the clock of whoever says so: as with
+// jobs that were cancelled then, their tasks are gone cancel_s later.
+func (m *Model) DamagedIntake(key string, since time.Time, err error) {
+	m.log.Error("unreadable page of jobs: they are set aside", "key", key, "since", since, "err", err)
 	m.lostIntake = true
+	apart := time.Duration(2 * m.cfg.Cluster.SkewMs * float64(time.Millisecond))
+	if since = since.Add(apart); since.Before(m.Takeover) {
+		m.waitFrom(since)
+		return
+	}
 	m.wait()
 }
 
+// Intake is what this leader knows of a page of users' jobs in that version; false
+// where it does not.
+func (m *Model) Intake(key string, version uint64) ([]ledger.IntakeEntry, bool) {
+	p := m.intakes[key]
+	if p == nil || p.version != version {
+		return nil, false
+	}
+	return append([]ledger.IntakeEntry{}, p.rec.Jobs...), true
+}
+
 // DamagedPage names a page of placement records that can't be read, and keeps it as
 // it is. Whatever it may speak of is set aside when all has been read.
 func (m *Model) DamagedPage(n int, version uint64, err error) {
@@ -48,8 +68,20 @@
 // wait holds all placing back until the tasks that can't be accounted for are gone
 // by all means: they may use a team's limit. A worker that is answered is told
 // to stop what nobody knows; one that is not loses its lease.
-func (m *Model) wait() {
-	m.quiet = m.Takeover.Add(config.Seconds(m.cfg.Cluster.Workers.CancelS))
+func (m *Model) wait() { m.waitFrom(m.Takeover) }
+
+func (m *Model) waitFrom(t time.Time) {
+	if until := t.Add(config.Seconds(m.cfg.Cluster.Workers.CancelS)); until.After(m.quiet) {
+		m.quiet = until
+	}
+}
+
+// DamagedEnd takes in a job that is over and whose final record can't be read,
+// while placements of it are left: what its tasks need is not known.
+func (m *Model) DamagedEnd(key, id string, err error) {
+	m.log.Error("unreadable record of a job that is over: its tasks are stopped", "key", key, "id", id, "err", err)
+	m.LoadCancelled(id, ledger.JobRecord{Job: wire.Job{ID: id, Tasks: wire.MaxTasks, Kind: wire.KindArray}})
+	m.wait()
 }
 
 // setAside holds the jobs back of which a page that can't be read may have
--- /dev/null
+++ b/controller/damage_test.go
@@ -0,0 +1,302 @@
+package controller_test
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// damaged are the keys of the state service by what hangs on them, and what becomes
+// of the jobs that were accepted before they were damaged.
+var damaged = []struct {
+	name   string
+	is     func(key string) bool
+	sealed bool // whether heads are closed before
+	stuck  bool // of the jobs before no more is asked than that they are answered
+	rare   bool // there may be no such key
+}{
+	{name: "heads", is: ledger.IsHead},
+	{name: "sealed pages", is: func(k string) bool { return ledger.IsIntake(k) && !ledger.IsHead(k) }, sealed: true},
+	{name: "all pages of jobs", is: ledger.IsIntake, sealed: true},
+	{name: "jobs", is: func(k string) bool { _, ok := ledger.ParseJobKey(k); return ok }},
+	{name: "the form", is: begins(ledger.FormKey)},
+	{name: "the form and its copy", is: func(k string) bool { return k == ledger.FormKey || k == ledger.FormCopyKey }},
+	{name: "the form, heads and pages", is: func(k string) bool { return k == ledger.FormKey || ledger.IsIntake(k) }},
+	{name: "placements", is: begins("w/p/"), stuck: true},
+	{name: "ends", is: begins("f/")},
+	{name: "the leader", is: begins("ctl/")},
+	{name: "the plan", is: begins("plan/")},
+	{name: "notes", is: begins(ledger.Notes)},
+	{name: "types", is: begins(ledger.TypesKey)},
+	{name: "rentals, returns and moves", is: begins(ledger.Rentals, ledger.ReturnsKey, ledger.Cycles), rare: true},
+}
+
+func begins(with ...string) func(string) bool {
+	return func(k string) bool {
+		return slices.ContainsFunc(with, func(w string) bool { return strings.HasPrefix(k, w) })
+	}
+}
+
+// manyKinds are jobs of all kinds, from a number on; the last is cancelled by its user.
+func manyKinds(from int, seconds float64) (jobs []wire.Job) {
+	for n := range 45 {
+		jobs = append(jobs, job(from+n, func(j *wire.Job) {
+			j.Tasks, j.CPUs, j.EstimateS = 1, 1, seconds
+			switch n {
+			case 0:
+				j.Kind, j.Tasks = wire.KindGang, 3
+			case 1:
+				j.Tasks, j.Class = 5, "tiles"
+			case 2:
+				j.Types = []string{"m8", strings.Repeat("x", 5000)} // a key of its own
+			}
+		}))
+	}
+	return jobs
+}
+
+func submitAll(t *testing.T, w *fake.World, jobs []wire.Job) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for _, j := range jobs {
+		wg.Go(func() {
+			if !w.Submit(j) {
+				t.Errorf("%s was not accepted", j.ID)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// open submits jobs at once, so that they share open heads, and has these sealed, if
+// wanted, by a few more that come one by one.
+func open(t *testing.T, w *fake.World, jobs []wire.Job, sealed bool) {
+	t.Helper()
+	submitAll(t, w, jobs)
+	if _, shared := own(w); shared < 5 {
+		t.Fatalf("only %d jobs share pages", shared)
+	}
+	time.Sleep(9 * time.Second)
+	for n := range 20 {
+		if sealed {
+			mustSubmit(t, w, job(300+n, nil))
+		}
+	}
+}
+
+// Each kind of key of the state service is damaged in turn, as text or as nothing at
+// all, and then the leader is killed, while the others remember what they have
+// read. Jobs before and after are accepted, answered and run; what is over stays so.
+func TestWhateverRecordIsDamagedTheServiceGoesOn(t *testing.T) {
+	for i, c := range damaged {
+		if tell.UnderRace && i%3 > 0 {
+			continue
+		}
+		value := [][]byte{nil, {0xc0}}[i%2]
+		t.Run(c.name, func(t *testing.T) {
+			var log logged
+			story(t, fake.Options{Machines: 6, Capacity: 7, Log: slog.New(slog.NewTextHandler(&log, nil))}, func(t *testing.T, w *fake.World) {
+				time.Sleep(5 * time.Second)
+				applyPlan(t, w, 0, orderOf("clinic", "craft")+nightPlan)
+				mustSubmit(t, w, job(1, nil), job(2, func(j *wire.Job) { j.EstimateS = 600 }))
+				mustReach(t, w, job(1, nil).ID, wire.JobDone, time.Minute)
+				w.Cancel(job(2, nil).ID)
+				before := manyKinds(100, 40)
+				open(t, w, before, c.sealed)
+				for _, j := range append(before, job(1, nil), job(2, nil)) {
+					for n := range w.Nodes() {
+						w.Poll(w.Bind(n), j.ID)
+					}
+				}
+				leader, hit := w.Leader(), 0
+				for _, key := range w.State.Keys("") {
+					if c.is(key) {
+						w.State.Damage(key, value...)
+						hit++
+					}
+				}
+				if hit == 0 && !c.rare {
+					t.Fatalf("no such key in %v", w.State.Keys(""))
+				}
+				w.KillNode(leader)
+				time.Sleep(12 * time.Second)
+				w.StartNode(leader)
+				time.Sleep(2 * time.Second)
+				after := manyKinds(200, 5)
+				submitAll(t, w, after)
+				for n := range w.Nodes() {
+					for _, j := range slices.Concat(before, after) {
+						if w.Poll(w.Bind(n), j.ID) == "" {
+							t.Errorf("node %d does not answer for %s", n, j.ID)
+						}
+					}
+				}
+				if c.stuck {
+					before = nil
+				}
+				for _, j := range slices.Concat(after, before) {
+					mustReach(t, w, j.ID, wire.JobDone, 4*time.Minute)
+				}
+				mustReach(t, w, job(1, nil).ID, wire.JobDone, 5*time.Second)
+				mustReach(t, w, job(2, nil).ID, wire.JobCancelled, 5*time.Second)
+				if t.Failed() {
+					t.Log(log.String())
+				}
+			})
+		})
+	}
+}
+
+// No node remembers a page of jobs any more that can't be read. It is set aside, and
+// the service goes on: what comes is accepted and runs, under this leader and the
+// next, and no job of the page is called unknown. Ids that were on it may come again:
+// each runs once.
+func TestWhatNobodyRemembersIsSetAside(t *testing.T) {
+	for _, c := range damaged[:3] {
+		t.Run(c.name, func(t *testing.T) {
+			story(t, fake.Options{Machines: 6, Capacity: 7}, func(t *testing.T, w *fake.World) {
+				before := manyKinds(100, 40)
+				open(t, w, before, c.sealed)
+				for n := range w.Nodes() {
+					w.KillNode(n)
+				}
+				for _, key := range w.State.Keys("") {
+					if c.is(key) {
+						w.State.Damage(key)
+					}
+				}
+				for n := range w.Nodes() {
+					w.StartNode(n)
+				}
+				time.Sleep(10 * time.Second)
+				after := manyKinds(200, 5)
+				submitAll(t, w, after)
+				w.KillNode(w.Leader())
+				time.Sleep(10 * time.Second)
+				for n := range w.Nodes() {
+					w.StartNode(n)
+				}
+				submitAll(t, w, before[10:]) // again, as they were
+				for _, j := range slices.Concat(after, before) {
+					for n := range w.Nodes() {
+						w.Poll(w.Bind(n), j.ID) // no 404
+					}
+				}
+				for _, j := range after {
+					mustReach(t, w, j.ID, wire.JobDone, 4*time.Minute)
+				}
+			})
+		})
+	}
+}
+
+// Pages of jobs are damaged again and again, in place and by a write, while users
+// submit the same ids at all nodes, cancel some, and nodes are killed. No id stands
+// in two places that can be read, nothing is done twice, nobody is told 404, and in
+// the end what is submitted runs.
+func TestPagesAreDamagedAmidItAll(t *testing.T) {
+	seeds := uint64(4)
+	if tell.UnderRace {
+		seeds = 1
+	}
+	for seed := range seeds {
+		story(t, fake.Options{Machines: 6, Capacity: 7, Seed: seed}, func(t *testing.T, w *fake.World) {
+			rnd := rand.New(rand.NewPCG(seed, 6))
+			w.State.LimitWrites(25)
+			var wg sync.WaitGroup
+			var all []wire.Job
+			for round := range 6 {
+				jobs := manyKinds(1000*(round+1), 15)[3 : 30+rnd.IntN(15)]
+				all = append(all, jobs...)
+				for _, j := range jobs {
+					var at [3]time.Duration
+					for i := range at {
+						at[i] = time.Duration(rnd.IntN(1+400*(round%2))) * time.Millisecond
+					}
+					cancel, later := rnd.IntN(4) == 0, time.Duration(rnd.IntN(15000))*time.Millisecond
+					wg.Go(func() {
+						var first sync.WaitGroup
+						for i := range at {
+							first.Go(func() {
+								time.Sleep(at[i])
+								w.Submit(j)
+							})
+						}
+						first.Wait()
+						time.Sleep(later)
+						if cancel {
+							w.Cancel(j.ID) // before, an answer that was on its way might seem to be late
+						}
+						w.Submit(j)
+					})
+				}
+				time.Sleep(time.Duration(rnd.IntN(7000)) * time.Millisecond)
+				keys := slices.DeleteFunc(w.State.Keys(ledger.Jobs), func(k string) bool { return !ledger.IsIntake(k) })
+				rnd.Shuffle(len(keys), func(a, b int) { keys[a], keys[b] = keys[b], keys[a] })
+				for _, k := range keys[:min(len(keys), 1+rnd.IntN(5))] {
+					if rnd.IntN(2) == 0 {
+						w.State.Spoil(k)
+					} else {
+						w.State.Damage(k)
+					}
+				}
+				var fall []int
+				switch n := rnd.IntN(4); {
+				case n < 2:
+					fall = []int{max(w.Leader(), 0)}
+				case n == 2:
+					fall = []int{rnd.IntN(3)}
+				default:
+					fall = []int{0, 1, 2} // nobody remembers anything
+				}
+				for _, n := range fall {
+					w.KillNode(n)
+				}
+				time.Sleep(time.Duration(rnd.IntN(9000)) * time.Millisecond)
+				for _, n := range fall {
+					w.StartNode(n)
+				}
+				time.Sleep(time.Duration(rnd.IntN(12000)) * time.Millisecond)
+			}
+			wg.Wait()
+			time.Sleep(30 * time.Second)
+			answered := 0
+			for _, j := range all {
+				at, raw := 0, w.State.Keys("")
+				for _, k := range raw {
+					page, err := ledger.DecodeIntake(w.State.Value(k))
+					if k == ledger.JobKey(j.ID) || k == ledger.FinalKey(j.ID) || ledger.IsIntake(k) && err == nil &&
+						slices.ContainsFunc(page.Jobs, func(e ledger.IntakeEntry) bool { return e.ID == j.ID }) {
+						at++
+					}
+				}
+				if at > 1 {
+					t.Errorf("seed %d: %s stands in %d places", seed, j.ID, at)
+				}
+				for n := range w.Nodes() {
+					if w.Poll(w.Bind(n), j.ID) != "" {
+						answered++
+					}
+				}
+			}
+			last := manyKinds(20000, 5)
+			submitAll(t, w, last)
+			for _, j := range last {
+				mustReach(t, w, j.ID, wire.JobDone, 4*time.Minute)
+			}
+			t.Logf("seed %d: %d of %d answered", seed, answered, 3*len(all))
+			if w.Repeated() > 0 {
+				t.Errorf("seed %d: %d tasks were done twice", seed, w.Repeated())
+			}
+		})
+	}
+}
--- a/controller/form.go
+++ b/controller/form.go
@@ -89,19 +89,19 @@
 	}
 	var now ledger.FormRecord
 	if e.Version != 0 {
-		if err := wire.Unmarshal(e.Value, &now); err != nil {
+		if now, err = ledger.DecodeForm(e.Value); err != nil {
 			return false, err
 		}
 	}
 	if now.Form >= form {
-		return true, nil
+		return true, l.copyForm(ctx, now, e.Version)
 	}
 	next := ledger.FormRecord{Form: form, Buckets: max(1, len(l.n.peers)+1)}
 	if now.Buckets > 0 {
 		next.Buckets = now.Buckets
 	}
 	_, err = l.n.state.Commit(ctx, []wire.Guard{l.guard(), {Key: ledger.FormKey, Version: e.Version}},
-		[]wire.Op{{Put: ledger.FormKey, Value: next}})
+		[]wire.Op{{Put: ledger.FormKey, Value: next}, {Put: ledger.FormCopyKey, Value: next}})
 	if err != nil {
 		return false, err
 	}
@@ -109,6 +109,24 @@
 	return true, nil
 }
 
+// copyForm sees to it that the form's copy is there: a version before has written
+// none.
+func (l *leadership) copyForm(ctx context.Context, form ledger.FormRecord, version uint64) error {
+	if version == 0 {
+		return nil
+	}
+	e, err := l.n.state.Get(ctx, ledger.FormCopyKey)
+	if err != nil {
+		return err
+	}
+	if was, err := ledger.DecodeForm(e.Value); err == nil && was == form {
+		return nil
+	}
+	_, err = l.n.state.Commit(ctx, []wire.Guard{l.guard(), {Key: ledger.FormKey, Version: version}},
+		[]wire.Op{{Put: ledger.FormCopyKey, Value: form}})
+	return err
+}
+
 const (
 	// bucketFor is how long the node that adds jobs to a bucket is waited for, and
 	// bucketWithin how long that one takes at most: then it says that it is busy.
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -96,7 +96,7 @@
 	}()
 	ready()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes, l.tellEnds, l.fillPools} {
+	for _, duty := range []func(context.Context){l.follow, l.flush, l.schedule, l.runCloud, l.raiseForm, l.writeNotes, l.tellEnds, l.fillPools, l.mendLater} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(ctx) }()
 	}
@@ -111,8 +111,10 @@
 }
 
 // apply takes changes of the active records in. Each once: a watch and a
-// barrier may bring the same.
-func (l *leadership) apply(ev wire.Events) {
+// barrier may bring the same. Where a page of jobs can't be read, ok is false and
+// nothing is taken in: its jobs would seem to be cancelled. The next leader mends
+// it before it leads.
+func (l *leadership) apply(ev wire.Events) (ok bool) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,7 +124,10 @@
 			continue
 		}
 		if ledger.IsIntake(e.Put + e.Delete) {
-			l.intake(pages, e)
+			if !l.intake(pages, e) {
+				l.term.Resign()
+				return false
+			}
 			continue
 		}
 		if e.Delete != "" {
@@ -135,8 +140,8 @@
 			continue
 		}
 		if id, ok := ledger.ParseJobKey(e.Put); ok {
-			var rec ledger.JobRecord
-			if err := wire.Unmarshal(e.Value, &rec); err != nil {
+			rec, err := ledger.DecodeJob(id, e.Value)
+			if err != nil {
 				l.log.Error("unreadable job record", "key", e.Put, "err", err)
 				continue
 			}
@@ -149,17 +154,20 @@
 	l.rev = max(l.rev, ev.Revision)
 	kick(l.schedKick)
 	kick(l.flushKick)
+	return true
 }
 
-// intake takes a change of a page of users' jobs in.
-func (l *leadership) intake(pages map[string]cluster.IntakePage, e wire.Event) {
+// intake takes a change of a page of users' jobs in; false where it can't be read.
+func (l *leadership) intake(pages map[string]cluster.IntakePage, e wire.Event) bool {
 	key := e.Put + e.Delete
 	pg := cluster.IntakePage{Key: key, Version: e.Version}
 	if e.Put != "" {
-		if err := wire.Unmarshal(e.Value, &pg.Record); err != nil {
-			l.log.Error("unreadable job records", "key", key, "err", err)
-			return
+		rec, err := ledger.DecodeIntake(e.Value)
+		if err != nil {
+			l.log.Error("unreadable page of jobs: the next leader mends it", "key", key, "err", err)
+			return false
 		}
+		pg.Record = rec
 	}
 	if pages[key].Version <= e.Version {
 		pages[key] = pg
@@ -167,6 +175,7 @@
 	if !l.m.Wrote(key, e.Version) {
 		l.userOps = append(l.userOps, time.Now())
 	}
+	return true
 }
 
 func (l *leadership) revision() uint64 {
@@ -187,7 +196,9 @@
 	if err != nil {
 		return err
 	}
-	l.apply(ev)
+	if !l.apply(ev) {
+		return ledger.ErrDamaged
+	}
 	l.pushStops(ctx)
 	return nil
 }
@@ -219,7 +230,9 @@
 		case err != nil:
 			call.Pause(ctx, time.Duration(200+rand.IntN(300))*time.Millisecond)
 		default:
-			l.apply(ev)
+			if !l.apply(ev) {
+				return
+			}
 			l.pushStops(ctx)
 		}
 	}
--- a/controller/load.go
+++ b/controller/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/umberdeal/umberdeal/cluster"
@@ -17,7 +16,7 @@
 // load reads what earlier leaders left.
 func (l *leadership) load(ctx context.Context) error {
 	st := l.n.state
-	items, rev, err := st.List(ctx, ledger.Active)
+	items, rev, err := l.mended(ctx)
 	if err != nil {
 		return err
 	}
@@ -63,18 +62,25 @@
 	}
 	for _, it := range cycles {
 		var rec ledger.CycleRecord
-		if err := wire.Unmarshal(it.Value, &rec); err == nil {
+		if err := wire.Unmarshal(it.Value, &rec); err != nil {
+			l.log.Error("unreadable record of moves: passed over", "key", it.Key, "err", err)
+		} else {
 			m.LoadCycle(it.Key[len(ledger.Cycles):], rec, now)
 		}
 	}
 	for _, it := range rentals {
 		var rec ledger.RentalRecord
-		if err := wire.Unmarshal(it.Value, &rec); err == nil && now.Sub(time.UnixMilli(rec.AtMs)) < 2*time.Minute {
+		if err := wire.Unmarshal(it.Value, &rec); err != nil {
+			l.log.Error("unreadable record of a rental: passed over", "key", it.Key, "err", err)
+		} else if now.Sub(time.UnixMilli(rec.AtMs)) < 2*time.Minute {
 			m.Rented(cluster.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, rec.Machines, time.UnixMilli(rec.AtMs))
 		}
 	}
 	var going ledger.ReturnRecord
-	if returns.Version != 0 && wire.Unmarshal(returns.Value, &going) == nil {
+	if returns.Version != 0 {
+		if err := wire.Unmarshal(returns.Value, &going); err != nil {
+			l.log.Error("unreadable record of returns: machines that go may be given tasks", "key", returns.Key, "err", err)
+		}
 		m.Returned(going.Machines, now)
 	}
 	m.Loaded(now)
@@ -88,21 +94,26 @@
 func loadJobs(m *cluster.Model, items []wire.Entry, now time.Time) error {
 	var pages []cluster.IntakePage
 	for _, it := range items {
-		var form ledger.FormRecord
-		if it.Key == ledger.FormKey && (wire.Unmarshal(it.Value, &form) != nil || form.Form > ledger.Form) {
-			return ledger.ErrNewer
+		if it.Key == ledger.FormKey {
+			if form, err := ledger.DecodeForm(it.Value); err != nil || form.Form > ledger.Form {
+				return ledger.ErrNewer
+			}
 		}
 		if ledger.IsIntake(it.Key) {
-			pg := cluster.IntakePage{Key: it.Key, Version: it.Version}
-			if err := wire.Unmarshal(it.Value, &pg.Record); err != nil {
-				m.DamagedIntake(it.Key, err)
+			rec, err := ledger.DecodeIntake(it.Value)
+			if err != nil {
+				since := now
+				if a, ok := ledger.DecodeAside(it.Value); ok {
+					since = time.UnixMilli(a.AtMs)
+				}
+				m.DamagedIntake(it.Key, since, err)
 				continue
 			}
-			pages = append(pages, pg)
+			pages = append(pages, cluster.IntakePage{Key: it.Key, Version: it.Version, Record: rec})
 		}
 		if id, ok := ledger.ParseJobKey(it.Key); ok {
-			var rec ledger.JobRecord
-			if err := wire.Unmarshal(it.Value, &rec); err != nil {
+			rec, err := ledger.DecodeJob(id, it.Value)
+			if err != nil {
 				m.DamagedJob(it.Key, id, err)
 				continue
 			}
@@ -120,8 +131,8 @@
 		if !ok {
 			continue
 		}
-		var rec ledger.PageRecord
-		if err := wire.Unmarshal(it.Value, &rec); err != nil {
+		rec, err := ledger.DecodePage(it.Value)
+		if err != nil {
 			m.DamagedPage(n, it.Version, err)
 			continue
 		}
@@ -134,12 +145,12 @@
 			if err != nil {
 				return err
 			}
-			var over ledger.JobRecord
 			if e.Version != 0 {
-				if err := wire.Unmarshal(e.Value, &over); err != nil {
-					return fmt.Errorf("%s: %w", it.Key, err)
+				if over, err := ledger.DecodeEnd(e.Value); err != nil {
+					m.DamagedEnd(e.Key, c.Job, err)
+				} else {
+					m.LoadCancelled(c.Job, over)
 				}
-				m.LoadCancelled(c.Job, over)
 			}
 		}
 		m.LoadPage(n, rec, it.Version, now)
--- /dev/null
+++ b/controller/mend.go
@@ -0,0 +1,461 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/mesh"
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file mends records that can't be read, before a leader leads. docs/ledger.md
+// ("Mending") argues why no interleaving loses a job or accepts one twice.
+
+const (
+	// mendRounds is how often a leader that takes over looks again what there is to
+	// mend, since others have changed the same.
+	mendRounds = 4
+	// mendEvery is how often a leader looks whether a node remembers what could not
+	// be mended.
+	mendEvery = 5 * time.Second
+	// keptMost bounds what a node that led remembers of pages for the next leader.
+	keptMost = 16
+)
+
+// at names a record in one version of it.
+type at struct {
+	key     string
+	version uint64
+}
+
+// mending is what a node knows of records that can't be read; guarded by the
+// node's lock.
+type mending struct {
+	told  map[at]bool           // other nodes can't read them
+	tried map[at]bool           // for which this node has resigned once
+	kept  map[at]*ledger.Memory // as a leader of this node knew them
+	left  []left                // of this leader's own: what could not be mended
+}
+
+// left is a record that could not be mended when a leader took over.
+type left struct {
+	at
+	was at // as it was before it was set aside
+}
+
+// told notes that another node can't read a record. The leader may know it still.
+func (n *Node) told(key string, version uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead == nil || len(n.mending.told) >= keptMost {
+		return
+	}
+	if n.mending.told == nil {
+		n.mending.told = map[at]bool{}
+	}
+	n.mending.told[at{key, version}] = true
+}
+
+// recalled is what this node remembers of a record.
+func (n *Node) recalled(ctx context.Context, rec, was at) *ledger.Memory {
+	n.mu.Lock()
+	m := n.mending.kept[rec]
+	if m == nil {
+		m = n.mending.kept[was]
+	}
+	n.mu.Unlock()
+	if m != nil {
+		return m
+	}
+	return n.reader.Recall(ctx, rec.key, rec.version)
+}
+
+// Recall implements mesh.Handler.
+func (n *Node) Recall(ctx context.Context, r mesh.Request) mesh.Answer {
+	m := n.recalled(ctx, at{r.ID, r.At}, at{r.Lost, r.LostAt})
+	if m == nil {
+		return mesh.Answer{Status: http.StatusNotFound}
+	}
+	return answer(http.StatusOK, m, 0)
+}
+
+// recall asks all nodes for what they remember of a record in a version of it, this
+// one first.
+func (n *Node) recall(ctx context.Context, rec, was at) *ledger.Memory {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if m := n.recalled(ctx, rec, was); m != nil {
+		return m
+	}
+	var wg sync.WaitGroup
+	found := make(chan *ledger.Memory, len(n.peers))
+	for _, p := range n.peers {
+		wg.Go(func() {
+			a, err := p.Recall(ctx, mesh.Request{ID: rec.key, At: rec.version, Lost: was.key, LostAt: was.version})
+			m := &ledger.Memory{}
+			if err == nil && a.Status == http.StatusOK && wire.Unmarshal(a.Body, m) == nil {
+				found <- m
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case m := <-found:
+		return m
+	default:
+		return nil
+	}
+}
+
+// mender mends what a listing has.
+type mender struct {
+	l       *leadership
+	items   map[string]wire.Entry
+	pages   map[string]ledger.IntakeRecord // that can be read
+	left    []left
+	changed bool
+}
+
+// mended lists all active records, mended as far as can be.
+func (l *leadership) mended(ctx context.Context) (items []wire.Entry, rev uint64, err error) {
+	for range mendRounds {
+		if items, rev, err = l.n.state.List(ctx, ledger.Active); err != nil {
+			return nil, 0, err
+		}
+		m := &mender{l: l, items: map[string]wire.Entry{}, pages: map[string]ledger.IntakeRecord{}}
+		err = m.mend(ctx, items)
+		l.n.mu.Lock()
+		l.n.mending.left = m.left
+		l.n.mu.Unlock()
+		var c *state.Conflict
+		switch {
+		case err == nil && !m.changed:
+			return items, rev, nil
+		case errors.Is(err, ledger.ErrNewer):
+			return nil, 0, err
+		case errors.As(err, &c) || err == nil:
+		default:
+			return nil, 0, err
+		}
+	}
+	return nil, 0, fmt.Errorf("%w: too many conflicts", state.ErrRefused)
+}
+
+func (m *mender) mend(ctx context.Context, items []wire.Entry) error {
+	for _, it := range items {
+		m.items[it.Key] = it
+		if rec, err := ledger.DecodeIntake(it.Value); err == nil && ledger.IsIntake(it.Key) {
+			m.pages[it.Key] = rec
+		}
+	}
+	for _, it := range items {
+		var err error
+		id, alone := ledger.ParseJobKey(it.Key)
+		switch {
+		case it.Key == ledger.FormKey:
+			err = m.form(ctx, it)
+		case alone:
+			if _, bad := ledger.DecodeJob(id, it.Value); bad != nil {
+				err = m.job(ctx, id, it)
+			}
+		case strings.HasPrefix(it.Key, ledger.Apps):
+			if !ledger.IsApp(it.Value) {
+				err = m.app(ctx, it)
+			}
+		case ledger.IsIntake(it.Key):
+			if _, ok := m.pages[it.Key]; !ok {
+				err = m.intake(ctx, it)
+			}
+		}
+		if errors.Is(err, state.ErrInvalid) {
+			m.l.log.Error("an unreadable record can't be mended", "key", it.Key, "err", err)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// put commits under this leadership, and keeps what it has written.
+func (m *mender) put(ctx context.Context, guards []wire.Guard, ops ...wire.Op) error {
+	rev, err := m.l.n.state.Commit(ctx, append([]wire.Guard{m.l.guard()}, guards...), ops)
+	if err != nil {
+		return err
+	}
+	m.changed = true
+	for _, op := range ops {
+		if op.Delete != "" {
+			delete(m.items, op.Delete)
+			continue
+		}
+		m.items[op.Put] = wire.Entry{Key: op.Put, Version: rev}
+		if rec, ok := op.Value.(ledger.IntakeRecord); ok {
+			m.pages[op.Put] = rec
+		}
+	}
+	return nil
+}
+
+// job writes the record of a job that some node remembers as it was.
+func (m *mender) job(ctx context.Context, id string, it wire.Entry) error {
+	mem := m.l.n.recall(ctx, at{it.Key, it.Version}, at{})
+	if mem == nil {
+		m.left = append(m.left, left{at: at{it.Key, it.Version}})
+		return nil
+	}
+	if _, err := ledger.DecodeJob(id, mem.Raw); err != nil {
+		return nil
+	}
+	m.l.log.Error("unreadable job record: written again as a node remembers it", "key", it.Key)
+	return m.put(ctx, []wire.Guard{{Key: it.Key, Version: it.Version}}, wire.Op{Put: it.Key, Value: mem.Raw})
+}
+
+// app writes a door's record that some node remembers as it was.
+func (m *mender) app(ctx context.Context, it wire.Entry) error {
+	mem := m.l.n.recall(ctx, at{it.Key, it.Version}, at{})
+	if mem == nil || !ledger.IsApp(mem.Raw) {
+		m.left = append(m.left, left{at: at{it.Key, it.Version}})
+		return nil
+	}
+	m.l.log.Error("unreadable record of a door: written again as a node remembers it", "key", it.Key)
+	return m.put(ctx, []wire.Guard{{Key: it.Key, Version: it.Version}}, wire.Op{Put: it.Key, Value: mem.Raw})
+}
+
+// form writes the form of the records again: as some node remembers it, as its copy
+// says, or else as the records themselves show.
+func (m *mender) form(ctx context.Context, it wire.Entry) error {
+	if _, err := ledger.DecodeForm(it.Value); err == nil {
+		return nil
+	}
+	var form ledger.FormRecord
+	err := ledger.ErrDamaged
+	if mem := m.l.n.recall(ctx, at{it.Key, it.Version}, at{}); mem != nil {
+		form, err = ledger.DecodeForm(mem.Raw)
+	}
+	if err != nil {
+		e, gerr := m.l.n.state.Get(ctx, ledger.FormCopyKey)
+		if gerr != nil {
+			return gerr
+		}
+		form, err = ledger.DecodeForm(e.Value)
+	}
+	if err != nil {
+		// A version that writes a newer form has written the copy as well.
+		wanted, werr := m.l.wantedForm(ctx)
+		if werr != nil {
+			return werr
+		}
+		form = ledger.FormRecord{Form: wanted, Buckets: ledger.BucketsBy(m.pages, len(m.l.n.peers)+1)}
+	}
+	if form.Form > ledger.Form {
+		return ledger.ErrNewer
+	}
+	m.l.log.Error("the form of the records can't be read: written again", "key", it.Key, "form", form.Form, "buckets", form.Buckets)
+	return m.put(ctx, []wire.Guard{{Key: it.Key, Version: it.Version}},
+		wire.Op{Put: ledger.FormKey, Value: form}, wire.Op{Put: ledger.FormCopyKey, Value: form})
+}
+
+// intake sets a page of users' jobs aside that can't be read, puts an empty head in
+// its place if it was one, and brings back what some node remembers of it.
+func (m *mender) intake(ctx context.Context, it wire.Entry) error {
+	n := m.l.n
+	a, aside := ledger.DecodeAside(it.Value)
+	was := at{a.From, a.Version}
+	if !aside {
+		was = at{it.Key, it.Version}
+	}
+	mem := n.recall(ctx, at{it.Key, it.Version}, was)
+	key := it.Key
+	if !aside {
+		bucket, seq, ok := ledger.ParseIntakeKey(it.Key)
+		if !ok {
+			return nil // no page of this program's
+		}
+		a = ledger.NewAside(it.Key, it.Version, time.Now().UnixMilli(), it.Value, n.reader.Limits)
+		guards := []wire.Guard{{Key: it.Key, Version: it.Version}}
+		m.l.log.Error("unreadable page of jobs: set aside", "key", it.Key, "version", it.Version, "remembered", mem != nil)
+		var err error
+		if seq > 0 {
+			err = m.put(ctx, guards, wire.Op{Put: it.Key, Value: a})
+		} else {
+			// Above all pages that there are, so that none is written over; the
+			// page goes before the head, so that readers meet it first.
+			seq = max(m.lastSeq(bucket), it.Version) + 1
+			key = ledger.SealedKey(bucket, seq)
+			err = m.put(ctx, guards, wire.Op{Put: key, Value: a},
+				wire.Op{Put: it.Key, Value: ledger.IntakeRecord{Seq: seq, Closed: true}})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if mem == nil {
+		m.left = append(m.left, left{at{key, m.items[key].Version}, was})
+		return nil
+	}
+	return m.bringBack(ctx, key, a, mem.Jobs)
+}
+
+// lastSeq is the highest number of a bucket's pages.
+func (m *mender) lastSeq(bucket int) (last uint64) {
+	for key := range m.items {
+		if b, seq, ok := ledger.ParseIntakeKey(key); ok && b == bucket {
+			last = max(last, seq, m.pages[key].Seq)
+		}
+	}
+	return last
+}
+
+// stands says whether a job has a record elsewhere.
+func (m *mender) stands(id string) bool {
+	if _, ok := m.items[ledger.JobKey(id)]; ok {
+		return true
+	}
+	for _, rec := range m.pages {
+		for _, e := range rec.Jobs {
+			if e.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// bringBack moves the jobs of a page that was set aside to pages that can be read, so
+// many at a time that each has its conditions: it is not over, and it has not been
+// accepted again meanwhile. The page changes each time, since whoever cancels
+// one of its jobs has its version as the condition.
+func (m *mender) bringBack(ctx context.Context, key string, a ledger.Aside, jobs []ledger.IntakeEntry) error {
+	bucket, _, _ := ledger.ParseIntakeKey(key)
+	head := ledger.HeadKey(bucket)
+	most := (4*m.l.n.cfg.Cluster.State.TxnOps - 3) / 2
+	var rest []ledger.IntakeEntry
+	for _, e := range jobs {
+		if !m.stands(e.ID) {
+			rest = append(rest, e)
+		}
+	}
+	back := 0
+	for {
+		batch := rest[:min(most, len(rest))]
+		guards := []wire.Guard{{Key: key, Version: m.items[key].Version}, {Key: head, Version: m.items[head].Version}}
+		var ops []wire.Op
+		if len(batch) > 0 {
+			for _, e := range batch {
+				guards = append(guards, wire.Guard{Key: ledger.JobKey(e.ID)}, wire.Guard{Key: ledger.FinalKey(e.ID)})
+			}
+			h := m.pages[head]
+			h.Closed = h.Closed || m.items[head].Version == 0
+			h.Seq = m.lastSeq(bucket) + 1
+			ops = append(ops, wire.Op{Put: ledger.SealedKey(bucket, h.Seq), Value: ledger.IntakeRecord{Jobs: batch}}, wire.Op{Put: head, Value: h})
+		}
+		if len(batch) == len(rest) {
+			ops = append(ops, wire.Op{Delete: key})
+		} else {
+			ops = append(ops, wire.Op{Put: key, Value: a})
+		}
+		err := m.put(ctx, guards, ops...)
+		var c *state.Conflict
+		if errors.As(err, &c) {
+			var still []ledger.IntakeEntry
+			for _, e := range rest {
+				if failed := strings.Join(c.Failed, " ") + " "; !strings.Contains(failed, ledger.JobKey(e.ID)+" ") && !strings.Contains(failed, ledger.FinalKey(e.ID)+" ") {
+					still = append(still, e)
+				}
+			}
+			if len(still) < len(rest) {
+				rest = still
+				continue
+			}
+		}
+		if err != nil {
+			return err
+		}
+		back += len(batch)
+		if rest = rest[len(batch):]; len(rest) == 0 {
+			m.l.log.Error("jobs of an unreadable page are back, as a node remembers them", "key", key, "was", a.From, "jobs", back)
+			return nil
+		}
+	}
+}
+
+// mendLater looks for what could not be mended when this leader took over: a node
+// that remembers it may have been away then. And what other nodes can't read, this
+// leader may know. It then gives way, once for each, to a leadership that begins by
+// mending: what jobs there are must not change under a leader's hands.
+func (l *leadership) mendLater(ctx context.Context) {
+	for call.Pause(ctx, mendEvery) {
+		l.n.mu.Lock()
+		told := l.n.mending.told
+		l.n.mending.told = nil
+		rest := l.n.mending.left
+		l.n.mu.Unlock()
+		for t := range told {
+			if e, err := l.n.state.Get(ctx, t.key); err != nil || e.Version != t.version || readable(e) {
+				continue
+			}
+			l.mu.Lock()
+			jobs, ok := l.m.Intake(t.key, t.version)
+			l.mu.Unlock()
+			if ok {
+				l.n.keep(t, &ledger.Memory{Jobs: jobs})
+			}
+			if l.giveWay(t) {
+				return
+			}
+		}
+		for _, r := range rest {
+			if l.n.recall(ctx, r.at, r.was) != nil && l.giveWay(r.at) {
+				return
+			}
+		}
+	}
+}
+
+func readable(e wire.Entry) bool {
+	var err error
+	if e.Key == ledger.FormKey {
+		_, err = ledger.DecodeForm(e.Value)
+	} else {
+		_, err = ledger.DecodeIntake(e.Value)
+	}
+	return err == nil
+}
+
+// keep remembers what a leader of this node knew of a page for the next one.
+func (n *Node) keep(t at, m *ledger.Memory) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.mending.kept == nil || len(n.mending.kept) >= keptMost {
+		n.mending.kept = map[at]*ledger.Memory{}
+	}
+	n.mending.kept[t] = m
+}
+
+// giveWay ends this leadership so that the next one mends a record, unless that was
+// in vain before.
+func (l *leadership) giveWay(t at) bool {
+	l.n.mu.Lock()
+	if l.n.mending.tried == nil || len(l.n.mending.tried) >= 64*keptMost {
+		l.n.mending.tried = map[at]bool{}
+	}
+	tried := l.n.mending.tried[t]
+	l.n.mending.tried[t] = true
+	l.n.mu.Unlock()
+	if tried {
+		return false
+	}
+	l.log.Error("a record that can't be read can be mended: the next leader does", "key", t.key, "version", t.version)
+	l.term.Resign()
+	return true
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -88,6 +88,7 @@
 	meshOK     time.Time     // when another node was last reached
 	begun      bool          // the state service or another node has answered once
 	news       chan struct{} // closed and replaced when there is news of the leader
+	mending    mending
 }
 
 const (
--- a/controller/route.go
+++ b/controller/route.go
@@ -209,7 +209,8 @@
 
 // ask is what this node says of itself when it asks another.
 func (n *Node) ask() mesh.Request {
-	return mesh.Request{From: n.cfg.Node, Room: routing.Keep(n.cfg.Cluster.Limits.Sockets)}
+	lost, at := n.reader.Lost()
+	return mesh.Request{From: n.cfg.Node, Room: routing.Keep(n.cfg.Cluster.Limits.Sockets), Lost: lost, LostAt: at}
 }
 
 // Status implements mesh.Handler.
@@ -219,6 +220,9 @@
 		n.askers[asks.From] = asker{room: asks.Room, at: time.Now()}
 		n.mu.Unlock()
 	}
+	if asks.Lost != "" {
+		n.told(asks.Lost, asks.LostAt)
+	}
 	s := mesh.Status{Node: n.cfg.Node, Leader: n.elector.Leader(), StateOK: n.stateOK(), Form: n.form()}
 	if p := n.currentPlan(n.cfg.Node); p != nil && n.leads() {
 		s.Plan = &p.Plan
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -128,13 +128,29 @@
 	return s.asked
 }
 
-// Damage makes a key's value something that nobody has written.
-func (s *State) Damage(key string) {
+// Damage makes a key's value something that nobody has written: that, or a text.
+func (s *State) Damage(key string, value ...byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.keys[key]
 	e.Value = wire.Raw{0xa3, 'b', 'a', 'd'}
+	if len(value) > 0 {
+		e.Value = value
+	}
+	s.keys[key] = e
+}
+
+// Spoil writes a key as nobody should: what can't be read has a version of its own,
+// which nobody knows.
+func (s *State) Spoil(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	e := s.keys[key]
+	e.Value, e.Version = wire.Raw{0x80}, s.rev
 	s.keys[key] = e
+	s.log = append(s.log, wire.Event{Put: key, Value: e.Value, Version: s.rev})
+	s.wake()
 }
 
 // Scratch makes a key's value one that can't be read, though all of it still stands
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -77,10 +77,10 @@
 		p = &intakePage{}
 		r.intake[key] = p
 	}
-	if version <= p.version || version < r.lost[key] {
+	if version <= p.version || version < r.lost[key].version {
 		return
 	}
-	again := r.lost[key] != 0
+	again := r.lost[key].version != 0
 	delete(r.lost, key)
 	stays := make(map[string]bool, len(rec.Jobs))
 	for _, e := range rec.Jobs {
@@ -94,12 +94,12 @@
 	}
 	for _, e := range rec.Jobs {
 		j := r.job(e.ID)
-		if j.version == 0 || again {
+		if j.version == 0 || j.bad || again {
 			got, err := e.Decode()
 			if err != nil {
 				got = r.damaged(key, e.ID, err)
 			}
-			j.rec = got
+			j.rec, j.bad = got, err != nil
 		}
 		j.version, j.home = max(j.version, version), key
 	}
@@ -109,23 +109,52 @@
 	p.version, p.rec, p.size = version, rec, rec.Size()
 }
 
+// lostPage is a page of users' jobs that can't be read.
+type lostPage struct {
+	version uint64
+	aside   bool    // a leader has set it aside, so that no leader knows its jobs
+	from    string  // where it stood before
+	of      uint64  // in which version
+	was     *Memory // what this node remembers of that, nil for nothing
+}
+
 // loseIntake notes that a page of users' jobs can't be read in its newest version.
 // What was known of it stays known, and so do the jobs that still stand there.
 // The page keeps the version that was last read, so that nothing is written over
 // it.
-func (r *Reader) loseIntake(key string, ids []string, version uint64) {
+func (r *Reader) loseIntake(key string, a Aside, aside bool, version uint64) {
 	p := r.intake[key]
 	if p == nil {
 		p = &intakePage{}
 		r.intake[key] = p
 	}
-	if version <= p.version {
+	if version <= p.version || version <= r.lost[key].version {
 		return
 	}
-	r.lost[key] = version
-	for _, id := range ids {
+	l := lostPage{version: version, aside: aside, from: a.From, of: a.Version}
+	if l.was = r.lost[a.From].was; r.lost[a.From].version != a.Version {
+		l.was = nil
+	}
+	if from := r.intake[a.From]; from != nil && from.version == a.Version && r.lost[a.From].version == 0 {
+		l.was = &Memory{Jobs: slices.Clone(from.rec.Jobs)}
+	}
+	if before := r.lost[key]; before.from == a.From && before.of == a.Version {
+		l.was = before.was // written again as it was
+	}
+	if from := r.intake[a.From]; from != nil && from != p && aside && from.version <= a.Version {
+		// What was known of it has moved here, in a transaction that goes on to put
+		// an empty head in its place.
+		for _, e := range from.rec.Jobs {
+			if j := r.jobs[e.ID]; j != nil && j.home == a.From {
+				j.home = key
+				p.rec.Jobs = append(p.rec.Jobs, e)
+			}
+		}
+	}
+	r.lost[key] = l
+	for _, id := range salvageIDs(a.Raw) {
 		if j := r.job(id); j.version == 0 {
-			j.rec, j.version, j.home = JobRecord{Job: wire.Job{ID: id, Tasks: 1}}, version, key
+			j.rec, j.version, j.home, j.bad = JobRecord{Job: wire.Job{ID: id, Tasks: 1}}, version, key, true
 			p.rec.Jobs = append(p.rec.Jobs, IntakeEntry{ID: id})
 		}
 	}
@@ -135,28 +164,53 @@
 // held. The version is 0 where there is none.
 func (r *Reader) lostWith(id string) (key string, version uint64) {
 	head := HeadKey(r.form.Bucket(id))
-	for key, at := range r.lost {
+	for key, l := range r.lost {
 		if r.form.Buckets == 0 || key == head || strings.HasPrefix(key, head+".") {
-			return key, at
+			return key, l.version
 		}
 	}
 	return "", 0
 }
 
-// lostAt is the version of a page that can't be read, 0 if it can.
-func (r *Reader) lostAt(key string) uint64 {
+// mayAccept says whether an id that this node does not know may be accepted; the
+// lock is held. It may stand on a page that can't be read. Once a leader has set
+// that aside no leader knows it or ever did place it, unless a page of placements
+// says so, which this node reads: those that are placed are known. So nothing but
+// its record is lost, and the user brings that again. Before, a leader may know it
+// still, and may be placing it.
+func (r *Reader) mayAccept(id string) error {
+	if r.formLost {
+		return fmt.Errorf("%w: %s", ErrDamaged, FormKey)
+	}
+	head := HeadKey(r.form.Bucket(id))
+	for key, l := range r.lost {
+		if key != head && !strings.HasPrefix(key, head+".") {
+			continue
+		}
+		if !l.aside || len(r.blind) > 0 {
+			return fmt.Errorf("%w: job %s may stand on %s", ErrDamaged, id, key)
+		}
+	}
+	return nil
+}
+
+// lostAt is the version of a page that can't be read, 0 if it can, and whether it
+// has been set aside.
+func (r *Reader) lostAt(key string) (version uint64, aside bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lost[key]
+	l := r.lost[key]
+	return l.version, l.aside
 }
 
-// known says whether a job is accepted, as last read; the lock is held.
+// known says whether a job is accepted, as last read; the lock is held. Only
+// accepted jobs are placed.
 func (r *Reader) known(id string) bool {
 	if _, ok := r.finals[id]; ok {
 		return true
 	}
 	j := r.jobs[id]
-	return j != nil && j.version != 0
+	return j != nil && (j.version != 0 || len(j.chunks) > 0)
 }
 
 // submission waits for its job to be committed.
@@ -216,6 +270,10 @@
 			r.mu.Unlock()
 			return true, nil
 		}
+		if err := r.mayAccept(j.ID); err != nil {
+			r.mu.Unlock()
+			return false, err
+		}
 		guards := []wire.Guard{{Key: JobKey(j.ID)}, {Key: FinalKey(j.ID)}, {Key: FormKey, Version: r.formAt}}
 		ops := []wire.Op{{Put: JobKey(j.ID), Value: rec}}
 		var q *queue
@@ -430,6 +488,13 @@
 	for try := 0; try < acceptTries && ctx.Err() == nil; try++ {
 		r.mu.Lock()
 		answer(func(s *submission) bool { return r.known(s.entry.ID) }, accepted{known: true})
+		if len(batch) > 0 {
+			if lost := r.mayAccept(batch[0].entry.ID); lost != nil { // and so for all of its bucket
+				r.mu.Unlock()
+				answer(all, accepted{err: lost})
+				return
+			}
+		}
 		if most := r.Limits.jobs(r.each(HeadKey(bucket))); len(batch) > most {
 			// The head has been closed meanwhile, so that each needs more conditions.
 			q.waiting = append(slices.Clone(batch[most:]), q.waiting...)
--- /dev/null
+++ b/ledger/damage.go
@@ -0,0 +1,242 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file tells records that are what was written from those that are not, and
+// has what a leader needs to mend pages of users' jobs. docs/ledger.md ("Records
+// that can't be read") argues why that is safe.
+
+var errNotWritten = errors.New("it is not what was written")
+
+// holds says whether a value is a map that may have that key. What is nothing, or
+// an empty map, decodes as an empty record, and an empty page would forget its jobs.
+func holds(raw wire.Raw, key string) bool {
+	if len(raw) == 0 || raw[0]&0xf0 != 0x80 && raw[0] != 0xde && raw[0] != 0xdf {
+		return false
+	}
+	return bytes.Contains(raw, text(key))
+}
+
+func decode(raw wire.Raw, key string, v any) error {
+	if err := wire.Unmarshal(raw, v); err != nil {
+		return err
+	}
+	if !holds(raw, key) {
+		return errNotWritten
+	}
+	return nil
+}
+
+// DecodeJob reads the record of an unfinished job.
+func DecodeJob(id string, raw wire.Raw) (JobRecord, error) {
+	var rec JobRecord
+	if err := wire.Unmarshal(raw, &rec); err != nil {
+		return rec, fmt.Errorf("job %s: %w", id, err)
+	}
+	if rec.Job.ID != id || rec.Job.Tasks < 1 {
+		return rec, fmt.Errorf("job %s: its record is that of %q, of %d tasks", id, rec.Job.ID, rec.Job.Tasks)
+	}
+	return rec, nil
+}
+
+// DecodeEnd reads the record of a job that is over.
+func DecodeEnd(raw wire.Raw) (JobRecord, error) {
+	var rec JobRecord
+	if err := wire.Unmarshal(raw, &rec); err != nil {
+		return rec, err
+	}
+	if rec.State != wire.JobDone && rec.State != wire.JobCancelled {
+		return rec, errNotWritten
+	}
+	return rec, nil
+}
+
+// DecodeIntake reads a page of users' jobs.
+func DecodeIntake(raw wire.Raw) (IntakeRecord, error) {
+	var rec IntakeRecord
+	err := decode(raw, "s", &rec)
+	return rec, err
+}
+
+// DecodePage reads a page of placement records.
+func DecodePage(raw wire.Raw) (PageRecord, error) {
+	var rec PageRecord
+	err := decode(raw, "c", &rec)
+	return rec, err
+}
+
+// DecodeForm reads the form of the records.
+func DecodeForm(raw wire.Raw) (FormRecord, error) {
+	var rec FormRecord
+	err := decode(raw, "f", &rec)
+	if err == nil && (rec.Form < FormIntake || rec.Buckets < 1) {
+		err = errNotWritten
+	}
+	return rec, err
+}
+
+// IsApp says whether a value may be a door's record, of whichever kind: all are maps
+// that are not empty.
+func IsApp(raw wire.Raw) bool {
+	return len(raw) > 1 && (raw[0] > 0x80 && raw[0] < 0x90 || raw[0] == 0xde || raw[0] == 0xdf)
+}
+
+// asideMark begins an Aside. It stands where a page has a number, so that no
+// version takes it for a page: to all of them it is one that can't be read.
+const asideMark = "aside"
+
+// Aside is a page of users' jobs that can't be read, as a leader has set it aside
+// under the key of a sealed page. From then on no leader knows its jobs, but by what
+// some node remembers of it.
+type Aside struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Mark     string
+	From     string // the key at which it stood
+	Version  uint64 // in which version
+	AtMs     int64  // when, Unix milliseconds by that leader's clock
+	Raw      wire.Raw
+}
+
+// NewAside sets a value aside, whole where there is room for it; else the ids of
+// the jobs that still stand there.
+func NewAside(from string, version uint64, atMs int64, raw wire.Raw, l Limits) Aside {
+	a := Aside{Mark: asideMark, From: from, Version: version, AtMs: atMs, Raw: raw}
+	if size := wire.JSONSize(raw); size >= 21*len(raw) || size+200 > l.valueBytes() { // no value at all, or too large
+		rec := IntakeRecord{}
+		for _, id := range salvageIDs(raw) {
+			rec.Jobs = append(rec.Jobs, IntakeEntry{ID: id, Record: append(bytes.Clone(recordID), text(id)...)})
+		}
+		a.Raw = nil
+		if b, err := wire.Marshal(idsOnly(rec)); err == nil {
+			a.Raw = b
+		}
+	}
+	return a
+}
+
+// idsOnly writes ids so that salvageIDs finds them, within a text.
+func idsOnly(rec IntakeRecord) []byte {
+	var out []byte
+	for _, e := range rec.Jobs {
+		out = append(append(append(out, entryID...), text(e.ID)...), e.Record...)
+	}
+	return out
+}
+
+// DecodeAside reads what was set aside; ok is false for anything else.
+func DecodeAside(raw wire.Raw) (a Aside, ok bool) {
+	if len(raw) == 0 || raw[0]&0xf0 != 0x90 || wire.Unmarshal(raw, &a) != nil || a.Mark != asideMark {
+		return Aside{}, false
+	}
+	return a, true
+}
+
+// ParseIntakeKey takes the key of a page of users' jobs apart; seq is 0 for a head.
+func ParseIntakeKey(key string) (bucket int, seq uint64, ok bool) {
+	if !IsIntake(key) {
+		return 0, 0, false
+	}
+	head, num, sealed := strings.Cut(key[len(intake):], ".")
+	bucket, err := strconv.Atoi(head)
+	if err == nil && sealed {
+		seq, err = strconv.ParseUint(num, 10, 64)
+	}
+	return bucket, seq, err == nil && bucket >= 0
+}
+
+// BucketsBy finds how many buckets there are by where jobs stand: the least
+// number by which all of them stand where they belong, and which is not below least.
+func BucketsBy(pages map[string]IntakeRecord, least int) int {
+	least = max(least, 1)
+	for key := range pages {
+		if b, _, ok := ParseIntakeKey(key); ok {
+			least = max(least, b+1)
+		}
+	}
+	for n := least; n < least+64; n++ {
+		f, fits := FormRecord{Form: FormIntake, Buckets: n}, true
+		for key, rec := range pages {
+			b, _, _ := ParseIntakeKey(key)
+			for _, e := range rec.Jobs {
+				fits = fits && f.Bucket(e.ID) == b
+			}
+		}
+		if fits {
+			return n
+		}
+	}
+	return least
+}
+
+// Memory is what a node remembers of a record in one version of it: just what was
+// written then. One of the two is set.
+type Memory struct {
+	Jobs []IntakeEntry `msgpack:"j"` // of a page of users' jobs
+	Raw  wire.Raw      `msgpack:"r"` // of another record
+}
+
+// Recall says what this node remembers of a record, whether or not it can be read
+// any more; nil where it does not. It is as of a moment after the call.
+func (r *Reader) Recall(ctx context.Context, key string, version uint64) *Memory {
+	if version == 0 || r.sync(ctx) != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.lost[key]; ok {
+		if m := l.was; l.version == version && m != nil {
+			return m
+		}
+		return nil
+	}
+	if p := r.intake[key]; p != nil && p.version == version {
+		return &Memory{Jobs: append([]IntakeEntry{}, p.rec.Jobs...)}
+	}
+	if key == FormKey && r.formAt == version && !r.formLost {
+		return remember(r.form)
+	}
+	if r.detail != nil && strings.HasPrefix(key, Apps) {
+		if e := r.detail.apps[key]; e.Version == version && IsApp(e.Value) {
+			return &Memory{Raw: e.Value}
+		}
+	}
+	if id, ok := ParseJobKey(key); ok {
+		if j := r.jobs[id]; j != nil && j.version == version && j.home == "" && !j.bad {
+			return remember(j.rec)
+		}
+	}
+	return nil
+}
+
+func remember(v any) *Memory {
+	raw, err := wire.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return &Memory{Raw: raw}
+}
+
+// Lost names a page of users' jobs, or the form, that this node can't read and that
+// no leader has set aside yet; "" if there is none.
+func (r *Reader) Lost() (key string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.formLost {
+		return FormKey, r.formAt
+	}
+	for key, l := range r.lost {
+		if !l.aside {
+			return key, l.version
+		}
+	}
+	return "", 0
+}
--- a/ledger/ends.go
+++ b/ledger/ends.go
@@ -79,7 +79,8 @@
 func (r *Reader) tell(a *endAsk, e wire.Entry, err error) {
 	got := endAnswer{err: err, found: err == nil && e.Version != 0}
 	if got.found {
-		if err := wire.Unmarshal(e.Value, &got.rec); err != nil {
+		var err error
+		if got.rec, err = DecodeEnd(e.Value); err != nil {
 			r.unreadable(e.Key, err)
 			if got.rec = (JobRecord{State: salvageState(e.Value)}); got.rec.State == "" {
 				got = endAnswer{err: fmt.Errorf("%w: how job %s ended", ErrDamaged, a.id)}
@@ -200,8 +201,8 @@
 	room := finalMax/2 - len(r.order)
 	r.mu.Unlock()
 	for _, e := range entries[:min(max(room, 0), len(entries))] {
-		var rec JobRecord
-		if id, ok := ParseFinalKey(e.Key); ok && wire.Unmarshal(e.Value, &rec) == nil {
+		rec, err := DecodeEnd(e.Value)
+		if id, ok := ParseFinalKey(e.Key); ok && err == nil {
 			r.keepFinal(id, rec)
 		}
 	}
--- a/ledger/intake.go
+++ b/ledger/intake.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -30,6 +29,9 @@
 // whoever knows the jobs knows it as of the same moment.
 const FormKey = Active + "form"
 
+// FormCopyKey has the same value, for when that can't be read.
+const FormCopyKey = "c/form"
+
 // FormRecord is the value of FormKey; where there is none, the form is FormKeys.
 type FormRecord struct {
 	Form    int `msgpack:"f"`
@@ -104,12 +106,5 @@
 
 // Decode reads a job's record from its page.
 func (e IntakeEntry) Decode() (JobRecord, error) {
-	var rec JobRecord
-	if err := wire.Unmarshal(e.Record, &rec); err != nil {
-		return rec, fmt.Errorf("job %s: %w", e.ID, err)
-	}
-	if rec.Job.ID != e.ID {
-		return rec, fmt.Errorf("job %s: its record is that of %q", e.ID, rec.Job.ID)
-	}
-	return rec, nil
+	return DecodeJob(e.ID, e.Record)
 }
--- a/ledger/known_test.go
+++ b/ledger/known_test.go
@@ -147,6 +147,10 @@
 						t.Errorf("seed %d: of the job that is placed %d tasks are, found %v", seed, v.Placed, found)
 					}
 				}
+				if _, _, err := r.Cancel(t.Context(), cancelled); !errors.Is(err, ledger.ErrDamaged) {
+					t.Errorf("seed %d: cancelled while a node may remember the page: %v", seed, err)
+				}
+				s.set(key, mustMarshal(t, ledger.NewAside(key, s.keys[key].Version, 0, bad, limits)))
 				if final, found, err := r.Cancel(t.Context(), cancelled); final != wire.JobCancelled || !found || err != nil {
 					t.Errorf("seed %d: cancel of %s: %q, %v, %v", seed, cancelled, final, found, err)
 				}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -50,6 +50,7 @@
 	rec     JobRecord
 	version uint64
 	home    string // the page that its record stands on; "": a key of its own
+	bad     bool   // what stands there can't be read
 	chunks  map[int]counts
 }
 
@@ -102,10 +103,13 @@
 	form   FormRecord
 	formAt uint64 // the version of the form's record
 	intake map[string]*intakePage
-	lost   map[string]uint64 // versions of pages of users' jobs that can't be read
-	queues map[int]*queue
-	ctx    context.Context // of Run
-	ended  bool            // by which no writer begins any more
+	lost   map[string]lostPage // pages of users' jobs that can't be read
+	blind  map[int]uint64      // versions of pages of placements that can't be read
+	// formLost: the form's record can't be read, so that nothing is accepted here.
+	formLost bool
+	queues   map[int]*queue
+	ctx      context.Context // of Run
+	ended    bool            // by which no writer begins any more
 
 	writers sync.WaitGroup // of submissions
 }
@@ -114,7 +118,7 @@
 func NewReader(store Store) *Reader {
 	return &Reader{store: store, asks: make(chan chan error, 256),
 		ends:   ends{kick: make(chan struct{}, endReaders)},
-		finals: map[string]JobRecord{}, lost: map[string]uint64{}, queues: map[int]*queue{}}
+		finals: map[string]JobRecord{}, lost: map[string]lostPage{}, blind: map[int]uint64{}, queues: map[int]*queue{}}
 }
 
 // Run answers barriers and commits submissions until ctx ends.
@@ -209,6 +213,7 @@
 	r.loaded, r.rev = true, r.part.rev
 	r.jobs, r.pages, r.intake = map[string]*activeJob{}, map[int]*page{}, map[string]*intakePage{}
 	clear(r.lost)
+	clear(r.blind)
 	r.detail.reset()
 	for _, it := range r.part.items {
 		r.put(it.Key, it.Value, it.Version)
@@ -286,32 +291,37 @@
 func (r *Reader) put(key string, v wire.Raw, version uint64) {
 	if id, ok := ParseJobKey(key); ok {
 		j := r.job(id)
-		var rec JobRecord
 		if version <= j.version {
 			return
 		}
-		if err := wire.Unmarshal(v, &rec); err != nil {
+		rec, err := DecodeJob(id, v)
+		if err != nil {
 			rec = r.damaged(key, id, err)
 		}
-		j.rec, j.version = rec, version
+		j.rec, j.version, j.home, j.bad = rec, version, "", err != nil
 		r.detail.putJob(id, &rec)
 		return
 	}
 	if IsIntake(key) {
-		var rec IntakeRecord
-		if err := wire.Unmarshal(v, &rec); err != nil {
-			r.unreadable(key, err)
-			r.loseIntake(key, salvageIDs(v), version)
+		rec, err := DecodeIntake(v)
+		if err != nil {
+			a, aside := DecodeAside(v)
+			if !aside {
+				r.unreadable(key, err)
+				a = Aside{From: key, Version: version, Raw: v}
+			}
+			r.loseIntake(key, a, aside, version)
 			return
 		}
 		r.setIntake(key, rec, version)
 		return
 	}
 	if key == FormKey && version > r.formAt {
-		if err := wire.Unmarshal(v, &r.form); err != nil {
+		rec, err := DecodeForm(v)
+		if err != nil {
 			r.unreadable(key, err)
 		}
-		r.formAt = version
+		r.form, r.formAt, r.formLost = rec, version, err != nil
 		return
 	}
 	if strings.HasPrefix(key, Apps) {
@@ -319,9 +329,12 @@
 		return
 	}
 	if n, ok := ParsePageKey(key); ok {
-		var rec PageRecord
-		if err := wire.Unmarshal(v, &rec); err != nil {
+		rec, err := DecodePage(v)
+		if err != nil {
 			r.unreadable(key, err)
+			if p := r.pages[n]; p == nil || version > p.version {
+				r.blind[n] = version
+			}
 			return
 		}
 		r.setPage(n, rec.Chunks, version)
@@ -338,6 +351,7 @@
 	if version <= p.version {
 		return
 	}
+	delete(r.blind, n)
 	for _, c := range p.chunks {
 		if j := r.jobs[c.job]; j != nil && j.chunks[c.chunk].page == n {
 			delete(j.chunks, c.chunk)
@@ -403,7 +417,7 @@
 		v.Placed += c.placed
 	}
 	if j.version != 0 {
-		return v, true, r.lost[j.home] != 0
+		return v, true, r.lost[j.home].version != 0
 	}
 	// Only accepted jobs are placed.
 	key, at := r.lostWith(id)
@@ -475,7 +489,13 @@
 		}
 		rec := v.Record
 		rec.State = wire.JobCancelled
-		if lost := r.lostAt(v.home); lost != 0 {
+		if lost, aside := r.lostAt(v.home); lost != 0 {
+			if !aside {
+				// A node that remembers the page would go on calling the job
+				// unfinished: it may cancel it, or a leader sets the page aside,
+				// which all nodes hear of.
+				return "", true, fmt.Errorf("%w: %s", ErrDamaged, v.home)
+			}
 			// Its page stays as it is, and what is final goes before it.
 			_, err = r.store.Commit(ctx,
 				[]wire.Guard{{Key: v.home, Version: lost}, {Key: JobKey(id)}, {Key: FinalKey(id)}},
--- a/mesh/lane_test.go
+++ b/mesh/lane_test.go
@@ -26,6 +26,7 @@
 func (f *far) Report(_ context.Context, r Request) Answer { return f.answer(r) }
 func (f *far) User(context.Context, Request) Answer       { return Answer{} }
 func (f *far) Status(Request) Status                      { return Status{} }
+func (f *far) Recall(context.Context, Request) Answer     { return Answer{} }
 func (f *far) Overview() []byte                           { return nil }
 func (f *far) Machines() []byte                           { return nil }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -25,6 +25,10 @@
 	From string  // the node that asks; of a user's request: that has passed it on to its bucket's node
 	Room int     // how many workers' connections it keeps
 	AgoS float64 // of a report: seconds since the worker's last answer there; negative if not known
+
+	Lost   string // of a status: a record that the node that asks can't read; of a recall: where it stood before
+	LostAt uint64 // in which version
+	At     uint64 // of a recall: the version of the record ID
 }
 
 // Answer is what came of it.
@@ -48,6 +52,7 @@
 	Report(ctx context.Context, r Request) Answer
 	User(ctx context.Context, r Request) Answer
 	Status(asks Request) Status
+	Recall(ctx context.Context, r Request) Answer
 	Overview() []byte
 	Machines() []byte
 }
@@ -87,6 +92,12 @@
 	return m.serve(m.sem, func(ctx context.Context) { *a = m.h.User(ctx, r) })
 }
 
+// Recall says what this node remembers of a record that can't be read any more: 200
+// with a ledger.Memory, or 404.
+func (m *Mesh) Recall(r Request, a *Answer) error {
+	return m.serve(m.sem, func(ctx context.Context) { *a = m.h.Recall(ctx, r) })
+}
+
 // Status says how this node is.
 func (m *Mesh) Status(r Request, s *Status) error {
 	*s = m.h.Status(r)
@@ -274,6 +285,14 @@
 	return a, err
 }
 
+// Recall asks what the node remembers of a record.
+func (p *Peer) Recall(ctx context.Context, r Request) (a Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	err = p.call(ctx, "Recall", r, &a)
+	return a, err
+}
+
 // Status asks how the node is.
 func (p *Peer) Status(ctx context.Context, asks Request) (s Status, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/snapshot/verify.go
+++ b/snapshot/verify.go
@@ -89,8 +89,13 @@
 // job takes in the jobs that stand on a key.
 func (v *verifier) job(key string) {
 	if ledger.IsIntake(key) {
-		var page ledger.IntakeRecord
-		if !v.read(key, &page) {
+		page, err := ledger.DecodeIntake(v.all[key])
+		if a, ok := ledger.DecodeAside(v.all[key]); ok {
+			v.say(key, "what stood at %s can't be read, and was set aside", a.From)
+			return
+		}
+		if err != nil {
+			v.say(key, "can't be read: %v", err)
 			return
 		}
 		if v.form.Form < ledger.FormIntake {
