--- a/controller/load.go
+++ b/controller/load.go
@@ -95,12 +95,13 @@
 	var pages []cluster.IntakePage
 	for _, it := range items {
 		if it.Key == ledger.FormKey {
-			if form, err := ledger.DecodeForm(it.Value); err != nil || form.Form > ledger.Form {
+			form, err := ledger.DecodeForm(it.Value)
+			if err != nil || form.Form > ledger.Form {
 				return ledger.ErrNewer
 			}
-		}
-		if form.Form >= ledger.FormPlan {
-			m.PlanWanted()
+			if form.Form >= ledger.FormPlan {
+				m.PlanWanted()
+			}
 		}
 		if ledger.IsIntake(it.Key) {
 			rec, err := ledger.DecodeIntake(it.Value)
