--- a/cluster/bound.go
+++ b/cluster/bound.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -34,8 +33,6 @@
 	// a time, and a share of how long its room takes to come free.
 	boundSlack = 10 * time.Second
 	boundShare = 0.25
-	aimShare   = 0.1       // of its wait by which a job has its room early if an aim goes before it
-	dropWorth  = 2         // aims are given up for a job that costs less than so many times as much
 	holdLong   = 150       // seconds ahead that room is kept for a job that must begin
 	boundHeads = 100       // jobs are served by the bound in a pass
 	sizesKept  = 200       // of a class's last jobs
@@ -150,11 +147,9 @@
 // verdict is what playing says of a job.
 type verdict struct {
 	latest, must time.Time
-	turn         time.Time     // those that are to begin are served by it
 	alone        time.Duration // until it has its room if it is served first
 	wait         time.Duration // and after all that must begin before it
 	dropped      bool          // it can't be in time beside the others
-	aimed        bool          // its turn is for its aim, which is before the bound
 }
 
 // boundClass plays the jobs of a class that have not begun through, the first
@@ -172,22 +167,15 @@
 		v.alone = config.Seconds(min(at, 2*never.Seconds()))
 		v.latest, v.must = m.latestBegin(k.j)
 		v.dropped = v.alone > never || now.Add(v.alone).After(v.must)
-		v.turn = v.latest
-		if k.j.toBegin() == len(k.j.Tasks) && !v.dropped && k.aim.Before(v.latest) && !now.Add(v.alone).After(k.aim) {
-			v.turn, v.aimed = k.aim, true
-		}
 		order[i] = i
 	}
+	sort.SliceStable(order, func(a, b int) bool { return out[order[a]].latest.Before(out[order[b]].latest) })
 	for drops := 0; ; drops++ {
-		sort.SliceStable(order, func(a, b int) bool { return out[order[a]].turn.Before(out[order[b]].turn) })
 		late := m.playBound(jobs, out, order, all.clone(), now)
 		if late < 0 {
 			break
 		}
-		if m.giveUpAims(jobs, out, order, late, drops >= boundDrops) {
-			continue
-		}
-		if drops < 2*boundDrops {
+		if drops < boundDrops {
 			late = m.costliest(jobs, out, order, late)
 		}
 		out[late].dropped = true
@@ -210,14 +198,13 @@
 			// the time.
 			j.owed = v.latest.Add(m.BeginWithin).Sub(now)-v.alone <= enough(v.alone)
 		}
-		j.latest, j.turn, j.alone, j.hopeless, j.roomless = v.latest, v.turn, v.alone, v.dropped, v.alone > never
+		j.latest, j.alone, j.hopeless, j.roomless = v.latest, v.alone, v.dropped, v.alone > never
 	}
 }
 
 // playBound serves the jobs that are not dropped in their order, and says which
 // is the first that can't be in time, or -1.
 func (m *Model) playBound(jobs []*ranked, out []verdict, order []int, r *rooms, now time.Time) int {
-	aims := false // before this job
 	for _, i := range order {
 		k, v := jobs[i], &out[i]
 		if v.dropped {
@@ -227,15 +214,7 @@
 		n := k.j.toBegin()
 		at, zone := r.first(k.j, n)
 		v.wait = config.Seconds(min(at, 2*never.Seconds()))
-		by := v.must
-		switch {
-		case v.aimed:
-			by, aims = v.turn, true
-		case aims:
-			// An aim is kept only if that leaves the others' bound some margin.
-			by = v.latest.Add(-time.Duration(aimShare * float64(v.wait)))
-		}
-		if now.Add(v.wait).After(by) {
+		if now.Add(v.wait).After(v.must) {
 			return i
 		}
 		r.take(zone, n, at+k.left)
@@ -243,45 +222,6 @@
 	return -1
 }
 
-// giveUpAims is for where a job would be late with aims before it. Of the jobs up
-// to the late one it takes the costliest that has its turn by an aim back to the
-// bound, or drops one that costs dropWorth times as much and is none of the
-// largest of its class. With many it takes back the costlier half of the aims. It
-// says whether there were aims.
-func (m *Model) giveUpAims(jobs []*ranked, out []verdict, order []int, late int, many bool) bool {
-	var aimed []int
-	drop, most := -1, 0.0
-	cost := func(i int) float64 { return float64(jobs[i].j.toBegin()) * jobs[i].left }
-	for _, i := range order {
-		switch v := &out[i]; {
-		case v.aimed:
-			aimed = append(aimed, i)
-		case !v.dropped && cost(i) > most && !m.amongLargest(jobs[i].j):
-			drop, most = i, cost(i)
-		}
-		if i == late {
-			break
-		}
-	}
-	if len(aimed) == 0 {
-		return false
-	}
-	slices.SortStableFunc(aimed, func(a, b int) int { return cmp.Compare(cost(b), cost(a)) })
-	switch {
-	case many:
-		aimed = aimed[:(len(aimed)+1)/2]
-	case most >= dropWorth*cost(aimed[0]):
-		out[drop].dropped = true
-		return true
-	default:
-		aimed = aimed[:1]
-	}
-	for _, i := range aimed {
-		out[i].aimed, out[i].turn = false, out[i].latest
-	}
-	return true
-}
-
 // costliest is the job whose beginning takes the most of those up to the late
 // one, and is none of the largest of its class while there are others.
 func (m *Model) costliest(jobs []*ranked, out []verdict, order []int, late int) int {
@@ -401,38 +341,15 @@
 			if x.hopeless != y.hopeless {
 				return y.hopeless
 			}
-			return x.turn.Before(y.turn)
+			return x.latest.Before(y.latest)
 		})
 		sort.SliceStable(floored, func(a, b int) bool { return floored[a].j.At.Before(floored[b].j.At) })
-		first, rest = m.amongOwed(first, rest)
 		list = append(append(append(list, floored...), first...), rest...)
 		lo = hi
 	}
 	return m.lastCalls(list, now)
 }
 
-// amongOwed moves those of other classes that are still in time for an aim before
-// the gangs whose turn comes later: gangs that must all begin by the bound would
-// else have all the room, as long as there are any. The first tasks of arrays take
-// little, and keep their place. Nothing passes a night's work or an earlier tier.
-func (m *Model) amongOwed(first, rest []*ranked) (with, without []*ranked) {
-	for _, k := range rest {
-		at := len(first)
-		for at > 0 {
-			if o := first[at-1]; !o.owed || !o.j.Gang() || !o.j.turn.After(k.due) || o.j.Spec.Class == k.j.Spec.Class {
-				break
-			}
-			at--
-		}
-		if at < len(first) && !k.missed && !k.putOff && !rest[0].night && k.req.Tier == rest[0].req.Tier {
-			first = slices.Insert(first, at, k)
-		} else {
-			without = append(without, k)
-		}
-	}
-	return first, without
-}
-
 // atMost leaves so many requests, those that the bound has served among them.
 func atMost(list []*ranked, most int) []*ranked {
 	cut := len(list) - most
--- a/cluster/job.go
+++ b/cluster/job.go
@@ -108,7 +108,6 @@
 	owed      bool      // by the bound's last verdict it must hold room, and
 	hopeless  bool      // can't begin in time; latest is when it should have its room
 	latest    time.Time
-	turn      time.Time     // by which jobs that are to begin are served, its latest or its aim
 	alone     time.Duration // until it would have its room if it were served first
 	roomless  bool          // there are not as many places as it needs to begin
 	floored   bool          // must be done for its group's sake
--- a/cluster/order.go
+++ b/cluster/order.go
@@ -74,7 +74,6 @@
 	j      *Job
 	within bool
 	due    time.Time
-	aim    time.Time   // what it was due for before triage
 	later  []time.Time // what it is due for once it is put off
 	missed bool
 	putOff bool // from an aim it could still meet, for others' sake
@@ -166,7 +165,6 @@
 		}
 		k.later, k.missed, k.urgent = m.latestStarts(j, k.left, len(r.Tasks), k.within, now)
 		k.next(now)
-		k.aim = k.due
 		m.nightly(k)
 		k.req.Within, k.req.Hold = k.within, k.urgent && m.rivals(j) || m.precedes(j)
 		out = append(out, k)
--- a/cluster/tiers.go
+++ b/cluster/tiers.go
@@ -199,7 +199,7 @@
 		for at > 0 {
 			o := out[at-1]
 			if !o.req.Owed || o.within != k.within || o.j.Priority != k.j.Priority || o.j.floored ||
-				!o.j.hopeless && !o.j.turn.After(over) || order.Cause(o.req.Cause) == order.ByWait {
+				!o.j.hopeless && !o.j.latest.After(over) || order.Cause(o.req.Cause) == order.ByWait {
 				break
 			}
 			at--
