Places of nights are counted by one loop, failed conditions asked for by slices.Contains

Read again: emptyPlaces and placesToCome differed in one condition; a failed condition was looked for by a loop and, in mending, in a joined text. Behaviour is as before; cluster's tests and the stories of mending, plans, orders and nights ahead pass.

--- a/cluster/ahead.go
+++ b/cluster/ahead.go
@@ -136,14 +136,5 @@
 // placesToCome is as emptyPlaces, with the machines whose reports are late: they are
 // replaced once their leases are over, not before.
 func (m *Model) placesToCome(j *Job, now time.Time) int {
-	n := 0
-	for _, mc := range m.Machines {
-		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
-			continue
-		}
-		if _, boots := m.booting(mc, now); boots || mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() {
-			n += fit(j.Need, m.Types[mc.Type].Cap)
-		}
-	}
-	return n
+	return m.placesOn(j, now, func(mc *Machine) bool { return mc.Up && !mc.Gone && !mc.Returning && mc.Notice.IsZero() })
 }
--- a/cluster/nights.go
+++ b/cluster/nights.go
@@ -412,16 +412,22 @@
 // emptyPlaces is how many tasks like a job's the machines could take that are up
 // or will be, if they had nothing else to do.
 func (m *Model) emptyPlaces(j *Job, now time.Time) float64 {
+	return float64(m.placesOn(j, now, func(mc *Machine) bool { return m.ready(mc, now) }))
+}
+
+// placesOn is how many tasks like a job's the machines could take, if they were
+// empty, that boot or count by themselves.
+func (m *Model) placesOn(j *Job, now time.Time, counts func(*Machine) bool) int {
 	n := 0
 	for _, mc := range m.Machines {
 		if mc.Type < 0 || !j.Types[mc.Type] || mc.Spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != mc.Zone {
 			continue
 		}
-		if _, boots := m.booting(mc, now); boots || m.ready(mc, now) {
+		if _, boots := m.booting(mc, now); boots || counts(mc) {
 			n += fit(j.Need, m.Types[mc.Type].Cap)
 		}
 	}
-	return float64(n)
+	return n
 }
 
 // UnknownEnds lists jobs of nights that an earlier leader left open and that are
--- a/controller/mend.go
+++ b/controller/mend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -369,7 +370,7 @@
 		if errors.As(err, &c) {
 			var still []ledger.IntakeEntry
 			for _, e := range rest {
-				if failed := strings.Join(c.Failed, " ") + " "; !strings.Contains(failed, ledger.JobKey(e.ID)+" ") && !strings.Contains(failed, ledger.FinalKey(e.ID)+" ") {
+				if !slices.Contains(c.Failed, ledger.JobKey(e.ID)) && !slices.Contains(c.Failed, ledger.FinalKey(e.ID)) {
 					still = append(still, e)
 				}
 			}
--- a/controller/stops.go
+++ b/controller/stops.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -84,15 +85,7 @@
 // failedFor says whether a transaction failed for a key.
 func failedFor(err error, key string) bool {
 	var c *state.Conflict
-	if !errors.As(err, &c) {
-		return false
-	}
-	for _, k := range c.Failed {
-		if k == key {
-			return true
-		}
-	}
-	return false
+	return errors.As(err, &c) && slices.Contains(c.Failed, key)
 }
 
 // movesRefused is for a record of moves that was not committed.
