--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -34,7 +34,8 @@
 	asked   int             // puts and deletes
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
-	slow    time.Duration   // that much longer than usual for an answer
+	lagging lagging
+	slow    time.Duration // that much longer than usual for an answer
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
@@ -274,7 +275,7 @@
 	case r.URL.Path == "/kv":
 		s.list(w, r)
 	case r.URL.Path == "/commit":
-		s.commit(w, body)
+		s.commit(w, r, body)
 	case r.URL.Path == "/follow":
 		s.follow(w, r)
 	case r.URL.Path == "/holds":
@@ -367,7 +368,7 @@
 	} `msgpack:"apply"`
 }
 
-func (s *State) commit(w http.ResponseWriter, body []byte) {
+func (s *State) commit(w http.ResponseWriter, r *http.Request, body []byte) {
 	var t txn
 	if msgpack.Unmarshal(body, &t) != nil || len(t.Then) > s.ops || len(t.If) > 4*s.ops || jsonSize(body) > wire.MaxBody {
 		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
@@ -391,6 +392,21 @@
 		s.mu.Lock()
 		s.expire()
 	}
+	if by, unanswered := s.lagging.draw(len(t.Then)); unanswered {
+		if by > 0 {
+			s.mu.Unlock()
+			time.Sleep(by)
+			s.mu.Lock()
+			s.expire()
+		}
+		defer func() { // after it was carried out
+			s.lagging.carriedOut++
+			s.mu.Unlock()
+			<-r.Context().Done()
+			s.mu.Lock()
+		}()
+		w = unheard{w}
+	}
 	for _, op := range t.Then {
 		if op.Lease != 0 && s.leases[op.Lease] == nil {
 			reply(w, http.StatusBadRequest, wire.Error{Error: "no such lease"})
