A term that was given up stays so, whatever renewal was under way

Term.Resign set the time to 0 and Extend set it again: a renewal that was under way when a worker showed a higher token, or when a page could not be read, made the term valid until the lease's end. The lease is ended next, which may take 2 s where the answer is late, and another leader may be elected meanwhile: two answered workers. Valid asks whether the term was given up.

--- a/election/election.go
+++ b/election/election.go
@@ -40,10 +40,11 @@
 	Token uint64
 	Since time.Time
 
-	lease   uint64
-	validTo atomic.Int64 // nanoseconds since Since
-	resign  chan struct{}
-	once    sync.Once
+	lease    uint64
+	validTo  atomic.Int64 // nanoseconds since Since
+	resigned atomic.Bool
+	resign   chan struct{}
+	once     sync.Once
 }
 
 // NewTerm makes a term that is not valid yet.
@@ -52,14 +53,18 @@
 }
 
 // Valid says whether this node may act as the leader now.
-func (t *Term) Valid() bool { return int64(time.Since(t.Since)) < t.validTo.Load() }
+func (t *Term) Valid() bool {
+	return !t.resigned.Load() && int64(time.Since(t.Since)) < t.validTo.Load()
+}
 
-// Extend makes the term valid until then.
+// Extend makes the term valid until then, unless it was given up: a renewal that
+// was under way meanwhile must not bring it back, since its lease ends next and
+// another leader may be elected.
 func (t *Term) Extend(until time.Time) { t.validTo.Store(int64(until.Sub(t.Since))) }
 
-// Resign gives the leadership up.
+// Resign gives the leadership up, for good.
 func (t *Term) Resign() {
-	t.validTo.Store(0)
+	t.resigned.Store(true)
 	t.once.Do(func() { close(t.resign) })
 }
 
