Settings whose cancel_s leaves no time for the gap are refused at the start

A leader that has not heard of a cancellation answers workers for as long as its lease, and each of them keeps its tasks for its own lease from then, by clocks that may be slow. Where cancel_s lies less than 2 s above lease_s no leader could keep its lease; where lease_s is so long that drift takes what is left, the rule would be broken. Both are named by config.Parse. The sum moves from controller to config, where it is checked.

--- a/cluster/model.go
+++ b/cluster/model.go
@@ -92,7 +92,7 @@
 // New makes an empty model.
 func New(cfg *config.Settings, token uint64, now time.Time, log *slog.Logger) *Model {
 	m := &Model{
-		Token: token, Takeover: now, Zones: cfg.Cluster.Zones, cfg: cfg, log: log, drift: 0.0005,
+		Token: token, Takeover: now, Zones: cfg.Cluster.Zones, cfg: cfg, log: log, drift: config.Drift,
 		zoneIdx: map[string]int{}, teamIdx: map[string]int{}, typeIdx: map[string]int{},
 		machineIdx: map[string]int32{}, jobIdx: map[string]int32{}, imageIdx: map[string]int32{},
 		refused: map[offerKey]time.Time{}, Cycles: map[string]*Cycle{}, classes: map[string]*class{}, done: map[string]int{}, intakes: map[string]*intake{},
--- a/config/config.go
+++ b/config/config.go
@@ -144,6 +144,9 @@
 	positive(w.GangWaitS, "cluster", "workers", "gang_wait_s")
 	positive(w.GangPeerS, "cluster", "workers", "gang_peer_s")
 	need(w.CancelS > w.LeaseS, "must be above lease_s", "cluster", "workers", "cancel_s")
+	if err := w.checkGap(); w.CancelS > w.LeaseS && err != nil {
+		errs = append(errs, fmt.Errorf("settings: cluster.workers.cancel_s %w", err))
+	}
 	st := s.Cluster.State
 	positive(st.RPS, "cluster", "state", "rps")
 	positive(st.WriteRPS, "cluster", "state", "write_rps")
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -47,6 +47,9 @@
 		{`lease_s = 12.0`, `lease_s = -1.0`, "cluster.workers.lease_s"},
 		{`cancel_s = 32.0`, `cancel_s = 12.0`, "cluster.workers.cancel_s"},
 		{`size = 1`, `size = "three"`, "size"},
+		{`cancel_s = 32.0`, `cancel_s = 13.9`, "must be 2 s above lease_s"},
+		{"lease_s = 12.0\ngang_wait_s = 50.0\ngang_peer_s = 8.0\ncancel_s = 32.0",
+			"lease_s = 4000.0\ngang_wait_s = 50.0\ngang_peer_s = 8.0\ncancel_s = 4003.0", "too near to lease_s"},
 		{`txn_ops = 12`, `txn_ops = 0`, "cluster.state.txn_ops"},
 		{`state = "s:1"`, `state = ""`, "services.state"},
 	} {
--- a/controller/node.go
+++ b/controller/node.go
@@ -40,9 +40,6 @@
 // RealNetwork is the machine's.
 func RealNetwork() Network { return Network{Dial: call.Dialer(), Listen: net.Listen} }
 
-// drift is how far two steady clocks drift apart, as a share.
-const drift = 0.0005
-
 // Node is one controller node.
 type Node struct {
 	cfg    *config.Settings
@@ -145,31 +142,12 @@
 	}
 	w := cfg.Cluster.Workers
 	n.elector = &election.Elector{
-		Store: n.state, Self: cfg.Node, TTL: config.Seconds(leaderTTL(w)), Drift: drift, Log: log,
+		Store: n.state, Self: cfg.Node, TTL: config.Seconds(w.LeaderLeaseS()), Drift: config.Drift, Log: log,
 		Lead: n.runLeader, CatchUp: n.catchUp, Seen: n.seen,
 	}
 	return n
 }
 
-// outlast is how long an outage of the state service workers should survive, in
-// seconds; findNext is how long a worker that loses its leader looks for the
-// next one: a node that answers nothing costs it 4 s of its lease.
-const (
-	outlast  = 32
-	findNext = 3.5
-)
-
-// leaderTTL is the time of the leader's lease, in seconds. At most, it leaves the
-// tasks of a cancelled job to end in time. Below that it is as long as lets
-// workers outlast an outage (their last answer comes when it ends, their last
-// answered report up to an interval before), but not so long that a worker whose
-// leader is gone without a word loses its own lease meanwhile; and else as short
-// as can be, since it is what a change of leader costs.
-func leaderTTL(w config.Workers) float64 {
-	most := min((w.CancelS-w.LeaseS)/2, w.LeaseS-w.ReportS-findNext)
-	return min((w.CancelS-w.LeaseS)/2, max(5, min(most, outlast+w.ReportS-w.LeaseS)))
-}
-
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
