Stories of the gap: cancelled while the leader is refused, then an outage for all

The stories put the refusal, the cancellation and the outage around each other in fractions of a second, with a leader that stands still or is cut off, a machine that hangs, launches and direct commands under way and a slow service, for the times of three deployments. Each fails where its troubles miss each other, and holds the last task to the bound that config computes, by a clock of its own. The fakes answer late after carrying out, and say who reported where and when a key came.

--- /dev/null
+++ b/controller/gap_test.go
@@ -0,0 +1,376 @@
+package controller_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories of the gap: the state service refuses the leader alone, another node
+// confirms cancellations, and then the service is out for all, longer than cancel_s,
+// while workers go on reporting to the leader that has not heard of them.
+
+// gap is one meeting of these troubles.
+type gap struct {
+	report, lease float64 // of the workers; cancel_s lies 20 s above the lease
+
+	refuse time.Duration // when the leader is refused, from when the jobs are cancelled
+	again  time.Duration // if set, it is served for 300 ms this long after that, and refused again
+	outage time.Duration // when the service is out, from the last confirmation
+	beyond time.Duration // by how much the outage is longer than cancel_s
+	cut    bool          // the leader is cut from the service and the nodes instead of refused
+
+	stopAt, stopFor time.Duration // when the leader stands still, from the last confirmation, and for how long
+	hangAt, hangFor time.Duration // when a machine hangs, from when the jobs are cancelled, and for how long
+	late            time.Duration // how long before they are cancelled one more job is submitted; 0: none
+	hold            bool          // direct commands are held back, and come when all is over
+	slow            time.Duration // that much longer until the service carries a request out
+	slowAnswers     time.Duration // and from then until it answers
+
+	stays time.Duration // for how long the leader is refused after the outage
+
+	heard bool // the leader may have heard of the cancellations before it was refused
+	next  bool // the old leader's lease ends before the outage begins
+}
+
+const (
+	gapTasks  = 4 // of the array that is cancelled
+	gapOthers = 4 // of the job that nobody cancels
+)
+
+// gapJobs are the jobs that are cancelled: an array, a gang that would save, and one
+// whose launches may be under way.
+func gapJobs(g gap) []wire.Job {
+	jobs := []wire.Job{
+		job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = gapTasks, 2, 3600 }),
+		job(2, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs, j.EstimateS, j.SaveS = 2, 2, 3600, 5 }),
+	}
+	if g.late > 0 {
+		jobs = append(jobs, job(4, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = gapTasks, 1, 3600 }))
+	}
+	return jobs
+}
+
+// lastOn notes when each of the jobs was last seen with a task on a machine.
+func lastOn(w *fake.World, jobs []wire.Job, last map[string]time.Time) {
+	for _, j := range jobs {
+		for i := range j.Tasks {
+			if len(w.On(wire.TaskName(j.ID, i))) > 0 {
+				last[j.ID] = time.Now()
+			}
+		}
+	}
+}
+
+// tell tells the story; others is how many tasks ended that nobody had cancelled.
+func (g gap) tell(t *testing.T, seed uint64) (others int) {
+	o := fake.Options{Machines: 4, Capacity: 4, Seed: seed, Gap: g.report, Lease: g.lease}
+	story(t, o, func(t *testing.T, w *fake.World) {
+		times := w.Settings.Cluster.Workers
+		cancelS := time.Duration(times.CancelS * float64(time.Second))
+		jobs := gapJobs(g)
+		mustSubmit(t, w, jobs[0], jobs[1],
+			job(3, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = gapOthers, 3, 3600 }))
+		running := jobs[0].Tasks + jobs[1].Tasks + gapOthers
+		if !tell.Until(40*time.Second, 500*time.Millisecond, func() bool { return w.Running() == running }) {
+			t.Fatalf("%d of %d tasks run", w.Running(), running)
+		}
+		time.Sleep(3 * time.Second)
+		l := w.Leader()
+		other, name := (l+1)%3, fmt.Sprintf("n-%d", l)
+		key := bytes.Clone(w.State.Value("ctl/leader"))
+		if _, kept := w.Reported(l, time.Now().Add(-2*time.Duration(times.ReportS*float64(time.Second)))); kept != 4 {
+			t.Fatalf("%d of 4 machines report to the leader", kept)
+		}
+		started := w.Started()
+		w.State.Slow(g.slow)
+		w.State.SlowAnswers(g.slowAnswers)
+		if g.slow+g.slowAnswers > 0 {
+			time.Sleep(5 * time.Second)
+		}
+		hung := w.On(wire.TaskName(jobs[0].ID, 0))[0]
+		if g.hold {
+			for _, m := range w.Cloud.Machines() {
+				w.HoldDirect(m)
+			}
+		}
+		refuse := func(on bool) {
+			if g.cut {
+				w.KeepOnlyWorkers(l, on)
+			} else {
+				w.State.Refuse(name, on)
+			}
+		}
+		var wg sync.WaitGroup
+		asked := time.Now().Add(6 * time.Second) // when the users cancel
+		at := func(when time.Duration, do func()) {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				time.Sleep(time.Until(asked.Add(when)))
+				do()
+			}()
+		}
+		if g.late > 0 {
+			at(-g.late, func() {
+				for !w.Submit(jobs[2]) {
+				}
+			})
+		}
+		refused := asked.Add(g.refuse)
+		at(g.refuse, func() { refuse(true) })
+		if g.again > 0 {
+			at(g.refuse+g.again, func() { refuse(false) })
+			at(g.refuse+g.again+300*time.Millisecond, func() { refuse(true) })
+		}
+		if g.hangFor > 0 {
+			at(g.hangAt, func() { w.Hang(hung, true) })
+			at(g.hangAt+g.hangFor, func() { w.Hang(hung, false) })
+		}
+		time.Sleep(time.Until(asked))
+		var confirming sync.WaitGroup
+		for _, j := range jobs {
+			confirming.Add(1)
+			go func() {
+				defer confirming.Done()
+				for end := time.Now().Add(20 * time.Second); w.Cancelled(j.ID).IsZero() && time.Now().Before(end); {
+					if w.CancelAt(w.Bind(other), j.ID) == "" {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+			}()
+		}
+		confirming.Wait()
+		// From here on by this story's own clock: the checker's begins anew with
+		// each breach.
+		confirmed, last := map[string]time.Time{}, map[string]time.Time{}
+		var latest time.Time
+		for _, j := range jobs {
+			c := w.Cancelled(j.ID)
+			if c.IsZero() {
+				t.Fatalf("no other node cancels %s", j.ID)
+			}
+			committed := w.State.Born(ledger.FinalKey(j.ID))
+			if committed.IsZero() || committed.After(c) {
+				t.Fatalf("%s was confirmed at %v and committed at %v", j.ID, c, committed)
+			}
+			if !g.heard && committed.Before(refused) {
+				t.Errorf("no meeting: %s was cancelled %v before the leader was refused", j.ID, refused.Sub(committed))
+			}
+			confirmed[j.ID] = c
+			if c.After(latest) {
+				latest = c
+			}
+		}
+		if !g.next && !bytes.Equal(w.State.Value("ctl/leader"), key) {
+			t.Error("no meeting: the leader was another one when the jobs were cancelled")
+		}
+		// Users ask all nodes, the old leader as well; the checker sees to what they say.
+		end := latest.Add(g.outage + cancelS + g.beyond)
+		for i := range 3 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for time.Now().Before(end) {
+					w.Poll(w.Bind(i), jobs[0].ID)
+					time.Sleep(700 * time.Millisecond)
+				}
+			}()
+		}
+		if g.stopFor > 0 {
+			at(latest.Add(g.stopAt).Sub(asked), func() { w.Stop(l, true) })
+			at(latest.Add(g.stopAt+g.stopFor).Sub(asked), func() { w.Stop(l, false) })
+		}
+		var out, back time.Time
+		var led []byte
+		at(latest.Add(g.outage).Sub(asked), func() {
+			w.State.SetOutage(true)
+			out, led = time.Now(), bytes.Clone(w.State.Value("ctl/leader"))
+		})
+		at(end.Sub(asked), func() {
+			back = time.Now()
+			w.State.Slow(0)
+			w.State.SlowAnswers(0)
+			w.State.SetOutage(false)
+		})
+		at(end.Add(g.stays).Sub(asked), func() { refuse(false) })
+		for time.Now().Before(end) || time.Since(latest) < cancelS {
+			lastOn(w, jobs, last)
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		if g.next == bytes.Equal(led, key) {
+			t.Error("no meeting: in the outage the leader's key is not as it should be")
+		}
+		if g.beyond >= 0 && back.Sub(out) < cancelS {
+			t.Errorf("no meeting: the outage lasted %v", back.Sub(out))
+		}
+		answered, kept := w.Reported(l, latest)
+		if answered == 0 {
+			t.Error("no meeting: no worker reported to the old leader after the confirmations")
+		}
+		// Renewed at the latest a fifth of its lease before it was refused, it is sure
+		// for half of its lease more at least, if nothing holds it up.
+		half := time.Duration(times.LeaderLeaseS() / 2 * float64(time.Second))
+		if g.slow+g.slowAnswers+g.stopFor == 0 && latest.Sub(refused)+time.Duration(1.25*times.ReportS*float64(time.Second)) < half && kept == 0 {
+			t.Error("no meeting: the old leader answered no worker after the confirmations")
+		}
+		most := time.Duration(0)
+		for _, j := range jobs {
+			if last[j.ID].IsZero() {
+				if j.ID != "wk-000004" {
+					t.Errorf("no meeting: no task of %s was on a machine when it was confirmed", j.ID)
+				}
+				continue
+			}
+			took := last[j.ID].Sub(confirmed[j.ID])
+			most = max(most, took)
+			if !g.heard && !g.next && took < 2*time.Second {
+				t.Errorf("no meeting: all tasks of %s were gone %v after it was confirmed: the leader has learnt of it", j.ID, took)
+			}
+			if took > time.Duration(times.GoneWithinS()*float64(time.Second)) {
+				t.Errorf("%s was on a machine %v after it was confirmed cancelled: more than %.2f s (cancel_s is %g)",
+					j.ID, took, times.GoneWithinS(), times.CancelS)
+			}
+		}
+		t.Logf("the last cancelled task was there for %.2f s of %.2f s (cancel_s %g); the old leader answered %d machines, %d of them with 200; %d leases ended",
+			most.Seconds(), times.GoneWithinS(), times.CancelS, answered, kept, w.Expired())
+		for _, m := range w.Cloud.Machines() {
+			w.DeliverDirect(m)
+		}
+		mustSubmit(t, w, job(5, nil))
+		mustReach(t, w, "wk-000005", wire.JobDone, 2*time.Minute)
+		if !tell.Until(time.Minute, time.Second, func() bool { return w.Running() == gapOthers }) {
+			t.Errorf("%d of the %d tasks run that nobody cancelled", w.Running(), gapOthers)
+		}
+		for _, j := range jobs {
+			mustReach(t, w, j.ID, wire.JobCancelled, 10*time.Second)
+		}
+		others = w.Started() - started - 2
+		if g.late > 0 {
+			others -= jobs[2].Tasks // each of them started once at most
+		}
+		if others > gapOthers {
+			t.Errorf("%d starts of %d tasks that nobody cancelled: each starts again once at most", others, gapOthers)
+		}
+	})
+	return others
+}
+
+const ms = time.Millisecond
+
+// deployments are the workers' times of the users' sites.
+var deployments = []struct{ report, lease float64 }{{1.5, 12}, {4, 22}, {5, 27}}
+
+// manySeeds says how many seeds are asked for beyond those that are always played.
+func manySeeds() (n uint64, many bool) {
+	n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64)
+	return n, err == nil
+}
+
+// The moments that matter, one by one.
+func TestCancelledInTheGap(t *testing.T) {
+	_, many := manySeeds()
+	for i, c := range []struct {
+		name string
+		g    gap
+	}{
+		{"refused at once with the cancellation", gap{refuse: 0, outage: time.Second, heard: true}},
+		{"refused just before", gap{refuse: -30 * ms, outage: time.Second}},
+		{"refused a quarter of a second before", gap{refuse: -250 * ms, outage: time.Second}},
+		{"refused two seconds before, out at once", gap{refuse: -2 * time.Second, outage: 0}},
+		{"refused just after", gap{refuse: 20 * ms, outage: time.Second, heard: true, hold: true}},
+		{"refused a quarter of a second after", gap{refuse: 250 * ms, outage: time.Second, heard: true, hold: true}},
+		{"out just before the leader's lease would end", gap{refuse: -3 * time.Second, outage: 2200 * ms}},
+		{"out for just less than cancel_s", gap{refuse: -100 * ms, outage: time.Second, beyond: -500 * ms}},
+		{"out for three times cancel_s", gap{refuse: -100 * ms, outage: time.Second, beyond: 64 * time.Second}},
+		{"refused twice", gap{refuse: -1500 * ms, again: time.Second, outage: time.Second}},
+		{"served again just after, and refused", gap{refuse: -300 * ms, again: 600 * ms, outage: time.Second, heard: true}},
+		{"cut from the other nodes too", gap{refuse: -400 * ms, outage: time.Second, cut: true}},
+		{"the leader stands still across its lease's end", gap{refuse: -100 * ms, outage: 500 * ms, stopAt: 2 * time.Second, stopFor: 9 * time.Second}},
+		{"the leader stands still, and for longer", gap{refuse: -100 * ms, outage: 500 * ms, stopAt: 6 * time.Second, stopFor: 25 * time.Second}},
+		{"a machine hangs over the confirmation", gap{refuse: -100 * ms, outage: time.Second, hangAt: -300 * ms, hangFor: 9 * time.Second}},
+		{"a machine hangs within its last lease", gap{refuse: -100 * ms, outage: time.Second, hangAt: 5 * time.Second, hangFor: 10 * time.Second}},
+		{"launches under way", gap{refuse: -100 * ms, outage: time.Second, late: 300 * ms, hold: true}},
+		{"launches under way, and the leader refused before", gap{refuse: -900 * ms, outage: time.Second, late: time.Second}},
+		{"the service slow", gap{refuse: -100 * ms, outage: 100 * ms, slow: 400 * ms}},
+		{"the service's answers slow", gap{refuse: -100 * ms, outage: 100 * ms, slowAnswers: 700 * ms}},
+		{"the leader refused for longer", gap{refuse: -100 * ms, outage: time.Second, stays: 20 * time.Second}},
+		{"out while the next leader is elected", gap{refuse: -6 * time.Second, outage: 1200 * ms, next: true}},
+		{"out after the next leader was elected", gap{refuse: -6 * time.Second, outage: 5 * time.Second, next: true}},
+	} {
+		for k, d := range deployments {
+			if k != i%len(deployments) && !many {
+				continue // all of them with STORY_SEEDS
+			}
+			g := c.g
+			g.report, g.lease = d.report, d.lease
+			if g.next && k > 0 {
+				g.refuse -= 3 * time.Second // the leader's lease is 10 s there, not 7 s
+			}
+			t.Run(fmt.Sprintf("%s, lease %g s", c.name, g.lease), func(t *testing.T) { g.tell(t, 1) })
+		}
+	}
+}
+
+// The same, around each moment in steps of a fraction of a second.
+func TestCancelledSomewhereInTheGap(t *testing.T) {
+	seeds := uint64(6)
+	if n, many := manySeeds(); many {
+		seeds = n
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		g := randomGap(rand.New(rand.NewPCG(seed, 31)))
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Logf("%+v", g)
+			g.tell(t, seed)
+		})
+	}
+}
+
+func randomGap(rnd *rand.Rand) gap {
+	within := func(from, to time.Duration) time.Duration {
+		return from + time.Duration(rnd.Int64N(int64(to-from)/int64(10*ms)))*10*ms
+	}
+	d := deployments[rnd.IntN(len(deployments))]
+	g := gap{report: d.report, lease: d.lease}
+	// The leader stays the leader: its lease of 7 s or 10 s was renewed at most 2 s
+	// before it was refused.
+	g.refuse, g.outage = within(-2500*ms, 300*ms), within(0, 1800*ms)
+	g.heard = g.refuse > -20*ms
+	g.beyond = within(-time.Second, 40*time.Second)
+	g.cut, g.hold = rnd.IntN(4) == 0, rnd.IntN(3) == 0
+	if rnd.IntN(4) == 0 {
+		g.again = within(100*ms, 1500*ms)
+		g.heard = true
+	}
+	if rnd.IntN(3) == 0 {
+		g.stopAt, g.stopFor = within(0, 8*time.Second), within(time.Second, 20*time.Second)
+	}
+	if rnd.IntN(3) == 0 {
+		g.hangAt, g.hangFor = within(-time.Second, 8*time.Second), within(time.Second, 14*time.Second)
+	}
+	if rnd.IntN(3) == 0 {
+		g.late = within(50*ms, 1500*ms)
+	}
+	if rnd.IntN(3) == 0 {
+		g.stays = within(0, 20*time.Second)
+	}
+	switch rnd.IntN(5) {
+	case 0:
+		g.slow = within(50*ms, 300*ms)
+	case 1:
+		g.slowAnswers = within(50*ms, 300*ms)
+	}
+	return g
+}
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -240,6 +240,9 @@
 	if m.dead {
 		return true
 	}
+	if err == nil {
+		m.w.reached[reach{node.name, m.name}] = at
+	}
 	if err != nil || status != http.StatusOK {
 		var to wire.Redirect
 		if err == nil && status == http.StatusMisdirectedRequest && wire.Unmarshal(body, &to) == nil {
@@ -260,6 +263,7 @@
 	}
 	m.sawToken(a.Token, at)
 	m.renewed = at
+	m.w.kept200[reach{node.name, m.name}] = at
 	m.execute(a.Commands, time.Now())
 	return true
 }
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -35,12 +35,14 @@
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
 	lagging lagging
-	slow    time.Duration // that much longer than usual for an answer
+	slow    time.Duration // that much longer than usual until a request is carried out
+	held    time.Duration // that much longer than usual from then until it is answered
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
 	busy    int // requests refused for being too many
 	breaks  func(format string, args ...any)
+	born    map[string]time.Time // when a key that was not there was put
 }
 
 // LimitRequests makes the service refuse what is more than so many requests a
@@ -59,7 +61,7 @@
 // NewState makes an empty state service.
 func NewState(txnOps int) *State {
 	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, next: 1,
-		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps}
+		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps, born: map[string]time.Time{}}
 }
 
 // SetOutage begins or ends an outage; at its end leases have their full time.
@@ -95,6 +97,27 @@
 	s.late = by
 }
 
+// SlowAnswers makes every answer take that much longer than usual after its request
+// was carried out: what it says is as old when it comes.
+func (s *State) SlowAnswers(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = by
+}
+
+// answerLater keeps an answer until it is sent.
+type answerLater struct {
+	http.ResponseWriter
+	status int
+	body   []byte
+}
+
+func (a *answerLater) Write(b []byte) (int, error) {
+	a.body = append(a.body, b...)
+	return len(b), nil
+}
+func (a *answerLater) WriteHeader(status int) { a.status = status }
+
 // Slow makes every answer take that much longer than the usual 4 ms.
 func (s *State) Slow(by time.Duration) {
 	s.mu.Lock()
@@ -188,6 +211,13 @@
 	})
 }
 
+// Born is when a key that was not there was last put; zero: never.
+func (s *State) Born(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born[key]
+}
+
 // Value is what a key holds.
 func (s *State) Value(key string) []byte {
 	s.mu.Lock()
@@ -249,9 +279,23 @@
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
-	slow := s.slow
+	slow, held := s.slow, s.held
 	s.mu.Unlock()
 	time.Sleep(4*time.Millisecond + slow)
+	if held == 0 {
+		s.serve(w, r, body)
+		return
+	}
+	a := &answerLater{ResponseWriter: w}
+	s.serve(a, r, body)
+	time.Sleep(held)
+	if a.status != 0 {
+		w.WriteHeader(a.status)
+	}
+	_, _ = w.Write(a.body)
+}
+
+func (s *State) serve(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outage || s.refuse[nodeOf(r)] {
@@ -435,6 +479,9 @@
 				}
 				continue
 			}
+			if _, ok := s.keys[op.Put]; !ok {
+				s.born[op.Put] = time.Now()
+			}
 			s.keys[op.Put] = wire.Entry{Key: op.Put, Value: op.Value, Version: s.rev, Lease: op.Lease}
 			s.log = append(s.log, wire.Event{Put: op.Put, Value: op.Value, Version: s.rev})
 		}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -146,17 +146,9 @@
 
 // Cancel cancels a job, for a minute, and returns the final state.
 func (w *World) Cancel(id string) string {
-	w.mu.Lock()
-	if j := w.jobs[id]; j != nil {
-		j.asked = true
-	}
-	w.mu.Unlock()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
-		status, body := w.post(w.Any(), wire.PathJobs+"/"+id+"/cancel", nil)
-		var s wire.JobStatus
-		if status == http.StatusOK && wire.Unmarshal(body, &s) == nil {
-			w.told(id, s.State)
-			return s.State
+		if s := w.CancelAt(w.Any(), id); s != "" {
+			return s
 		}
 		if !call.Pause(w.ctx, time.Second) {
 			break
@@ -165,6 +157,33 @@
 	return ""
 }
 
+// CancelAt asks a node once to cancel a job, and returns the final state; "" where
+// there was no such answer.
+func (w *World) CancelAt(addr, id string) string {
+	w.mu.Lock()
+	if j := w.jobs[id]; j != nil {
+		j.asked = true
+	}
+	w.mu.Unlock()
+	status, body := w.post(addr, wire.PathJobs+"/"+id+"/cancel", nil)
+	var s wire.JobStatus
+	if status != http.StatusOK || wire.Unmarshal(body, &s) != nil {
+		return ""
+	}
+	w.told(id, s.State)
+	return s.State
+}
+
+// Cancelled is when a job's user was told that it is cancelled; zero: not yet.
+func (w *World) Cancelled(id string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if j := w.jobs[id]; j != nil {
+		return j.cancelled
+	}
+	return time.Time{}
+}
+
 // Await polls until a job is in a state, at most for a while.
 func (w *World) Await(id, state string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,9 +39,11 @@
 	hc        *http.Client
 
 	mu       sync.Mutex
-	copying  int               // one in so many reports is copied; 0: none
-	copies   int               // on their way
-	kept     map[string][]byte // a report of each machine, for stories of late ones
+	copying  int                 // one in so many reports is copied; 0: none
+	copies   int                 // on their way
+	kept     map[string][]byte   // a report of each machine, for stories of late ones
+	reached  map[reach]time.Time // when a machine last sent a report that a node answered
+	kept200  map[reach]time.Time // and one whose 200 it took
 	rnd      *rand.Rand
 	jobs     map[string]*job
 	here     map[string]map[*machine]bool // tasks that have their image, by name
@@ -140,7 +142,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	w := &World{Net: NewNet(), State: NewState(12), ctx: ctx, end: end, log: o.Log, yarn: o.YARN, watch: o.Metrics, noSummons: o.NoSummons,
 		rnd: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*job{}, here: map[string]map[*machine]bool{},
-		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, kept: map[string][]byte{}, fetching: map[string]bool{}}
+		gangs: map[taskKey]*gang{}, progress: map[string]float64{}, ran: map[string]int{}, kept: map[string][]byte{}, reached: map[reach]time.Time{}, kept200: map[reach]time.Time{}, fetching: map[string]bool{}}
 	w.State.breaks = w.breaks
 	w.Cloud = &Cloud{w: w, types: o.Types, capacity: o.Capacity, lag: 5 * time.Second,
 		answers: map[string][]string{}, machines: map[string]*machine{}}
@@ -658,6 +660,27 @@
 	return n
 }
 
+// reach is a node and a machine that reports to it.
+type reach struct{ node, machine string }
+
+// Reported is how many machines a node has answered since then, and how many of them
+// have taken a 200 of it: reports that were sent since.
+func (w *World) Reported(i int, since time.Time) (answered, kept int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r, at := range w.reached {
+		if r.node == w.nodes[i].name && at.After(since) {
+			answered++
+		}
+	}
+	for r, at := range w.kept200 {
+		if r.node == w.nodes[i].name && at.After(since) {
+			kept++
+		}
+	}
+	return answered, kept
+}
+
 // CutZone cuts the machines of a zone off from every node, or heals that.
 func (w *World) CutZone(zone string, on bool) {
 	for _, name := range w.Cloud.Machines() {
