A known job is named by a submission that can't be decoded whole

A repeated submission that was cut off, too large or had something after its map was answered 400 although its job was accepted: its id was read only from what could be decoded whole. The id is now found in such a body as well, and a known one is answered 200 with its state, as for any other fault of the body. An unknown one stays 400.

--- a/controller/users.go
+++ b/controller/users.go
@@ -77,13 +77,10 @@
 	}
 	req := mesh.Request{Op: op, ID: r.PathValue("id")}
 	if op == opSubmit {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+		// One byte over the limit shows what is too large, and may have a known id.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody+1))
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			writeError(w, http.StatusBadRequest, "body over 64 KiB", 0)
-			return
-		}
-		if err != nil {
+		if err != nil && !errors.As(err, &large) {
 			return // the client is gone
 		}
 		req.Body = body
--- a/wire/submission.go
+++ b/wire/submission.go
@@ -61,9 +61,12 @@
 // DecodeJob reads a submission. Where it is malformed, the id is returned all
 // the same if it could be read, since a known id is never refused.
 func DecodeJob(body []byte) (Job, error) {
+	if len(body) > MaxBody {
+		return Job{ID: salvageID(body)}, fmt.Errorf("%w: body over 64 KiB", ErrMalformed)
+	}
 	m, err := decodeFields(body)
 	if err != nil {
-		return Job{}, fmt.Errorf("%w: not a MessagePack map with text keys: %v", ErrMalformed, err)
+		return Job{ID: salvageID(body)}, fmt.Errorf("%w: not a MessagePack map with text keys: %v", ErrMalformed, err)
 	}
 	f := fields{m: m}
 	var j Job
@@ -102,6 +105,28 @@
 	return j, f.err
 }
 
+// salvageID finds the id in a body that can't be decoded whole; "" where there is
+// none. A job that is accepted stays so whatever a repeated submission looks like.
+func salvageID(body []byte) string {
+	for {
+		_, rest, found := bytes.Cut(body, []byte("\xa6nameId"))
+		if !found {
+			return ""
+		}
+		// A text of fewer than 32 bytes, or one with its length in a byte.
+		body = rest
+		n, head := 0, 1
+		if len(rest) > 0 && rest[0]&0xe0 == 0xa0 {
+			n = int(rest[0] & 0x1f)
+		} else if len(rest) > 1 && rest[0] == 0xd9 {
+			n, head = int(rest[1]), 2
+		}
+		if n > 0 && head+n <= len(rest) && ValidUserID(string(rest[head:head+n])) {
+			return string(rest[head : head+n])
+		}
+	}
+}
+
 const (
 	maxDepth = 8 // of what an unknown field may hold
 	maxTypes = 1000
--- a/wire/submission_test.go
+++ b/wire/submission_test.go
@@ -34,3 +34,30 @@
 		}
 	})
 }
+
+// A body that can't be decoded whole still says whose it is.
+func TestAnIDIsFoundInWhatCannotBeDecoded(t *testing.T) {
+	good, err := Marshal(Job{ID: "wk-000412", Class: "c", Team: "t", Kind: KindGang, Priority: PriorityNormal, Tasks: 2, CPUs: 1, Image: "i"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := append(append([]byte{}, good...), make([]byte, MaxBody)...)
+	for name, c := range map[string]struct {
+		body []byte
+		want string
+	}{
+		"cut off":          {good[:len(good)-5], "wk-000412"},
+		"something after":  {append(append([]byte{}, good...), 1), "wk-000412"},
+		"too large":        {large, "wk-000412"},
+		"in a list":        {append([]byte{0x91}, good...), "wk-000412"},
+		"cut in its id":    {good[:len("_")+len("_nameId")+5], ""},
+		"another's form":   {[]byte("\x81\xa6nameId\xa9xx-000412"), ""},
+		"a length of 4 GB": {[]byte("\xc1\xa6nameId\xdb\xff\xff\xff\xff"), ""},
+		"nothing":          {nil, ""},
+	} {
+		j, err := DecodeJob(c.body)
+		if err == nil || j.ID != c.want {
+			t.Errorf("%s: id %q, error %v", name, j.ID, err)
+		}
+	}
+}
