The checker orders each user's answers across all nodes

Answers were compared without their times: one to a request that was under way when a newer answer came was blamed, and a 400, a 404 to a cancellation or a second 201 was not. Requests and answers are counted now, and an answer is older if its request was sent after the newer one had come. Two different ends are a breach at any time. Random stories have users ask at all nodes at once and send what can't be accepted.

--- /dev/null
+++ b/controller/answers_test.go
@@ -0,0 +1,49 @@
+package controller_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+)
+
+// What the world checks of users' answers can fail: here nodes lose what they have
+// promised, since all records are wiped or written by hand.
+func TestTheCheckerSeesAnswersThatGrowOlder(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		tell       func(w *fake.World)
+	}{
+		{"accepted, then not known", "forgotten: wk-000001 answered 404", func(w *fake.World) { w.Submit(job(1, nil)); lose(w); w.Poll(w.Bind(2), "wk-000001") }},
+		{"accepted twice", "accepted twice: wk-000001", func(w *fake.World) { w.Submit(job(1, nil)); lose(w); w.CloseLooks("wk-000001", 1) }},
+		{"cancelled, then pending", "went_back: wk-000001 called pending after aborted", func(w *fake.World) {
+			w.Submit(job(1, nil))
+			w.Cancel("wk-000001")
+			lose(w)
+			w.CloseLooks("wk-000001", 1)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := fake.New(fake.Options{Machines: 1, Capacity: 1})
+				defer w.Close()
+				time.Sleep(5 * time.Second)
+				c.tell(w)
+				if b := w.Broken(); !slices.ContainsFunc(b, func(s string) bool { return strings.HasPrefix(s, c.want) }) {
+					t.Errorf("the checker said %q", b)
+				}
+			})
+		})
+	}
+}
+
+// lose has all nodes forget all jobs.
+func lose(w *fake.World) {
+	w.KillAll()
+	w.State.Wipe()
+	w.StartAll()
+	time.Sleep(8 * time.Second)
+}
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -71,6 +71,7 @@
 	w := fake.New(o)
 	defer w.Close()
 	time.Sleep(3 * time.Second)
+	users := rand.New(rand.NewPCG(seed, 23)) // the other draws stay as they were
 	var ids []string
 	cancelled, broken := map[string]bool{}, map[string]bool{}
 	plan := tell.Plans{World: w}
@@ -98,6 +99,7 @@
 			plan.Apply(randomPlan(rnd), 3*time.Second)
 		}
 		randomFailure(rnd, w)
+		randomUsers(users, w, ids)
 		for range 2 {
 			if len(ids) > 0 {
 				w.Poll(w.Any(), ids[rnd.IntN(len(ids))])
@@ -233,3 +235,15 @@
 		w.Bounce(n, time.Duration(rnd.IntN(900))*time.Millisecond)
 	}
 }
+
+// randomUsers has users ask what the nodes find hard to answer alike.
+func randomUsers(rnd *rand.Rand, w *fake.World, ids []string) {
+	switch rnd.IntN(6) {
+	case 0, 1:
+		if len(ids) > 0 {
+			w.CloseLooks(ids[len(ids)-1-rnd.IntN(min(3, len(ids)))], 2)
+		}
+	case 2:
+		w.OddRequests(2)
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -41,6 +42,7 @@
 	reqs    *rate.Limiter
 	busy    int // requests refused for being too many
 	breaks  func(format string, args ...any)
+	harmed  atomic.Bool // records were made what nobody wrote: of those jobs only the user knows
 }
 
 // LimitRequests makes the service refuse what is more than so many requests a
@@ -139,6 +141,7 @@
 
 // Damage makes a key's value something that nobody has written: that, or a text.
 func (s *State) Damage(key string, value ...byte) {
+	s.harmed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.keys[key]
@@ -152,6 +155,7 @@
 // Spoil writes a key as nobody should: what can't be read has a version of its own,
 // which nobody knows.
 func (s *State) Spoil(key string) {
+	s.harmed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
@@ -165,6 +169,7 @@
 // Scratch makes a key's value one that can't be read, though all of it still stands
 // there: within a list.
 func (s *State) Scratch(key string) {
+	s.harmed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.keys[key]
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -66,28 +66,11 @@
 // Submit submits a job until it is accepted, for a minute, and says whether it
 // was.
 func (w *World) Submit(j wire.Job) bool {
-	w.mu.Lock()
-	if w.jobs[j.ID] == nil {
-		w.jobs[j.ID] = &job{spec: j, done: map[int]bool{}}
-	}
-	known := w.jobs[j.ID].accepted
-	w.mu.Unlock()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
-		status, body := w.post(w.Any(), wire.PathJobs, j)
-		switch status {
+		switch w.submit(w.Any(), j) {
 		case http.StatusOK, http.StatusCreated:
-			w.mu.Lock()
-			w.jobs[j.ID].accepted = true
-			w.mu.Unlock()
-			var s wire.JobStatus
-			if wire.Unmarshal(body, &s) == nil {
-				w.told(j.ID, s.State)
-			}
 			return true
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
-			if known {
-				w.breaks("forgotten: repeated submission of %s answered %d", j.ID, status)
-			}
 			return false
 		}
 		if !call.Pause(w.ctx, time.Second) {
@@ -97,66 +80,26 @@
 	return false
 }
 
-// told checks what a node says of a job against the rules.
-func (w *World) told(id, state string) {
+// submit sends a job to a node once.
+func (w *World) submit(addr string, j wire.Job) int {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	j := w.jobs[id]
-	if j == nil {
-		w.breaksLocked("invented: %s", id)
-		return
-	}
-	if j.said != "" && state != j.said {
-		w.breaksLocked("went_back: %s called %s after %s", id, state, j.said)
-	}
-	switch state {
-	case wire.JobDone:
-		if len(j.done) < j.spec.Tasks {
-			w.breaksLocked("not_done: %s with %d of %d", id, len(j.done), j.spec.Tasks)
-		}
-		j.said = state
-	case wire.JobCancelled:
-		if !j.asked {
-			w.breaksLocked("went_back: %s called cancelled unasked", id)
-		}
-		if j.cancelled.IsZero() {
-			j.cancelled = time.Now()
-		}
-		j.said = state
+	if w.jobs[j.ID] == nil {
+		w.jobs[j.ID] = &job{spec: j, done: map[int]bool{}}
 	}
+	w.mu.Unlock()
+	return w.ask(submission, j.ID, addr, j, 5*time.Second).status
 }
 
 // Poll asks a node for a job's state; "" where there was no answer.
 func (w *World) Poll(addr, id string) string {
-	status, body := w.request(http.MethodGet, addr, wire.PathJobs+"/"+id, nil, 2*time.Second)
-	w.mu.Lock()
-	j := w.jobs[id]
-	accepted := j != nil && j.accepted
-	w.mu.Unlock()
-	if status == http.StatusNotFound && accepted {
-		w.breaks("forgotten: %s answered 404", id)
-	}
-	var s wire.JobStatus
-	if status != http.StatusOK || wire.Unmarshal(body, &s) != nil {
-		return ""
-	}
-	w.told(id, s.State)
-	return s.State
+	return w.ask(question, id, addr, nil, 2*time.Second).state
 }
 
 // Cancel cancels a job, for a minute, and returns the final state.
 func (w *World) Cancel(id string) string {
-	w.mu.Lock()
-	if j := w.jobs[id]; j != nil {
-		j.asked = true
-	}
-	w.mu.Unlock()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
-		status, body := w.post(w.Any(), wire.PathJobs+"/"+id+"/cancel", nil)
-		var s wire.JobStatus
-		if status == http.StatusOK && wire.Unmarshal(body, &s) == nil {
-			w.told(id, s.State)
-			return s.State
+		if a := w.CancelAt(w.Any(), id); a != "" {
+			return a
 		}
 		if !call.Pause(w.ctx, time.Second) {
 			break
@@ -165,6 +108,16 @@
 	return ""
 }
 
+// CancelAt asks a node once to cancel a job; "" where there was no answer.
+func (w *World) CancelAt(addr, id string) string {
+	w.mu.Lock()
+	if j := w.jobs[id]; j != nil {
+		j.asked = true
+	}
+	w.mu.Unlock()
+	return w.ask(cancellation, id, addr, nil, 5*time.Second).state
+}
+
 // Await polls until a job is in a state, at most for a while.
 func (w *World) Await(id, state string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -55,6 +55,8 @@
 	// fetchedMost is on how many machines images were fetched at the same time.
 	fetchedMost int
 	broken      []string
+	clock       uint64 // counts users' requests and the answers to them
+	odd         int    // ids of jobs that can't be accepted
 }
 
 // job is what the users and the checker know of a job.
@@ -65,6 +67,7 @@
 	asked     bool      // its user has asked to cancel it
 	done      map[int]bool
 	said      string // the last final state any node gave
+	answers   answers
 }
 
 type gang struct {
