Troubles meet: teams at their limits, cancellations and a change of leader in one story

Random stories seldom had a cancellation fall on a machine in trouble while its team was at its limit and the leader changed. They count starts after a cancellation, see cancelled tasks on machines that hang, and name jobs that wait for 90 s though there is room. The story fails where the troubles miss each other.

--- /dev/null
+++ b/controller/meetings_test.go
@@ -0,0 +1,254 @@
+package controller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories of troubles that meet. Each sees to it that they did: one in which they
+// miss each other shows nothing, and fails. When what happens is drawn anew for
+// each seed, within the window in which they meet.
+
+func meet(t *testing.T, o fake.Options, tell func(t *testing.T, w *fake.World, rnd *rand.Rand)) {
+	t.Helper()
+	seeds := uint64(3)
+	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			o.Seed = seed
+			story(t, o, func(t *testing.T, w *fake.World) { tell(t, w, rand.New(rand.NewPCG(seed, 1234))) })
+		})
+	}
+}
+
+// between draws a time.
+func between(rnd *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rnd.Int64N(int64(to-from)))
+}
+
+// limited are two teams of 16 CPUs each, of the 48 that six machines have.
+func limited() fake.Options {
+	return fake.Options{Machines: 6, Capacity: 6, Lease: 30,
+		Teams: []config.Team{{Name: "core", CPUsMax: 16}, {Name: "edge", CPUsMax: 16}}}
+}
+
+const teamMax = 16.0
+
+// fillTeams brings both teams to their limits with long jobs of two tasks, 101 and on of
+// one team and 201 and on of the other, and has as much again of each wait, 111 and
+// 211 and on, that takes 15 s.
+func fillTeams(t *testing.T, w *fake.World) {
+	t.Helper()
+	for base, team := range map[int]string{100: "core", 200: "edge"} {
+		for i := 1; i <= 4; i++ {
+			mustSubmit(t, w, job(base+i, func(j *wire.Job) { j.Team, j.CPUs, j.EstimateS = team, 2, 3600 }))
+		}
+	}
+	if !tell.Until(40*time.Second, 200*time.Millisecond, func() bool { return atLimit(w) }) {
+		t.Fatalf("the teams use %g and %g CPUs", w.CPUs("core"), w.CPUs("edge"))
+	}
+	for base, team := range map[int]string{110: "core", 210: "edge"} {
+		for i := 1; i <= 4; i++ {
+			mustSubmit(t, w, job(base+i, func(j *wire.Job) { j.Team, j.CPUs, j.EstimateS = team, 2, 15 }))
+		}
+	}
+}
+
+func atLimit(w *fake.World) bool { return w.CPUs("core") == teamMax && w.CPUs("edge") == teamMax }
+
+// tasksOn lists the machines that have tasks of a job.
+func tasksOn(w *fake.World, j wire.Job) (out []string) {
+	for i := range j.Tasks {
+		out = append(out, w.On(wire.TaskName(j.ID, i))...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// changes has another leader come, in one way or another, and returns when its key
+// is there; before is the token until then.
+func changes(t *testing.T, w *fake.World, before uint64) {
+	t.Helper()
+	if !tell.Until(25*time.Second, 50*time.Millisecond, func() bool { k := w.Token(); return k != 0 && k != before }) {
+		t.Fatal("the leader did not change")
+	}
+}
+
+// endLeader ends the leader: for good, or for a fraction of a second.
+func endLeader(w *fake.World, rnd *rand.Rand) (dead int) {
+	dead = max(0, w.Leader())
+	if rnd.IntN(2) == 0 {
+		w.Bounce(dead, between(rnd, 0, 900*time.Millisecond))
+	} else {
+		w.KillNode(dead)
+	}
+	return dead
+}
+
+// well sees to it that what waits runs, now that all is over.
+func well(t *testing.T, w *fake.World) {
+	t.Helper()
+	w.StartAll()
+	for _, m := range w.Cloud.Machines() {
+		w.Hang(m, false)
+		w.Mute(m, false)
+		w.Silence(m, false)
+		w.CutMachine(m, false)
+	}
+	if ids := w.Starved(90 * time.Second); len(ids) > 0 {
+		t.Errorf("%v wait, though there is room and their teams are under their limits", ids)
+	}
+}
+
+// Every team is at its limit when jobs are cancelled whose machines are cut off or
+// hang, and the leader changes. What is cancelled counts for its team until it is
+// gone, at the next leader as well, which has not heard of those machines.
+func TestMeetingOfTeamsAtTheirLimitsCancellationsAndAChangeOfLeader(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		hang := rnd.IntN(2) == 0
+		trouble := w.CutMachine
+		if hang {
+			trouble = w.Hang
+		}
+		var ids, names []string
+		for _, n := range []int{101, 102 + rnd.IntN(3), 201, 202 + rnd.IntN(3)} {
+			j := job(n, nil)
+			ids = append(ids, j.ID)
+			names = append(names, tasksOn(w, j)...)
+		}
+		slices.Sort(names)
+		names = slices.Compact(names)
+		for _, m := range names {
+			trouble(m, true)
+		}
+		time.Sleep(between(rnd, 0, 3*time.Second))
+		before := w.Token()
+		early := rnd.IntN(2) == 0
+		if early {
+			endLeader(w, rnd)
+		}
+		met := 0
+		for _, id := range ids {
+			if s := w.Cancel(id); s != wire.JobCancelled {
+				t.Fatalf("cancel answered %q", s)
+			}
+			if met += len(tasksOn(w, wire.Job{ID: id, Tasks: 2})); !atLimit(w) {
+				t.Errorf("the teams are not at their limits as %s is cancelled", id)
+			}
+		}
+		if met == 0 {
+			t.Error("nothing cancelled was on a machine in trouble")
+		}
+		if !early {
+			endLeader(w, rnd)
+		}
+		changes(t, w, before)
+		left := 0
+		for _, id := range ids {
+			left += len(tasksOn(w, wire.Job{ID: id, Tasks: 2}))
+		}
+		if left == 0 || !atLimit(w) {
+			t.Errorf("%d machines have cancelled tasks as the next leader comes", left)
+		}
+		time.Sleep(between(rnd, 0, 35*time.Second))
+		for _, m := range names {
+			trouble(m, false)
+		}
+		well(t, w)
+	})
+}
+
+// The checks that these stories rest on can fail.
+func TestTheCheckerSeesCancelledAndWaitingJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(fake.Options{Machines: 2, Capacity: 2, Teams: []config.Team{{Name: "core"}, {Name: "edge", CPUsMax: 2}}})
+		defer w.Close()
+		time.Sleep(5 * time.Second)
+		busy(t, w, 2)
+		one := func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 1, 3600 }
+		mustSubmit(t, w, job(1, one))
+		time.Sleep(5 * time.Second)
+		w.Cancel("wk-000001")
+		time.Sleep(31 * time.Second) // of the 32 s that a cancelled job's tasks have
+		if n := w.StartedAfterCancel(); n > 0 || len(w.Broken()) > 0 {
+			t.Fatalf("before anything went wrong: %d starts after the cancellation, broken: %v", n, w.Broken())
+		}
+		at := w.Cloud.Machines()[0]
+		w.Rogue(at, "wk-000001/0")
+		w.Hang(at, true)
+		if n := w.StartedAfterCancel(); n != 1 {
+			t.Errorf("%d starts after the cancellation", n)
+		}
+		time.Sleep(3 * time.Second)
+		if got := w.Broken(); len(got) != 1 || !strings.Contains(got[0], "which hangs") {
+			t.Errorf("a cancelled task is on a machine that hangs, and the checker said %v", got)
+		}
+		w.Hang(at, false)
+		time.Sleep(10 * time.Second) // what the machine had is gone
+		if ids := w.Starved(90 * time.Second); len(ids) > 0 {
+			t.Errorf("%v are said to wait, and nothing does", ids)
+		}
+		// Nobody has told the controllers of these. There is room for all but the
+		// last, which is beyond its team's limit, and the gang, of which one does not fit.
+		w.Know(job(2, one))
+		w.Know(job(3, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs = 2, 3 }))
+		w.Know(job(4, func(j *wire.Job) { gang(j); j.Tasks, j.CPUs = 3, 3 }))
+		w.Know(job(5, func(j *wire.Job) { j.Team, j.CPUs = "edge", 3 }))
+		if ids := w.Starved(90 * time.Second); !slices.Equal(ids, []string{"wk-000002", "wk-000003"}) {
+			t.Errorf("said to wait: %v", ids)
+		}
+	})
+}
+
+// The steps of random stories do what they say.
+func TestCancellationsAtOnceAndASilentMachine(t *testing.T) {
+	story(t, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 4)
+		for i := range 4 {
+			mustSubmit(t, w, job(1+i, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 3, 300 }))
+		}
+		mustReach(t, w, "wk-000004", wire.JobRunning, 20*time.Second)
+		time.Sleep(3 * time.Second)
+		mustSubmit(t, w, job(9, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 1, 5 }))
+		ids, hung := w.CancelNow(3, 5*time.Second)
+		if len(ids) != 3 || len(hung) == 0 {
+			t.Fatalf("cancelled %v, hung %v", ids, hung)
+		}
+		time.Sleep(time.Second)
+		for _, id := range ids {
+			if s := w.Poll(w.Bind(0), id); s != wire.JobCancelled {
+				t.Errorf("%s is %q a second later", id, s)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		at := w.Cloud.Machines()[0]
+		w.Silence(at, true)
+		from, direct := time.Now(), w.Direct(at)
+		time.Sleep(5 * time.Second)
+		if n := w.Unanswered(from.Add(time.Second)); n != 1 {
+			t.Errorf("%d machines had no answer", n)
+		}
+		for _, id := range []string{"wk-000001", "wk-000002", "wk-000003", "wk-000004", "wk-000900"} {
+			w.Cancel(id)
+		}
+		time.Sleep(time.Second)
+		if w.Direct(at) == direct || w.Load()[at] > 0 {
+			t.Errorf("%d direct commands reached the silent machine, which has %d tasks", w.Direct(at)-direct, w.Load()[at])
+		}
+	})
+}
