Cancellations without a leader, on silent machines, and behind held-up answers

Three stories: a cancellation falls into the spell without a leader while the team is at its limit and machines can't be asked; workers open no connection while direct commands reach them; answers with launches are held up for seconds, their jobs are cancelled, and the machines go on. Rules broken are said with how long after the troubles met.

--- a/controller/meetings_test.go
+++ b/controller/meetings_test.go
@@ -154,6 +154,7 @@
 		if met == 0 {
 			t.Error("nothing cancelled was on a machine in trouble")
 		}
+		w.Met()
 		if !early {
 			endLeader(w, rnd)
 		}
@@ -173,6 +174,202 @@
 	})
 }
 
+// A team is at its limit when the leader is gone. A cancellation falls into the
+// spell without one, and machines of the cancelled job can't be asked, some not
+// even named: the next leader learns of the tasks from the job's final record.
+func TestMeetingOfAChangeOfLeaderAndACancellation(t *testing.T) {
+	o := limited()
+	o.Lease = 22 // the leader's is 10 s then, and so is the spell without one
+	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		var names []string
+		ids := []string{job(101+rnd.IntN(2), nil).ID, job(201+rnd.IntN(2), nil).ID}
+		for _, id := range ids {
+			names = append(names, tasksOn(w, wire.Job{ID: id, Tasks: 2})...)
+		}
+		slices.Sort(names)
+		names = slices.Compact(names)
+		ways := []func(string, bool){w.CutMachine, w.Hang, w.Mute, w.Silence}
+		trouble := ways[rnd.IntN(len(ways))]
+		before, dead := w.Token(), w.Leader()
+		w.KillNode(dead)
+		time.Sleep(between(rnd, 3*time.Second, 4500*time.Millisecond)) // users go to other nodes
+		for _, m := range names {
+			trouble(m, true)
+		}
+		time.Sleep(between(rnd, 0, time.Second))
+		for _, id := range ids {
+			if s := w.Cancel(id); s != wire.JobCancelled {
+				t.Fatalf("cancel answered %q", s)
+			}
+			if len(tasksOn(w, wire.Job{ID: id, Tasks: 2})) == 0 || !atLimit(w) {
+				t.Errorf("%s is cancelled, and its tasks are gone or the teams not at their limits", id)
+			}
+		}
+		if k := w.Token(); k != before && k != 0 {
+			t.Error("the next leader was there before the cancellations")
+		}
+		w.Met()
+		if rnd.IntN(2) == 0 {
+			w.StartNode(dead)
+		}
+		changes(t, w, before)
+		if !atLimit(w) {
+			t.Error("the teams are not at their limits as the next leader comes")
+		}
+		time.Sleep(between(rnd, 0, 35*time.Second))
+		for _, m := range names {
+			trouble(m, false)
+		}
+		well(t, w)
+	})
+}
+
+// Workers can open no connection to any controller, while direct commands reach
+// them: what a cancelled job has there is stopped at once, and counts until it is
+// known to be gone. At some seeds the leader changes, and the next one has never
+// heard of these machines.
+func TestMeetingOfSilentMachinesAndCancellations(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		id := job(101+rnd.IntN(4), nil).ID
+		names := tasksOn(w, wire.Job{ID: id, Tasks: 2})
+		for _, m := range names {
+			w.Silence(m, true)
+		}
+		silent := time.Now()
+		time.Sleep(between(rnd, 0, 8*time.Second))
+		at := names[rnd.IntN(len(names))]
+		direct, started, before := w.Direct(at), w.Started(), w.Token()
+		late := rnd.IntN(2) == 0
+		if late {
+			w.HoldDirect(at) // the stop comes when the task's room may be another's
+		}
+		if s := w.Cancel(id); s != wire.JobCancelled {
+			t.Fatalf("cancel answered %q", s)
+		}
+		if len(names) == 0 {
+			t.Error("the job had no tasks")
+		}
+		w.Met()
+		time.Sleep(2 * time.Second)
+		if w.Unanswered(silent.Add(2*time.Second)) < len(names) {
+			t.Error("a silent machine was answered")
+		}
+		if !late && w.Direct(at) == direct {
+			t.Error("no direct command reached the silent machine")
+		}
+		if n := w.Started() - started; n > 0 {
+			t.Errorf("%d starts while the cancelled tasks' machines can't say that they are gone", n)
+		}
+		if rnd.IntN(2) == 0 {
+			endLeader(w, rnd)
+			changes(t, w, before)
+			if w.Unanswered(silent.Add(2*time.Second)) < len(names) {
+				t.Error("a silent machine was answered")
+			}
+		}
+		time.Sleep(between(rnd, 0, 35*time.Second))
+		for _, m := range names {
+			w.Silence(m, false)
+		}
+		if late {
+			time.Sleep(between(rnd, 0, 5*time.Second))
+			if done, refused := w.DeliverDirect(at); done+refused == 0 {
+				t.Error("no direct command was held back")
+			}
+		}
+		well(t, w)
+	})
+}
+
+// Answers with launches are held up for seconds, their job is cancelled meanwhile,
+// and the machine then goes on: the launches are executed, count for the team, and
+// are gone in time.
+func TestMeetingOfHeldUpAnswersAndCancellations(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		id := job(101+rnd.IntN(4), nil).ID
+		names, late := w.Cloud.Machines(), 0
+		for _, m := range names {
+			late -= w.LateAnswers(m)
+		}
+		on := tasksOn(w, wire.Job{ID: id, Tasks: 2})
+		for _, m := range on {
+			w.HoldDirect(m)
+		}
+		before := w.Token()
+		if s := w.Cancel(id); s != wire.JobCancelled { // so that there is room under the limit
+			t.Fatalf("cancel answered %q", s)
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, m := range names {
+			w.Mute(m, true)
+		}
+		// Stopped now, its tasks are reported as gone at once, and launches are in
+		// the answer.
+		for _, m := range on {
+			w.DeliverDirect(m)
+		}
+		for _, m := range names {
+			w.HoldDirect(m)
+		}
+		time.Sleep(between(rnd, 700*time.Millisecond, 1200*time.Millisecond))
+		w.Met()
+		started := w.Started()
+		for i := 1; i <= 4; i++ {
+			w.Cancel(job(110+i, nil).ID)
+		}
+		hang := rnd.IntN(2) == 0
+		for _, m := range names { // what was held up arrives at machines that hang
+			w.Hang(m, hang)
+			if hang {
+				w.Mute(m, false)
+			}
+		}
+		time.Sleep(between(rnd, 400*time.Millisecond, 1800*time.Millisecond))
+		for _, m := range names {
+			for _, n := range w.Nodes() {
+				w.Net.SetMute(m, n, true) // nobody hears that they go on
+			}
+			w.Hang(m, false)
+			w.Mute(m, false)
+		}
+		time.Sleep(between(rnd, 0, time.Second))
+		change := rnd.IntN(2) == 0
+		if change {
+			endLeader(w, rnd)
+		}
+		time.Sleep(between(rnd, time.Second, 15*time.Second))
+		for _, m := range names {
+			late += w.LateAnswers(m)
+			for _, n := range w.Nodes() {
+				w.Net.SetMute(m, n, false)
+			}
+		}
+		if late == 0 {
+			t.Error("no answer was held up and taken")
+		}
+		if n := w.StartedAfterCancel(); n == 0 {
+			t.Errorf("no launch came after its job was cancelled, of %d starts", w.Started()-started)
+		}
+		if change {
+			changes(t, w, before)
+		}
+		time.Sleep(between(rnd, 0, 20*time.Second))
+		commands := 0
+		for _, m := range names {
+			executed, refused := w.DeliverDirect(m)
+			commands += executed + refused
+		}
+		if commands == 0 {
+			t.Error("no direct command was held up")
+		}
+		time.Sleep(time.Minute)
+		well(t, w)
+	})
+}
+
 // The checks that these stories rest on can fail.
 func TestTheCheckerSeesCancelledAndWaitingJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fake/meetings.go
+++ b/internal/fake/meetings.go
@@ -13,6 +13,14 @@
 // This file is what stories of troubles that meet need: steps that bring them
 // about, what shows that they met, and checks of cancelled and of waiting jobs.
 
+// Met notes that a story's troubles have met: rules broken from now on are said with
+// how long after.
+func (w *World) Met() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.met = time.Now()
+}
+
 // StartedAfterCancel is how many tasks got on a machine after their job's user was
 // told that it is cancelled. Those whose launch was on its way then are allowed to
 // for as long as cancel_s, after which the checker calls the rule broken.
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -56,6 +56,7 @@
 	// fetchedMost is on how many machines images were fetched at the same time.
 	fetchedMost int
 	broken      []string
+	met         time.Time // when a story's troubles met
 }
 
 // job is what the users and the checker know of a job.
@@ -577,7 +578,11 @@
 
 func (w *World) breaksLocked(format string, args ...any) {
 	if len(w.broken) < 20 {
-		w.broken = append(w.broken, fmt.Sprintf(format, args...))
+		said := fmt.Sprintf(format, args...)
+		if !w.met.IsZero() {
+			said += fmt.Sprintf(" (%.1f s after the troubles met)", time.Since(w.met).Seconds())
+		}
+		w.broken = append(w.broken, said)
 	}
 }
 
