--- a/controller/gap_test.go
+++ b/controller/gap_test.go
@@ -37,7 +37,10 @@
 	slow            time.Duration // that much longer until the service carries a request out
 	slowAnswers     time.Duration // and from then until it answers
 
-	stays time.Duration // for how long the leader is refused after the outage
+	slowToLeader time.Duration // the same, for the leader alone
+	wait         time.Duration // how much later all of this is
+	hush         bool          // the leader's watches bring nothing, before it is refused as well
+	stays        time.Duration // for how long the leader is refused after the outage
 
 	heard bool // the leader may have heard of the cancellations before it was refused
 	next  bool // the old leader's lease ends before the outage begins
@@ -95,7 +98,9 @@
 		started := w.Started()
 		w.State.Slow(g.slow)
 		w.State.SlowAnswers(g.slowAnswers)
-		if g.slow+g.slowAnswers > 0 {
+		w.State.SlowAnswersTo(name, g.slowToLeader)
+		w.State.HushWatches(name, g.hush)
+		if g.slow+g.slowAnswers+g.slowToLeader > 0 {
 			time.Sleep(5 * time.Second)
 		}
 		hung := w.On(wire.TaskName(jobs[0].ID, 0))[0]
@@ -112,7 +117,7 @@
 			}
 		}
 		var wg sync.WaitGroup
-		asked := time.Now().Add(6 * time.Second) // when the users cancel
+		asked := time.Now().Add(6*time.Second + g.wait) // when the users cancel
 		at := func(when time.Duration, do func()) {
 			wg.Add(1)
 			go func() {
@@ -208,6 +213,8 @@
 			back = time.Now()
 			w.State.Slow(0)
 			w.State.SlowAnswers(0)
+			w.State.SlowAnswersTo(name, 0)
+			w.State.HushWatches(name, false)
 			w.State.SetOutage(false)
 		})
 		at(end.Add(g.stays).Sub(asked), func() { refuse(false) })
@@ -229,7 +236,7 @@
 		// Renewed at the latest a fifth of its lease before it was refused, it is sure
 		// for half of its lease more at least, if nothing holds it up.
 		half := time.Duration(times.LeaderLeaseS() / 2 * float64(time.Second))
-		if g.slow+g.slowAnswers+g.stopFor == 0 && latest.Sub(refused)+time.Duration(1.25*times.ReportS*float64(time.Second)) < half && kept == 0 {
+		if g.slow+g.slowAnswers+g.slowToLeader+g.stopFor == 0 && latest.Sub(refused)+time.Duration(1.25*times.ReportS*float64(time.Second)) < half && kept == 0 {
 			t.Error("no meeting: the old leader answered no worker after the confirmations")
 		}
 		most := time.Duration(0)
@@ -312,6 +319,7 @@
 		{"launches under way, and the leader refused before", gap{refuse: -900 * ms, outage: time.Second, late: time.Second}},
 		{"the service slow", gap{refuse: -100 * ms, outage: 100 * ms, slow: 400 * ms}},
 		{"the service's answers slow", gap{refuse: -100 * ms, outage: 100 * ms, slowAnswers: 700 * ms}},
+		{"the leader's watch brings nothing", gap{refuse: 15 * time.Second, outage: 16 * time.Second, hush: true, heard: true}},
 		{"the leader refused for longer", gap{refuse: -100 * ms, outage: time.Second, stays: 20 * time.Second}},
 		{"out when the old leader's lease ends", gap{refuse: -2 * time.Second, outage: 0, next: true}},
 		{"out while the next leader is elected", gap{refuse: -2 * time.Second, outage: 10 * ms, next: true}},
@@ -330,6 +338,21 @@
 	}
 }
 
+// The answers to the leader are as late as it waits for them, and the cancellation
+// comes anywhere between two renewals: how long the leader is sure counts from when
+// it asked, not from when it was answered.
+func TestCancelledWhileARenewalIsAnsweredLate(t *testing.T) {
+	step := 500 * ms
+	if _, many := manySeeds(); many {
+		step = 100 * ms
+	}
+	for wait := time.Duration(0); wait < 5*time.Second; wait += step {
+		t.Run(fmt.Sprint(wait), func(t *testing.T) {
+			gap{report: 1.5, lease: 12, refuse: -20 * ms, outage: time.Second, slowToLeader: 1800 * ms, wait: wait}.tell(t, 1)
+		})
+	}
+}
+
 // The same, around each moment in steps of a fraction of a second.
 func TestCancelledSomewhereInTheGap(t *testing.T) {
 	seeds := uint64(6)
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -35,8 +35,10 @@
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
 	lagging lagging
-	slow    time.Duration // that much longer than usual until a request is carried out
-	held    time.Duration // that much longer than usual from then until it is answered
+	slow    time.Duration            // that much longer than usual until a request is carried out
+	held    time.Duration            // that much longer than usual from then until it is answered
+	heldTo  map[string]time.Duration // the same, for a node
+	hushed  map[string]bool          // nodes whose watches bring nothing
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
@@ -61,7 +63,8 @@
 // NewState makes an empty state service.
 func NewState(txnOps int) *State {
 	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, next: 1,
-		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps, born: map[string]time.Time{}}
+		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps, born: map[string]time.Time{},
+		heldTo: map[string]time.Duration{}, hushed: map[string]bool{}}
 }
 
 // SetOutage begins or ends an outage; at its end leases have their full time.
@@ -105,6 +108,21 @@
 	s.held = by
 }
 
+// SlowAnswersTo does the same for one node alone.
+func (s *State) SlowAnswersTo(node string, by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldTo[node] = by
+}
+
+// HushWatches makes watches of a node bring nothing while all else is answered, as
+// where their connection hangs, or ends that.
+func (s *State) HushWatches(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hushed[node] = on
+}
+
 // answerLater keeps an answer until it is sent.
 type answerLater struct {
 	http.ResponseWriter
@@ -279,7 +297,7 @@
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
-	slow, held := s.slow, s.held
+	slow, held := s.slow, s.held+s.heldTo[nodeOf(r)]
 	s.mu.Unlock()
 	time.Sleep(4*time.Millisecond + slow)
 	if held == 0 {
@@ -545,7 +563,7 @@
 		}
 		// During an outage, and for a node that is refused, watches stay open
 		// and silent.
-		silent := s.outage || s.refuse[nodeOf(r)]
+		silent := s.outage || s.refuse[nodeOf(r)] || block > 0 && s.hushed[nodeOf(r)]
 		left := time.Until(end)
 		if !silent && (len(ev.Log) > 0 || left <= 0) {
 			reply(w, http.StatusOK, ev)
