--- a/controller/gap_test.go
+++ b/controller/gap_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/ledger"
@@ -408,3 +409,32 @@
 	}
 	return g
 }
+
+// How many tasks that nobody cancelled the same outage ends: none while the old
+// leader's lease and the workers' outlast it, and beyond that each of them, once.
+func TestWhatNobodyCancelledInTheGap(t *testing.T) {
+	outages := []float64{8, 20, 32, 50}
+	if _, many := manySeeds(); many {
+		outages = []float64{4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 50}
+	}
+	for _, d := range deployments {
+		w := config.Workers{ReportS: d.report, LeaseS: d.lease, CancelS: d.lease + 20}
+		for _, out := range outages {
+			t.Run(fmt.Sprintf("lease %g s, out for %g s", d.lease, out), func(t *testing.T) {
+				const before = 1.1 // from the refusal to the outage
+				ended := gap{report: d.report, lease: d.lease, refuse: -100 * ms, outage: time.Second,
+					beyond: config.Seconds(out - w.CancelS)}.tell(t, 1)
+				t.Logf("%d of %d tasks that nobody cancelled ended", ended, gapOthers)
+				// The last renewal came a fifth of the leader's lease before it was refused
+				// at worst, the last report that it answered the longest interval before it
+				// became unsure; after the outage a worker finds it within 3 s.
+				if survive := 0.8*w.LeaderLeaseS() + w.LeaseS - 1.25*w.ReportS - 3; before+out < survive && ended > 0 {
+					t.Errorf("%d tasks ended in an outage that their leases outlast by %.1f s", ended, survive-before-out)
+				}
+				if before+out > w.GoneWithinS()+1 && ended != gapOthers {
+					t.Errorf("%d of %d tasks ended: all of their leases were over", ended, gapOthers)
+				}
+			})
+		}
+	}
+}
