A renewal on its way revives no term that was given up

A term that resigns (no worker reaches it, a damaged page, a watch that fell behind) is invalid at once, and its lease is released. A renewal that was on its way then came back and extended it: until the duties had ended, up to 2 s where the release has no answer, the node counted as sure beside the next leader, and could answer reports under the older token after that one's takeover, from which the next leader counts workers' leases. Extending a resigned term changes nothing now; without that the new test finds it valid as its lease is released.

The fake counts late transactions that newer ones of the same node, and of the same term, have overtaken, and breaks where one of them changes a key that was changed since it came.

--- a/election/election.go
+++ b/election/election.go
@@ -41,11 +41,14 @@
 	Since time.Time
 
 	lease   uint64
-	validTo atomic.Int64 // nanoseconds since Since
+	validTo atomic.Int64 // nanoseconds since Since; below 0: given up
 	resign  chan struct{}
 	once    sync.Once
 }
 
+// resigned is a validTo that no renewal changes.
+const resigned = -1
+
 // NewTerm makes a term that is not valid yet.
 func NewTerm(token, lease uint64, since time.Time) *Term {
 	return &Term{Token: token, Since: since, lease: lease, resign: make(chan struct{})}
@@ -54,12 +57,22 @@
 // Valid says whether this node may act as the leader now.
 func (t *Term) Valid() bool { return int64(time.Since(t.Since)) < t.validTo.Load() }
 
-// Extend makes the term valid until then.
-func (t *Term) Extend(until time.Time) { t.validTo.Store(int64(until.Sub(t.Since))) }
+// Extend makes the term valid until then, unless it was given up: a renewal may be
+// on its way meanwhile, and what it brings must not let this node act beside the
+// next leader, which may be elected as soon as the lease is released.
+func (t *Term) Extend(until time.Time) {
+	to := int64(until.Sub(t.Since))
+	for {
+		was := t.validTo.Load()
+		if was == resigned || t.validTo.CompareAndSwap(was, max(0, to)) {
+			return
+		}
+	}
+}
 
 // Resign gives the leadership up.
 func (t *Term) Resign() {
-	t.validTo.Store(0)
+	t.validTo.Store(resigned)
 	t.once.Do(func() { close(t.resign) })
 }
 
--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,95 @@
+package election
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/state"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// held is a state service with one lease, which takes its time for renewals.
+type held struct {
+	entry    wire.Entry
+	renewal  time.Duration
+	released time.Time
+}
+
+func (h *held) Get(context.Context, string) (wire.Entry, error) { return h.entry, nil }
+
+func (h *held) Commit(_ context.Context, _ []wire.Guard, ops []wire.Op) (uint64, error) {
+	if h.entry.Version != 0 || !h.released.IsZero() {
+		return 0, &state.Conflict{Failed: []string{Key}}
+	}
+	raw, err := wire.Marshal(ops[0].Value)
+	h.entry = wire.Entry{Key: Key, Value: raw, Version: 5, Lease: ops[0].Lease}
+	return 5, err
+}
+
+func (h *held) Hold(context.Context, time.Duration) (uint64, error) { return 7, nil }
+
+func (h *held) Touch(context.Context, uint64) error {
+	if !h.released.IsZero() {
+		return state.ErrNoLease
+	}
+	time.Sleep(h.renewal)
+	return nil
+}
+
+// Release ends the lease at once, and its answer is lost.
+func (h *held) Release(ctx context.Context, _ uint64) error {
+	if h.released.IsZero() {
+		h.released, h.entry = time.Now(), wire.Entry{}
+	}
+	<-ctx.Done()
+	return state.ErrUnknown
+}
+
+func (h *held) Follow(ctx context.Context, _ string, _ uint64, _ time.Duration) (wire.Events, error) {
+	<-ctx.Done()
+	return wire.Events{}, ctx.Err()
+}
+
+// A leader that gives up while a renewal is on its way stays what it is then: its
+// lease is released, and another may lead at once.
+func TestARenewalOnItsWayRevivesNoTermThatWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &held{renewal: 100 * time.Millisecond}
+		leads := make(chan *Term, 1)
+		e := &Elector{Store: h, Self: "n-0", TTL: 7 * time.Second, Drift: 0.0005, Log: slog.New(slog.DiscardHandler),
+			Lead: func(ctx context.Context, term *Term, ready func()) error {
+				ready()
+				leads <- term
+				<-ctx.Done()
+				return errors.New("over")
+			},
+			CatchUp: func(context.Context, *Term) error { return nil }}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); e.Run(ctx) }()
+		term := <-leads
+		for !term.Valid() {
+			time.Sleep(time.Millisecond)
+		}
+		// A fifth of the lease after the first renewal the next one is sent.
+		time.Sleep(e.TTL/5 + h.renewal/2)
+		synctest.Wait()
+		term.Resign()
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			if term.Valid() {
+				t.Errorf("valid again; the lease was released %v ago", time.Since(h.released))
+				break
+			}
+		}
+		if h.released.IsZero() {
+			t.Error("the lease was not released")
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/fake/lagging.go
+++ b/internal/fake/lagging.go
@@ -1,9 +1,13 @@
 package fake
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/umberdeal/umberdeal/election"
 )
 
 // lagging is what becomes of transactions whose answers are lost. The state's lock
@@ -13,6 +17,90 @@
 	rnd        *rand.Rand
 	unanswered int // so many were not answered
 	carriedOut int // and so many of them have been gone through by now
+
+	arrived int                // transactions that have come, ever
+	applied map[string]arrival // the newest of each node that has changed something
+	passed  Overtaken
+}
+
+// arrival is when a transaction came, among all, and whose it is.
+type arrival struct {
+	n     int
+	node  string
+	token uint64 // the leader key's version in its conditions: 0 if it is no leader's
+}
+
+// Overtaken counts transactions that were carried out after newer ones of the same
+// node.
+type Overtaken struct {
+	ByNode  int // by any of the node's
+	InTerm  int // by one of the same term, while that lasted: the token does not stop them
+	Refused int // so many of these failed, by another condition
+}
+
+// arrive notes that a transaction has come.
+func (l *lagging) arrive(node string, token uint64) arrival {
+	l.arrived++
+	return arrival{l.arrived, node, token}
+}
+
+// overtaken counts a late transaction that is about to be carried out, or refused.
+func (l *lagging) overtaken(a arrival, leader uint64, refused bool) {
+	newest, ok := l.applied[a.node]
+	if !ok || newest.n < a.n {
+		return
+	}
+	l.passed.ByNode++
+	if a.token == 0 || a.token != leader || newest.token != a.token {
+		return
+	}
+	l.passed.InTerm++
+	if refused {
+		l.passed.Refused++
+	}
+}
+
+// Overtaken counts the transactions that were overtaken so far.
+func (s *State) Overtaken() Overtaken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lagging.passed
+}
+
+// token is the leader's, where a leader's transaction has one.
+func (t *txn) token() uint64 {
+	for _, g := range t.If {
+		if g.Key == election.Key {
+			return g.Version
+		}
+	}
+	return 0
+}
+
+// changes says whether a transaction changes a key that begins so.
+func (t *txn) changes(prefix string) bool {
+	for _, op := range t.Then {
+		if strings.HasPrefix(op.Put+op.Delete, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOlder sees to it that a late transaction that is being applied changes no key
+// that was changed since it came: each write is to rest on the version of what it
+// replaces. What writes the same again does no harm, and what a lease keeps goes with
+// that.
+func (s *State) checkOlder(t *txn, node string, seen uint64) {
+	if s.breaks == nil {
+		return
+	}
+	for _, op := range t.Then {
+		key := op.Put + op.Delete
+		if s.last[key] > seen && op.Lease == 0 && (op.Delete != "" || !bytes.Equal(op.Value, s.keys[key].Value)) {
+			s.breaks("a late transaction of %s changes %s, which was changed after it came", node, key)
+		}
+	}
 }
 
 // draw says whether a transaction with so many changes is left without an answer, and
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -34,8 +34,10 @@
 	asked   int             // puts and deletes
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
+	lateOf  string          // if it puts a key that begins so
 	lagging lagging
-	slow    time.Duration // that much longer than usual for an answer
+	last    map[string]uint64 // the last change of each key, deletions too
+	slow    time.Duration     // that much longer than usual for an answer
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
@@ -59,7 +61,8 @@
 // NewState makes an empty state service.
 func NewState(txnOps int) *State {
 	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, next: 1,
-		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps}
+		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps, last: map[string]uint64{},
+		lagging: lagging{applied: map[string]arrival{}}}
 }
 
 // SetOutage begins or ends an outage; at its end leases have their full time.
@@ -89,10 +92,13 @@
 }
 
 // LateNext leaves the next transaction unanswered and applies it only later.
-func (s *State) LateNext(by time.Duration) {
+func (s *State) LateNext(by time.Duration) { s.LateNextOf("", by) }
+
+// LateNextOf does that to the next transaction that changes a key that begins so.
+func (s *State) LateNextOf(prefix string, by time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.late = by
+	s.late, s.lateOf = by, prefix
 }
 
 // Slow makes every answer take that much longer than the usual 4 ms.
@@ -228,6 +234,7 @@
 	sort.Strings(gone)
 	for _, k := range gone {
 		s.rev++
+		s.last[k] = s.rev
 		delete(s.keys, k)
 		s.log = append(s.log, wire.Event{Delete: k, Version: s.rev})
 	}
@@ -384,9 +391,11 @@
 		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many changes"})
 		return
 	}
-	if s.late > 0 && len(t.Then) > 0 {
+	came := s.lagging.arrive(nodeOf(r), t.token())
+	seen, late := s.rev, false
+	if s.late > 0 && t.changes(s.lateOf) {
 		by := s.late
-		s.late = 0
+		s.late, late = 0, true
 		s.mu.Unlock()
 		time.Sleep(by)
 		s.mu.Lock()
@@ -394,6 +403,7 @@
 	}
 	if by, unanswered := s.lagging.draw(len(t.Then)); unanswered {
 		if by > 0 {
+			late = true
 			s.mu.Unlock()
 			time.Sleep(by)
 			s.mu.Lock()
@@ -420,14 +430,22 @@
 			failed = append(failed, g.Key)
 		}
 	}
+	if late {
+		s.lagging.overtaken(came, s.keys[election.Key].Version, len(failed) > 0)
+	}
 	if len(failed) > 0 {
 		reply(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
 		return
 	}
 	s.checkOrders(&t)
+	if late {
+		s.checkOlder(&t, came.node, seen)
+	}
 	if len(t.Then) > 0 {
 		s.rev++
+		s.lagging.applied[came.node] = came
 		for _, op := range t.Then {
+			s.last[op.Put+op.Delete] = s.rev
 			if op.Delete != "" {
 				if _, ok := s.keys[op.Delete]; ok {
 					delete(s.keys, op.Delete)
