--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -35,11 +35,13 @@
 	asked   int             // puts and deletes
 	refuse  map[string]bool // nodes that get 503
 	late    time.Duration   // the next transaction is applied this late
+	lateOf  string          // if it puts a key that begins so
 	lagging lagging
 	slow    time.Duration            // that much longer than usual until a request is carried out
 	held    time.Duration            // that much longer than usual from then until it is answered
 	heldTo  map[string]time.Duration // the same, for a node
 	hushed  map[string]bool          // nodes whose watches bring nothing
+	last    map[string]uint64        // the last change of each key, deletions too
 	ops     int
 	writes  *rate.Limiter
 	reqs    *rate.Limiter
@@ -66,7 +68,8 @@
 func NewState(txnOps int) *State {
 	return &State{keys: map[string]wire.Entry{}, leases: map[uint64]*stateLease{}, next: 1,
 		changed: make(chan struct{}), refuse: map[string]bool{}, ops: txnOps, born: map[string]time.Time{},
-		heldTo: map[string]time.Duration{}, hushed: map[string]bool{}}
+		heldTo: map[string]time.Duration{}, hushed: map[string]bool{}, last: map[string]uint64{},
+		lagging: lagging{applied: map[string]arrival{}}}
 }
 
 // SetOutage begins or ends an outage; at its end leases have their full time.
@@ -96,10 +99,13 @@
 }
 
 // LateNext leaves the next transaction unanswered and applies it only later.
-func (s *State) LateNext(by time.Duration) {
+func (s *State) LateNext(by time.Duration) { s.LateNextOf("", by) }
+
+// LateNextOf does that to the next transaction that changes a key that begins so.
+func (s *State) LateNextOf(prefix string, by time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.late = by
+	s.late, s.lateOf = by, prefix
 }
 
 // SlowAnswers makes every answer take that much longer than usual after its request
@@ -281,6 +287,7 @@
 	sort.Strings(gone)
 	for _, k := range gone {
 		s.rev++
+		s.last[k] = s.rev
 		delete(s.keys, k)
 		s.log = append(s.log, wire.Event{Delete: k, Version: s.rev})
 	}
@@ -451,19 +458,26 @@
 		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many changes"})
 		return
 	}
-	if s.late > 0 && len(t.Then) > 0 {
+	came := s.lagging.arrive(nodeOf(r), t.token())
+	seen, late := s.rev, false
+	if s.late > 0 && t.changes(s.lateOf) {
 		by := s.late
-		s.late = 0
+		s.late, late = 0, true
+		s.lagging.waiting++
 		s.mu.Unlock()
 		time.Sleep(by)
 		s.mu.Lock()
+		s.lagging.waiting--
 		s.expire()
 	}
 	if by, unanswered := s.lagging.draw(len(t.Then)); unanswered {
 		if by > 0 {
+			late = true
+			s.lagging.waiting++
 			s.mu.Unlock()
 			time.Sleep(by)
 			s.mu.Lock()
+			s.lagging.waiting--
 			s.expire()
 		}
 		defer func() { // after it was carried out
@@ -487,6 +501,14 @@
 			failed = append(failed, g.Key)
 		}
 	}
+	if late {
+		// Each write is to rest on the version of what it replaces.
+		older := s.older(&t, seen)
+		if older != "" && len(failed) == 0 && s.breaks != nil {
+			s.breaks("a late transaction of %s changes %s back", came.node, older)
+		}
+		s.lagging.overtaken(came, s.keys[election.Key].Version, len(failed) > 0, older != "")
+	}
 	if len(failed) > 0 {
 		reply(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
 		return
@@ -494,7 +516,9 @@
 	s.checkOrders(&t)
 	if len(t.Then) > 0 {
 		s.rev++
+		s.lagging.applied[came.node] = came
 		for _, op := range t.Then {
+			s.last[op.Put+op.Delete] = s.rev
 			if op.Delete != "" {
 				if _, ok := s.keys[op.Delete]; ok {
 					delete(s.keys, op.Delete)
