--- a/internal/fake/answers.go
+++ b/internal/fake/answers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/ledger"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -195,6 +196,12 @@
 	return ""
 }
 
+// SubmitAt sends a job to a node once, and returns the status and the state it is told.
+func (w *World) SubmitAt(node int, j wire.Job) (status int, state string) {
+	r := w.submit(w.nodes[node].bind, j)
+	return r.status, r.state
+}
+
 // CloseLooks asks for a job at all nodes within milliseconds, that often, and
 // repeats its submission. It returns how many answers came by way of each node.
 func (w *World) CloseLooks(id string, often int) []int {
@@ -322,3 +329,13 @@
 	delete(m, lacking)
 	return m
 }
+
+// checkEnds sees to it that how a job ended is written once; the state's lock is held.
+func (s *State) checkEnds(t *txn) {
+	for _, op := range t.Then {
+		id, ok := ledger.ParseFinalKey(op.Put + op.Delete)
+		if _, again := s.keys[op.Put+op.Delete]; ok && again && s.breaks != nil {
+			s.breaks("how %s ended is written again", id)
+		}
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -430,6 +430,7 @@
 		return
 	}
 	s.checkOrders(&t)
+	s.checkEnds(&t)
 	if len(t.Then) > 0 {
 		s.rev++
 		for _, op := range t.Then {
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -67,7 +67,7 @@
 // was.
 func (w *World) Submit(j wire.Job) bool {
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
-		switch w.submit(w.Any(), j) {
+		switch w.submit(w.Any(), j).status {
 		case http.StatusOK, http.StatusCreated:
 			return true
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
@@ -81,13 +81,13 @@
 }
 
 // submit sends a job to a node once.
-func (w *World) submit(addr string, j wire.Job) int {
+func (w *World) submit(addr string, j wire.Job) heard {
 	w.mu.Lock()
 	if w.jobs[j.ID] == nil {
 		w.jobs[j.ID] = &job{spec: j, done: map[int]bool{}}
 	}
 	w.mu.Unlock()
-	return w.ask(submission, j.ID, addr, j, 5*time.Second).status
+	return w.ask(submission, j.ID, addr, j, 5*time.Second)
 }
 
 // Poll asks a node for a job's state; "" where there was no answer.
