Stories of odd requests, unconfirmed acceptances, handovers and many small jobs

Requests that users seldom send come to every node in quiet, in a crowd, while one node is refused, in an outage and after all nodes began anew. An acceptance hangs while the other nodes say that they know nothing of it. Jobs are cancelled in the seconds in which the leadership changes hands, in four ways. Jobs of one task come four a second for three minutes at 25 changes a second, a quarter of them cancelled.

--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/ledger"
@@ -294,3 +296,295 @@
 	}
 	t.Log("ends:", ends)
 }
+
+// Requests that users seldom send come to every node while all is well, while many
+// submissions come, while the state service refuses one node, while it is out, and
+// after all nodes have begun anew: each is answered as it must be, or not for good.
+func TestOddRequestsMeetTroubles(t *testing.T) {
+	teams := []config.Team{{Name: "core", CPUsMax: 20}, {Name: "edge"}}
+	meetings(t, 3, fake.Options{Machines: 4, Capacity: 4, Teams: teams}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+		for n := range 6 {
+			mustSubmit(t, w, quick(n+1), job(100+n, func(j *wire.Job) { j.Team, j.Kind, j.EstimateS = "edge", wire.KindService, 0 }))
+		}
+		mustFinish(t, w, time.Minute, 1, 2, 3, 4, 5, 6)
+		odd := func(when string, least int) {
+			all := w.OddRequests(20)
+			t.Log(when, all)
+			if all.Known < least || all.Refused < least || all.Unknown < least {
+				t.Errorf("%s: only %+v were answered", when, all)
+			}
+			met += all.Known
+		}
+		odd("quiet", 3)
+		over, calm := make(chan struct{}), sync.WaitGroup{}
+		calm.Go(func() {
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			for n := range 500 {
+				select {
+				case <-over:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				for k := range 15 {
+					wg.Go(func() { w.Submit(quick(200 + 15*n + k)) })
+				}
+			}
+		})
+		time.Sleep(300 * time.Millisecond)
+		if !slices.ContainsFunc(w.State.Keys(ledger.HeadKey(0)[:len(ledger.HeadKey(0))-1]), func(key string) bool {
+			head, err := ledger.DecodeIntake(w.State.Value(key))
+			return ledger.IsHead(key) && err == nil && !head.Closed
+		}) {
+			t.Error("no head is open: there is no crowd")
+		}
+		odd("a crowd", 3)
+		close(over)
+		calm.Wait()
+		refused := rnd.IntN(3)
+		w.State.Refuse(w.Nodes()[refused], true)
+		time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+		odd("one node is refused", 3)
+		w.State.Refuse(w.Nodes()[refused], false)
+		w.State.SetOutage(true)
+		time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+		odd("an outage", 0)
+		w.KillAll()
+		w.State.SetOutage(false)
+		w.Cloud.SetOutage(true)
+		w.StartAll()
+		time.Sleep(time.Duration(300+rnd.IntN(3000)) * time.Millisecond)
+		odd("all begin anew", 0)
+		w.Cloud.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		odd("quiet again", 3)
+		return met
+	})
+}
+
+// A node's acceptance hangs, and nobody knows whether it will be: meanwhile the other
+// nodes know nothing of the job and say so at once. It is carried out late, beside its
+// user's next submission or instead of it, and once.
+func TestAnAcceptanceIsNeverConfirmed(t *testing.T) {
+	meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+		for n := range 6 {
+			j, a := quick(n+1), rnd.IntN(3)
+			w.State.LateNext(time.Duration(3000+rnd.IntN(9000)) * time.Millisecond)
+			var wg sync.WaitGroup
+			var status int
+			kills := rnd.IntN(2) == 0
+			wg.Go(func() { status, _ = w.SubmitAt(a, j) })
+			time.Sleep(time.Duration(20+rnd.IntN(1500)) * time.Millisecond)
+			for b := range 3 {
+				if w.Look(b, j.ID) == http.StatusNotFound && !exists(w, ledger.JobKey(j.ID)) {
+					met++
+				} else {
+					t.Errorf("%s is known, or not told to be unknown, at node %d", j.ID, b)
+				}
+			}
+			if kills {
+				w.KillNode(a)
+			}
+			wg.Wait()
+			again := rnd.IntN(2) == 0 || !kills
+			if again && !w.Submit(j) {
+				t.Errorf("%s is not accepted, after %d", j.ID, status)
+			}
+			w.StartNode(a)
+			time.Sleep(10 * time.Second)
+			if again {
+				mustReach(t, w, j.ID, wire.JobDone, time.Minute)
+			}
+			w.CloseLooks(j.ID, 1)
+		}
+		return met
+	})
+}
+
+// Jobs are cancelled in the seconds in which a controller's work changes hands: just
+// before, while nobody leads, and while the next leader reads what there is. Their
+// tasks, of which some run, some are on their way and some are just being placed, are
+// gone in time, and stay so when the leader before comes back.
+func TestJobsAreCancelledWhileTheWorkChangesHands(t *testing.T) {
+	for way, name := range []string{"it dies", "it stands still", "the state service refuses it", "it keeps only its workers"} {
+		t.Run(name, func(t *testing.T) { cancelledInTheHandover(t, way) })
+	}
+}
+
+func cancelledInTheHandover(t *testing.T, way int) {
+	meetings(t, 2, fake.Options{Machines: 6, Capacity: 6}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		rnd = rand.New(rand.NewPCG(rnd.Uint64(), uint64(way)))
+		const jobs = 16
+		spec := func(n int) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Tasks, j.CPUs, j.ImageGB = 1+n%2, 1, 0.1
+				if n%3 == 0 {
+					j.EstimateS = 15
+				} else {
+					j.Kind, j.EstimateS = wire.KindService, 0
+				}
+			})
+		}
+		for n := range jobs / 2 {
+			mustSubmit(t, w, spec(n+1))
+		}
+		time.Sleep(time.Duration(3000+rnd.IntN(5000)) * time.Millisecond)
+		for n := jobs / 2; n < jobs; n++ {
+			mustSubmit(t, w, spec(n+1))
+		}
+		leader := w.Leader()
+		if leader < 0 {
+			t.Fatal("nobody leads")
+		}
+		before := w.State.Versions("ctl/leader")["ctl/leader"]
+		var mu sync.Mutex
+		var between, late int
+		var began atomic.Bool
+		var wg sync.WaitGroup
+		final := map[string]string{}
+		for n := range jobs {
+			id, after, cancels := spec(n+1).ID, time.Duration(rnd.IntN(12000))*time.Millisecond, rnd.IntN(4) > 0
+			if n%4 == 0 {
+				after = time.Duration(rnd.IntN(200)) * time.Millisecond
+			}
+			if !cancels {
+				continue
+			}
+			wg.Go(func() {
+				time.Sleep(after)
+				sent := w.State.Versions("ctl/leader")["ctl/leader"]
+				got := w.Cancel(id)
+				now := w.State.Versions("ctl/leader")["ctl/leader"]
+				mu.Lock()
+				defer mu.Unlock()
+				final[id] = got
+				switch {
+				case got != wire.JobCancelled:
+				case began.Load() && (sent == 0 || sent == before):
+					between++ // who placed its tasks is in trouble, and nobody has followed yet
+				case now != before:
+					late++
+				}
+			})
+		}
+		time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+		began.Store(true)
+		switch way {
+		case 0:
+			w.KillNode(leader)
+		case 1:
+			w.Stop(leader, true)
+		case 2:
+			w.State.Refuse(w.Nodes()[leader], true)
+		case 3:
+			w.KeepOnlyWorkers(leader, true)
+		}
+		wg.Wait()
+		changed := tell.Until(30*time.Second, 100*time.Millisecond, func() bool {
+			v := w.State.Versions("ctl/leader")["ctl/leader"]
+			return v != 0 && v != before
+		})
+		switch way {
+		case 0:
+			w.StartNode(leader)
+		case 1:
+			w.Stop(leader, false)
+		case 2:
+			w.State.Refuse(w.Nodes()[leader], false)
+		case 3:
+			w.KeepOnlyWorkers(leader, false)
+		}
+		time.Sleep(45 * time.Second) // the world watches for tasks past cancel_s
+		for n := range jobs {
+			j := spec(n + 1)
+			if got := final[j.ID]; got != "" {
+				for i := range j.Tasks {
+					if on := w.On(wire.TaskName(j.ID, i)); len(on) > 0 {
+						t.Errorf("%s/%d, of a job that is %s, is on %v", j.ID, i, got, on)
+					}
+				}
+			} else if j.Kind == wire.KindArray {
+				mustReach(t, w, j.ID, wire.JobDone, 2*time.Minute)
+			}
+			w.CloseLooks(j.ID, 1)
+		}
+		t.Log("between", between, "after", late, "of", len(final))
+		if !changed || between == 0 {
+			return 0
+		}
+		return between
+	})
+}
+
+// Jobs of one task come four a second for minutes, a quarter of them is cancelled, and
+// users ask meanwhile: submissions and cancellations are answered, ends are recorded as
+// fast as they come, and nothing is left.
+func TestManySmallJobsForMinutes(t *testing.T) {
+	during := 3 * time.Minute
+	if tell.UnderRace {
+		during = 30 * time.Second
+	}
+	meetings(t, 2, fake.Options{Machines: 10, Capacity: 10, StateRPS: 120, StateWPS: 25}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var slowestAccept, slowestCancel, slowestEnd time.Duration
+		cancelled, most := 0, 0
+		note := func(longest *time.Duration, since time.Time) {
+			mu.Lock()
+			*longest = max(*longest, time.Since(since))
+			mu.Unlock()
+		}
+		n := 0
+		for end := time.Now().Add(during); time.Now().Before(end); n++ {
+			j, cancels, after := quick(n+1), rnd.IntN(4) == 0, time.Duration(rnd.IntN(3000))*time.Millisecond
+			wg.Go(func() {
+				at := time.Now()
+				if !w.Submit(j) {
+					t.Errorf("%s was not accepted", j.ID)
+					return
+				}
+				note(&slowestAccept, at)
+				if cancels {
+					time.Sleep(after)
+					at := time.Now()
+					got := w.Cancel(j.ID)
+					note(&slowestCancel, at)
+					mu.Lock()
+					if got == wire.JobCancelled {
+						cancelled++
+					}
+					mu.Unlock()
+					return
+				}
+				if !when(time.Minute, func() bool { return w.Finished(j.ID) == 1 }) {
+					t.Errorf("%s does not run", j.ID)
+					return
+				}
+				at = time.Now()
+				if !tell.Until(time.Minute, 100*time.Millisecond, func() bool { return exists(w, ledger.FinalKey(j.ID)) }) {
+					t.Errorf("%s is not recorded as done", j.ID)
+				}
+				note(&slowestEnd, at)
+				w.Poll(w.Any(), j.ID)
+			})
+			time.Sleep(250 * time.Millisecond)
+			most = max(most, len(w.State.JobKeys()))
+		}
+		wg.Wait()
+		t.Logf("%d jobs, %d cancelled, slowest: accepted %v, cancelled %v, done %v; at most %d keys of unfinished jobs", n, cancelled, slowestAccept, slowestCancel, slowestEnd, most)
+		if slowestAccept > 2*time.Second || slowestCancel > 2*time.Second || slowestEnd > 3*time.Second {
+			t.Errorf("slowest: accepted %v, cancelled %v, done %v", slowestAccept, slowestCancel, slowestEnd)
+		}
+		if most > 60 {
+			t.Errorf("%d keys of unfinished jobs at once", most)
+		}
+		time.Sleep(10 * time.Second)
+		if keys := w.State.JobKeys(); len(keys) > 0 {
+			t.Errorf("left of jobs that are over: %v", keys)
+		}
+		if got := len(w.State.Keys(ledger.FinalKey(""))); got != n {
+			t.Errorf("%d ends of %d jobs", got, n)
+		}
+		return cancelled
+	})
+}
--- a/internal/fake/answers.go
+++ b/internal/fake/answers.go
@@ -202,6 +202,11 @@
 	return r.status, r.state
 }
 
+// Look asks a node for a job once, and returns the status.
+func (w *World) Look(node int, id string) int {
+	return w.ask(question, id, w.nodes[node].bind, nil, 2*time.Second).status
+}
+
 // CloseLooks asks for a job at all nodes within milliseconds, that often, and
 // repeats its submission. It returns how many answers came by way of each node.
 func (w *World) CloseLooks(id string, often int) []int {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -111,6 +111,7 @@
 	Lease     float64 // seconds of a worker's lease; 0 means 12
 	Older     []int   // nodes that read the form of records before; see Upgrade
 	StateRPS  float64 // the state service's limit of requests a second; 0 means 200, unenforced
+	StateWPS  float64 // and of changes; 0 means 60, unenforced
 }
 
 // Upgrade makes a node's next process read the newest form of records.
@@ -186,6 +187,12 @@
 			n.cfg.Cluster.State.RPS = o.StateRPS
 		}
 	}
+	if o.StateWPS > 0 {
+		w.State.LimitWrites(o.StateWPS)
+		for _, n := range w.nodes {
+			n.cfg.Cluster.State.WriteRPS = o.StateWPS
+		}
+	}
 	w.Settings = w.nodes[0].cfg
 	w.Cloud.mu.Lock()
 	for i := range o.Machines {
