--- /dev/null
+++ b/controller/users_test.go
@@ -0,0 +1,590 @@
+package controller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/tell"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// Stories in which troubles meet at the users' door. Each sees to it that they do
+// meet: one in which they miss one another fails. docs/meetings-U.md lists them with
+// the guards that keep the rules.
+
+// meetings plays a story for a few seeds, or for as many as STORY_SEEDS says. It
+// returns how often its troubles met.
+func meetings(t *testing.T, seeds uint64, o fake.Options, play func(t *testing.T, w *fake.World, rnd *rand.Rand) int) {
+	t.Helper()
+	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	} else if tell.UnderRace {
+		seeds = 1
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			o := o
+			o.Seed = seed
+			story(t, o, func(t *testing.T, w *fake.World) {
+				met := play(t, w, rand.New(rand.NewPCG(seed, 29)))
+				if met == 0 {
+					t.Error("the troubles missed one another")
+				}
+				t.Logf("they met %d times", met)
+			})
+		})
+	}
+}
+
+// quick is a job of one task of 2 s.
+func quick(n int) wire.Job {
+	return job(n, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS, j.ImageGB = 1, 1, 2, 0.1 })
+}
+
+// when waits for what will be so at any moment, and says whether it was.
+func when(within time.Duration, ok func() bool) bool {
+	return tell.Until(within, time.Millisecond, ok)
+}
+
+func exists(w *fake.World, key string) bool {
+	return w.State.Value(key) != nil
+}
+
+// Users look at all nodes within milliseconds, and submit once more, just after
+// their job was accepted, was done or was cancelled. One node is refused by the state
+// service and asks the others, and nodes stand still for a moment again and again. No
+// answer is older than one that the user had before asking.
+func TestAllNodesAreAskedAtOnce(t *testing.T) {
+	meetings(t, 3, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		w.State.Slow(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		refused := rnd.IntN(3)
+		w.State.Refuse(w.Nodes()[refused], true)
+		time.Sleep(6 * time.Second) // it may have led
+		over := make(chan struct{})
+		var stands, wg sync.WaitGroup
+		stands.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				w.Stop((refused+1+i%2)%3, true)
+				time.Sleep(time.Duration(100+100*(i%4)) * time.Millisecond)
+				w.Stop((refused+1+i%2)%3, false)
+			}
+		})
+		var byWay, looks atomic.Int64
+		look := func(id string) {
+			told := w.CloseLooks(id, 2)
+			byWay.Add(int64(told[refused]))
+			for _, n := range told {
+				looks.Add(int64(n))
+			}
+		}
+		for n := range 15 {
+			j, cancels, at, wait := quick(n+1), rnd.IntN(3), rnd.IntN(3), time.Duration(rnd.IntN(800))*time.Millisecond
+			wg.Go(func() {
+				time.Sleep(time.Duration(n) * 700 * time.Millisecond)
+				if !w.Submit(j) {
+					t.Errorf("%s was not accepted", j.ID)
+					return
+				}
+				if cancels != 0 {
+					look(j.ID)
+				}
+				if cancels <= 1 {
+					time.Sleep(time.Duration(cancels) * wait)
+					for range 30 {
+						if w.CancelAt(w.Bind(at), j.ID) != "" {
+							break
+						}
+					}
+				} else if !tell.Until(time.Minute, 50*time.Millisecond, func() bool { return w.Poll(w.Bind(at), j.ID) == wire.JobDone }) {
+					t.Errorf("%s is not done", j.ID)
+				}
+				look(j.ID)
+			})
+		}
+		wg.Wait()
+		close(over)
+		stands.Wait()
+		w.State.Refuse(w.Nodes()[refused], false)
+		if looks.Load() < 100 {
+			t.Errorf("%d answers in all", looks.Load())
+		}
+		return int(byWay.Load())
+	})
+}
+
+// A node's transaction is carried out at once and only its answer is lost: others
+// read it, and act on it, before its sender knows. Whatever the sender says then is
+// not older than what they have said.
+func TestOthersReadWhatItsSenderDoesNotKnow(t *testing.T) {
+	lose := func(w *fake.World, rnd *rand.Rand, key string) bool {
+		w.State.LoseAnswers(0, 1, rnd.Uint64())
+		met := when(5*time.Second, func() bool { return exists(w, key) })
+		w.State.LoseAnswers(0, 0, 0)
+		return met
+	}
+	t.Run("a submission", func(t *testing.T) {
+		meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+			for n := range 6 {
+				j, a := quick(n+1), rnd.IntN(3)
+				b := (a + 1 + rnd.IntN(2)) % 3
+				var knows atomic.Bool
+				var wg sync.WaitGroup
+				var status int
+				var state string
+				wg.Go(func() { status, state = w.SubmitAt(a, j); knows.Store(true) })
+				if !lose(w, rnd, ledger.JobKey(j.ID)) {
+					t.Errorf("%s is not in the store", j.ID)
+				}
+				read := w.Poll(w.Bind(b), j.ID) != "" && !knows.Load()
+				want := ""
+				if rnd.IntN(2) == 0 {
+					time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+					want = w.CancelAt(w.Bind(b), j.ID)
+					read = read && want != "" && !knows.Load()
+				}
+				w.CloseLooks(j.ID, 1)
+				wg.Wait()
+				if read {
+					met++
+				}
+				if status != http.StatusOK || read && want != "" && state != want {
+					t.Errorf("%s: the sender says %d, %q, others %q", j.ID, status, state, want)
+				}
+				w.CloseLooks(j.ID, 1)
+			}
+			return met
+		})
+	})
+	t.Run("a cancellation", func(t *testing.T) {
+		meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+			for n := range 6 {
+				j, a := job(n+1, func(j *wire.Job) { j.Tasks, j.EstimateS = 1, 60 }), rnd.IntN(3)
+				mustSubmit(t, w, j)
+				time.Sleep(time.Duration(rnd.IntN(6000)) * time.Millisecond)
+				var knows atomic.Bool
+				var wg sync.WaitGroup
+				var state string
+				wg.Go(func() { state = w.CancelAt(w.Bind(a), j.ID); knows.Store(true) })
+				if !lose(w, rnd, ledger.FinalKey(j.ID)) {
+					t.Errorf("%s is not cancelled in the store", j.ID)
+				}
+				if w.Poll(w.Bind((a+1)%3), j.ID) == wire.JobCancelled && !knows.Load() {
+					met++
+				}
+				w.CloseLooks(j.ID, 1)
+				wg.Wait()
+				if state != wire.JobCancelled {
+					t.Errorf("%s: the sender says %q", j.ID, state)
+				}
+				w.CloseLooks(j.ID, 1)
+			}
+			return met
+		})
+	})
+	t.Run("an end", func(t *testing.T) {
+		meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+			for n := range 6 {
+				j := quick(n + 1)
+				mustSubmit(t, w, j)
+				if !when(time.Minute, func() bool { return w.Finished(j.ID) == 1 }) {
+					t.Fatalf("%s does not run", j.ID)
+				}
+				started := w.Started()
+				if !lose(w, rnd, ledger.FinalKey(j.ID)) {
+					t.Errorf("%s is not over in the store", j.ID)
+				}
+				if sent, _ := w.State.Unanswered(); sent > met {
+					met++
+				}
+				// Its leader has no answer for 2 s.
+				if got := w.CancelAt(w.Bind(rnd.IntN(3)), j.ID); got != wire.JobDone {
+					t.Errorf("cancelling %s, which is done, is answered %q", j.ID, got)
+				}
+				w.CloseLooks(j.ID, 2)
+				time.Sleep(10 * time.Second)
+				if n := w.Started() - started; n > 0 {
+					t.Errorf("%d tasks of %s started again", n, j.ID)
+				}
+			}
+			return met
+		})
+	})
+	t.Run("a placement", func(t *testing.T) {
+		meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+			for n := range 6 {
+				j := job(n+1, func(j *wire.Job) { j.Tasks, j.EstimateS = 1, 60 })
+				had, _ := w.State.Unanswered()
+				mustSubmit(t, w, j)
+				w.State.LoseAnswers(0, 1, rnd.Uint64())
+				when(5*time.Second, func() bool { sent, _ := w.State.Unanswered(); return sent > had })
+				w.State.LoseAnswers(0, 0, 0)
+				started := w.Started()
+				if got := w.CancelAt(w.Bind(rnd.IntN(3)), j.ID); got != wire.JobCancelled {
+					t.Errorf("cancelling %s is answered %q", j.ID, got)
+				}
+				// The placement is in the store, and the leader does not know it.
+				if sent, done := w.State.Unanswered(); sent > had && done == sent && len(w.State.Keys(strings.TrimSuffix(ledger.PageKey(0), "0"))) > 0 {
+					met++
+				}
+				w.CloseLooks(j.ID, 1)
+				time.Sleep(8 * time.Second)
+				if n := w.Started() - started; n > 0 || len(w.On(j.ID+"/0")) > 0 {
+					t.Errorf("%s, which is cancelled, was started %d times", j.ID, n)
+				}
+			}
+			return met
+		})
+	})
+}
+
+// A cancellation, a question or a submission that is repeated comes after a job's
+// last task has completed and before that is recorded. The first to be committed
+// holds, at all nodes and for good.
+func TestACancellationMeetsTheEndOfTheLastTask(t *testing.T) {
+	ends := map[string]int{}
+	meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+		w.State.Slow(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		for n := range 24 {
+			j := quick(n + 1)
+			mustSubmit(t, w, j)
+			if !when(time.Minute, func() bool { return w.Finished(j.ID) == 1 }) {
+				t.Fatalf("%s does not run", j.ID)
+			}
+			time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
+			between := w.Finished(j.ID) == 1 && !exists(w, ledger.FinalKey(j.ID))
+			var looks sync.WaitGroup
+			looks.Go(func() { w.CloseLooks(j.ID, 3) })
+			got := ""
+			for try := 0; got == "" && try < 20; try++ {
+				got = w.CancelAt(w.Bind(rnd.IntN(3)), j.ID)
+			}
+			if between {
+				met++
+				ends[got]++
+			}
+			looks.Wait()
+			w.CloseLooks(j.ID, 1)
+		}
+		time.Sleep(3 * time.Second)
+		for n := range 24 {
+			w.CloseLooks(quick(n+1).ID, 1)
+		}
+		if keys := w.State.JobKeys(); len(keys) > 0 {
+			t.Errorf("left of jobs that are over: %v", keys)
+		}
+		return met
+	})
+	if ends[wire.JobDone] == 0 || ends[wire.JobCancelled] == 0 {
+		t.Errorf("of those that met, one side always won: %v", ends)
+	}
+	t.Log("ends:", ends)
+}
+
+// Requests that users seldom send come to every node while all is well, while many
+// submissions come, while the state service refuses one node, while it is out, and
+// after all nodes have begun anew: each is answered as it must be, or not for good.
+func TestOddRequestsMeetTroubles(t *testing.T) {
+	teams := []config.Team{{Name: "core", CPUsMax: 20}, {Name: "edge"}}
+	meetings(t, 3, fake.Options{Machines: 4, Capacity: 4, Teams: teams}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+		for n := range 6 {
+			mustSubmit(t, w, quick(n+1), job(100+n, func(j *wire.Job) { j.Team, j.Kind, j.EstimateS = "edge", wire.KindService, 0 }))
+		}
+		mustFinish(t, w, time.Minute, 1, 2, 3, 4, 5, 6)
+		odd := func(when string, least int) {
+			all := w.OddRequests(20)
+			t.Log(when, all)
+			if all.Known < least || all.Refused < least || all.Unknown < least {
+				t.Errorf("%s: only %+v were answered", when, all)
+			}
+			met += all.Known
+		}
+		odd("quiet", 3)
+		over, calm := make(chan struct{}), sync.WaitGroup{}
+		calm.Go(func() {
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			for n := range 500 {
+				select {
+				case <-over:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				for k := range 15 {
+					wg.Go(func() { w.Submit(quick(200 + 15*n + k)) })
+				}
+			}
+		})
+		time.Sleep(300 * time.Millisecond)
+		if !slices.ContainsFunc(w.State.Keys(ledger.HeadKey(0)[:len(ledger.HeadKey(0))-1]), func(key string) bool {
+			head, err := ledger.DecodeIntake(w.State.Value(key))
+			return ledger.IsHead(key) && err == nil && !head.Closed
+		}) {
+			t.Error("no head is open: there is no crowd")
+		}
+		odd("a crowd", 3)
+		close(over)
+		calm.Wait()
+		refused := rnd.IntN(3)
+		w.State.Refuse(w.Nodes()[refused], true)
+		time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+		odd("one node is refused", 3)
+		w.State.Refuse(w.Nodes()[refused], false)
+		w.State.SetOutage(true)
+		time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+		odd("an outage", 0)
+		w.KillAll()
+		w.State.SetOutage(false)
+		w.Cloud.SetOutage(true)
+		w.StartAll()
+		time.Sleep(time.Duration(300+rnd.IntN(3000)) * time.Millisecond)
+		odd("all begin anew", 0)
+		w.Cloud.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		odd("quiet again", 3)
+		return met
+	})
+}
+
+// A node's acceptance hangs, and nobody knows whether it will be: meanwhile the other
+// nodes know nothing of the job and say so at once. It is carried out late, beside its
+// user's next submission or instead of it, and once.
+func TestAnAcceptanceIsNeverConfirmed(t *testing.T) {
+	meetings(t, 4, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) (met int) {
+		for n := range 6 {
+			j, a := quick(n+1), rnd.IntN(3)
+			w.State.LateNext(time.Duration(3000+rnd.IntN(9000)) * time.Millisecond)
+			var wg sync.WaitGroup
+			var status int
+			kills := rnd.IntN(2) == 0
+			wg.Go(func() { status, _ = w.SubmitAt(a, j) })
+			time.Sleep(time.Duration(20+rnd.IntN(1500)) * time.Millisecond)
+			for b := range 3 {
+				if w.Look(b, j.ID) == http.StatusNotFound && !exists(w, ledger.JobKey(j.ID)) {
+					met++
+				} else {
+					t.Errorf("%s is known, or not told to be unknown, at node %d", j.ID, b)
+				}
+			}
+			if kills {
+				w.KillNode(a)
+			}
+			wg.Wait()
+			again := rnd.IntN(2) == 0 || !kills
+			if again && !w.Submit(j) {
+				t.Errorf("%s is not accepted, after %d", j.ID, status)
+			}
+			w.StartNode(a)
+			time.Sleep(10 * time.Second)
+			if again {
+				mustReach(t, w, j.ID, wire.JobDone, time.Minute)
+			}
+			w.CloseLooks(j.ID, 1)
+		}
+		return met
+	})
+}
+
+// Jobs are cancelled in the seconds in which a controller's work changes hands: just
+// before, while nobody leads, and while the next leader reads what there is. Their
+// tasks, of which some run, some are on their way and some are just being placed, are
+// gone in time, and stay so when the leader before comes back.
+func TestJobsAreCancelledWhileTheWorkChangesHands(t *testing.T) {
+	for way, name := range []string{"it dies", "it stands still", "the state service refuses it", "it keeps only its workers"} {
+		t.Run(name, func(t *testing.T) { cancelledInTheHandover(t, way) })
+	}
+}
+
+func cancelledInTheHandover(t *testing.T, way int) {
+	meetings(t, 2, fake.Options{Machines: 6, Capacity: 6}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		rnd = rand.New(rand.NewPCG(rnd.Uint64(), uint64(way)))
+		const jobs = 16
+		spec := func(n int) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Tasks, j.CPUs, j.ImageGB = 1+n%2, 1, 0.1
+				if n%3 == 0 {
+					j.EstimateS = 15
+				} else {
+					j.Kind, j.EstimateS = wire.KindService, 0
+				}
+			})
+		}
+		for n := range jobs / 2 {
+			mustSubmit(t, w, spec(n+1))
+		}
+		time.Sleep(time.Duration(3000+rnd.IntN(5000)) * time.Millisecond)
+		for n := jobs / 2; n < jobs; n++ {
+			mustSubmit(t, w, spec(n+1))
+		}
+		leader := w.Leader()
+		if leader < 0 {
+			t.Fatal("nobody leads")
+		}
+		before := w.State.Versions("ctl/leader")["ctl/leader"]
+		var mu sync.Mutex
+		var between, late int
+		var began atomic.Bool
+		var wg sync.WaitGroup
+		final := map[string]string{}
+		for n := range jobs {
+			id, after, cancels := spec(n+1).ID, time.Duration(rnd.IntN(12000))*time.Millisecond, rnd.IntN(4) > 0
+			if n%4 == 0 {
+				after = time.Duration(rnd.IntN(200)) * time.Millisecond
+			}
+			if !cancels {
+				continue
+			}
+			wg.Go(func() {
+				time.Sleep(after)
+				sent := w.State.Versions("ctl/leader")["ctl/leader"]
+				got := w.Cancel(id)
+				now := w.State.Versions("ctl/leader")["ctl/leader"]
+				mu.Lock()
+				defer mu.Unlock()
+				final[id] = got
+				switch {
+				case got != wire.JobCancelled:
+				case began.Load() && (sent == 0 || sent == before):
+					between++ // who placed its tasks is in trouble, and nobody has followed yet
+				case now != before:
+					late++
+				}
+			})
+		}
+		time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+		began.Store(true)
+		switch way {
+		case 0:
+			w.KillNode(leader)
+		case 1:
+			w.Stop(leader, true)
+		case 2:
+			w.State.Refuse(w.Nodes()[leader], true)
+		case 3:
+			w.KeepOnlyWorkers(leader, true)
+		}
+		wg.Wait()
+		changed := tell.Until(30*time.Second, 100*time.Millisecond, func() bool {
+			v := w.State.Versions("ctl/leader")["ctl/leader"]
+			return v != 0 && v != before
+		})
+		switch way {
+		case 0:
+			w.StartNode(leader)
+		case 1:
+			w.Stop(leader, false)
+		case 2:
+			w.State.Refuse(w.Nodes()[leader], false)
+		case 3:
+			w.KeepOnlyWorkers(leader, false)
+		}
+		time.Sleep(45 * time.Second) // the world watches for tasks past cancel_s
+		for n := range jobs {
+			j := spec(n + 1)
+			if got := final[j.ID]; got != "" {
+				for i := range j.Tasks {
+					if on := w.On(wire.TaskName(j.ID, i)); len(on) > 0 {
+						t.Errorf("%s/%d, of a job that is %s, is on %v", j.ID, i, got, on)
+					}
+				}
+			} else if j.Kind == wire.KindArray {
+				mustReach(t, w, j.ID, wire.JobDone, 2*time.Minute)
+			}
+			w.CloseLooks(j.ID, 1)
+		}
+		t.Log("between", between, "after", late, "of", len(final))
+		if !changed || between == 0 {
+			return 0
+		}
+		return between
+	})
+}
+
+// Jobs of one task come four a second for minutes, a quarter of them is cancelled, and
+// users ask meanwhile: submissions and cancellations are answered, ends are recorded as
+// fast as they come, and nothing is left.
+func TestManySmallJobsForMinutes(t *testing.T) {
+	during := 3 * time.Minute
+	if tell.UnderRace {
+		during = 30 * time.Second
+	}
+	meetings(t, 2, fake.Options{Machines: 10, Capacity: 10, StateRPS: 120, StateWPS: 25}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var slowestAccept, slowestCancel, slowestEnd time.Duration
+		cancelled, most := 0, 0
+		note := func(longest *time.Duration, since time.Time) {
+			mu.Lock()
+			*longest = max(*longest, time.Since(since))
+			mu.Unlock()
+		}
+		n := 0
+		for end := time.Now().Add(during); time.Now().Before(end); n++ {
+			j, cancels, after := quick(n+1), rnd.IntN(4) == 0, time.Duration(rnd.IntN(3000))*time.Millisecond
+			wg.Go(func() {
+				at := time.Now()
+				if !w.Submit(j) {
+					t.Errorf("%s was not accepted", j.ID)
+					return
+				}
+				note(&slowestAccept, at)
+				if cancels {
+					time.Sleep(after)
+					at := time.Now()
+					got := w.Cancel(j.ID)
+					note(&slowestCancel, at)
+					mu.Lock()
+					if got == wire.JobCancelled {
+						cancelled++
+					}
+					mu.Unlock()
+					return
+				}
+				if !when(time.Minute, func() bool { return w.Finished(j.ID) == 1 }) {
+					t.Errorf("%s does not run", j.ID)
+					return
+				}
+				at = time.Now()
+				if !tell.Until(time.Minute, 100*time.Millisecond, func() bool { return exists(w, ledger.FinalKey(j.ID)) }) {
+					t.Errorf("%s is not recorded as done", j.ID)
+				}
+				note(&slowestEnd, at)
+				w.Poll(w.Any(), j.ID)
+			})
+			time.Sleep(250 * time.Millisecond)
+			most = max(most, len(w.State.JobKeys()))
+		}
+		wg.Wait()
+		t.Logf("%d jobs, %d cancelled, slowest: accepted %v, cancelled %v, done %v; at most %d keys of unfinished jobs", n, cancelled, slowestAccept, slowestCancel, slowestEnd, most)
+		if slowestAccept > 2*time.Second || slowestCancel > 2*time.Second || slowestEnd > 3*time.Second {
+			t.Errorf("slowest: accepted %v, cancelled %v, done %v", slowestAccept, slowestCancel, slowestEnd)
+		}
+		if most > 60 {
+			t.Errorf("%d keys of unfinished jobs at once", most)
+		}
+		time.Sleep(10 * time.Second)
+		if keys := w.State.JobKeys(); len(keys) > 0 {
+			t.Errorf("left of jobs that are over: %v", keys)
+		}
+		if got := len(w.State.Keys(ledger.FinalKey(""))); got != n {
+			t.Errorf("%d ends of %d jobs", got, n)
+		}
+		return cancelled
+	})
+}
