--- a/controller/meetings_test.go
+++ b/controller/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -370,6 +371,186 @@
 	})
 }
 
+// A leader ends while machines with long tasks can't be reached, or don't hear the
+// next one's answers: a task is on one machine only, and goes on there if its
+// machine is back within its lease.
+func TestMeetingOfLongTasksAndAChangeOfLeader(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		ways := []func(string, bool){w.CutMachine, w.Hang, w.Mute, w.Silence}
+		trouble := ways[rnd.IntN(len(ways))]
+		before, started, on := w.Token(), w.Started(), w.Load()
+		names := slices.Sorted(maps.Keys(on))
+		rnd.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+		names = names[:1+rnd.IntN(len(names))]
+		time.Sleep(between(rnd, 0, 5*time.Second))
+		late := rnd.IntN(2) == 0
+		if late {
+			endLeader(w, rnd)
+			time.Sleep(between(rnd, 0, time.Second))
+		}
+		for _, m := range names {
+			trouble(m, true)
+		}
+		from := time.Now()
+		if !late {
+			time.Sleep(between(rnd, 0, time.Second))
+			endLeader(w, rnd)
+		}
+		changes(t, w, before)
+		w.Met()
+		tasks := 0
+		for _, m := range names {
+			tasks += w.Load()[m]
+		}
+		if tasks == 0 || w.Expired() > 0 {
+			t.Errorf("%d tasks on machines in trouble as the leader changes, of %v, %d leases over", tasks, on, w.Expired())
+		}
+		// Within the 30 s of a lease, or well beyond it.
+		short := rnd.IntN(2) == 0
+		if short {
+			time.Sleep(between(rnd, 0, 3*time.Second))
+		} else {
+			time.Sleep(between(rnd, 32*time.Second, time.Minute))
+		}
+		lasted := time.Since(from)
+		for _, m := range names {
+			trouble(m, false)
+		}
+		well(t, w)
+		if !tell.Until(time.Minute, time.Second, func() bool { return atLimit(w) }) {
+			t.Errorf("the teams use %g and %g CPUs in the end", w.CPUs("core"), w.CPUs("edge"))
+		}
+		if n := w.Started() - started; short && lasted < 15*time.Second && n > 0 {
+			t.Errorf("%d starts after %v", n, lasted)
+		} else if !short && w.Expired() == 0 {
+			t.Error("no lease ended")
+		}
+	})
+}
+
+// A zone with workers and a controller is cut off from all else for longer than a
+// worker's lease. Its workers go on for as long as a controller there answers them
+// with a valid token; then what they had starts elsewhere, and once only.
+func TestMeetingOfACutZoneAndLimits(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		fillTeams(t, w)
+		zone, before := fake.Zones[w.Leader()%2], w.Token()
+		within := rnd.IntN(3) > 0 // the leader is in that zone
+		if !within {
+			zone = fake.Zones[1-w.Leader()%2]
+		}
+		there := 0
+		for m, n := range w.Load() {
+			if w.ZoneOf(m) == zone {
+				there += n
+			}
+		}
+		w.CutOff(zone, true)
+		w.Met()
+		time.Sleep(between(rnd, 0, 20*time.Second))
+		if there == 0 || !atLimit(w) {
+			t.Errorf("%d tasks in the zone that is cut off, teams at their limits: %v", there, atLimit(w))
+		}
+		id := job(101+rnd.IntN(4), nil).ID
+		if s := w.Cancel(id); s != wire.JobCancelled {
+			t.Errorf("cancel answered %q", s)
+		}
+		time.Sleep(between(rnd, 32*time.Second, 50*time.Second))
+		if w.Expired() == 0 {
+			t.Error("no lease ended in the zone")
+		}
+		if k := w.Token(); within == (k == before) {
+			t.Errorf("the leader was cut off: %v; it has changed: %v", within, k != before)
+		}
+		w.CutOff(zone, false)
+		well(t, w)
+	})
+}
+
+// Jobs bound to one zone, arrays and gangs, lose a machine while the leader changes:
+// what starts again does so in the zone where their other tasks still may be.
+func TestMeetingOfJobsOfOneZoneAndLostMachines(t *testing.T) {
+	o := limited()
+	o.Teams = nil
+	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		whole := func(j *wire.Job) { j.OneZone, j.Tasks, j.CPUs, j.EstimateS = true, 3, 5, 90 }
+		mustSubmit(t, w, job(1, whole))
+		mustSubmit(t, w, job(2, func(j *wire.Job) { whole(j); gang(j) }))
+		if !tell.Until(40*time.Second, 200*time.Millisecond, func() bool { return w.Running() == 6 }) {
+			t.Fatalf("%d tasks run", w.Running())
+		}
+		time.Sleep(between(rnd, time.Second, 10*time.Second))
+		before := w.Token()
+		var lost, rest []string // one machine of each job, and those of their other tasks
+		for n := 1; n <= 2; n++ {
+			on := tasksOn(w, wire.Job{ID: job(n, nil).ID, Tasks: 3})
+			k := rnd.IntN(len(on))
+			lost, rest = append(lost, on[k]), append(rest, on[(k+1)%len(on)])
+		}
+		// The one is gone, and the others can't be asked when the next leader comes:
+		// it does not know in which zone they are.
+		cut := rnd.IntN(2) == 0
+		if cut {
+			for _, m := range rest {
+				w.CutMachine(m, true)
+			}
+		}
+		started := w.Started()
+		for _, m := range lost {
+			w.KillMachine(m)
+		}
+		time.Sleep(between(rnd, 0, 2*time.Second))
+		endLeader(w, rnd)
+		w.Met()
+		changes(t, w, before)
+		if n := w.Running(); n == 0 || n > 5 || w.Started() != started {
+			t.Errorf("%d tasks run as the leader changes, %d starts", n, w.Started()-started)
+		}
+		time.Sleep(between(rnd, 0, 40*time.Second))
+		for _, m := range rest {
+			w.CutMachine(m, false)
+		}
+		well(t, w)
+		mustFinish(t, w, 20*time.Minute, 1, 2)
+		if w.Started() == started {
+			t.Error("nothing was started again")
+		}
+	})
+}
+
+// Tasks of a small job end far apart, and the leader changes between: what is done
+// stays done, and the job is done with its last task.
+func TestMeetingOfTasksThatEndFarApartAndAChangeOfLeader(t *testing.T) {
+	o := limited()
+	o.Teams = []config.Team{{Name: "core", CPUsMax: 5}}
+	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		tasks := 2 + rnd.IntN(2)
+		// One after another, as the team's limit lets them.
+		j := job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = tasks, 5, float64(20+rnd.IntN(30)) })
+		mustSubmit(t, w, j)
+		for done := 1; done < tasks; done++ {
+			if !tell.Until(3*time.Minute, 100*time.Millisecond, func() bool { return w.Finished(j.ID) == done }) {
+				t.Fatalf("%d tasks are done", w.Finished(j.ID))
+			}
+			before := w.Token()
+			time.Sleep(between(rnd, 0, 1500*time.Millisecond)) // the outcome may not be committed
+			endLeader(w, rnd)
+			w.Met()
+			changes(t, w, before)
+			if n := w.Finished(j.ID); n != done {
+				t.Errorf("%d of %d tasks are done as the leader changes", n, tasks)
+			}
+			if s := w.Poll(w.Any(), j.ID); s == wire.JobDone {
+				t.Errorf("called done with %d of %d tasks", done, tasks)
+			}
+			w.StartAll()
+		}
+		mustReach(t, w, j.ID, wire.JobDone, 5*time.Minute)
+		well(t, w)
+	})
+}
+
 // The checks that these stories rest on can fail.
 func TestTheCheckerSeesCancelledAndWaitingJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -395,9 +395,13 @@
 // KillMachine ends a machine without notice; it stays listed for a while.
 func (w *World) KillMachine(name string) { w.Cloud.machine(name).kill() }
 
-// Hang makes a machine do nothing, or lets it go on.
+// Hang makes a machine do nothing, or lets it go on. One that has been returned
+// meanwhile stays gone.
 func (w *World) Hang(name string, on bool) {
 	m := w.Cloud.machine(name)
+	if m == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m.hung = on
