The model check knows late transactions, racing cancellations, a leader refused alone

A transaction that got no answer was either applied at once or not at all, a user's cancellation was one step, the state service served the leader always, and copies of reports were not known to reach the next leader first. Now a leader's transaction may be carried out after newer ones, a cancellation is read for, sent, carried out and told in steps of their own, and the service may refuse the leader alone while a user cancels through another node; four worlds have these among everything else that may happen. Rules added: a final state never changes, a job has exactly one record, and what a worker was let forget stays recorded. A search counts what copies met: first at the next leader, of an earlier session, of an earlier attempt.

Seven guards are taken away, each found: no answer counted as committed (7 steps), the page's version (9), the conditions of a cancellation (8) and of a job's end (8), the term (8), the term counted from the answer (9), a copy that counts as shown (9 from where the task runs). With them in place nothing breaks. A page's digest says besides whether the leader ever wrote it: a late transaction told two states apart that were merged.

--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -90,7 +90,8 @@
 		}
 	}
 	for _, p := range m.pages {
-		fmt.Fprintf(w, "|p%d,%t,%t", p.n, p.version == ref.Version(ledger.PageKey(p.n)), p.gen == p.committed)
+		// A page that was never written may be, once what is in the store is deleted.
+		fmt.Fprintf(w, "|p%d,%t,%t,%t", p.n, p.version == ref.Version(ledger.PageKey(p.n)), p.version == 0, p.gen == p.committed)
 	}
 	fmt.Fprintf(w, "|%d,%d", len(m.stops), len(m.fresh))
 }
--- /dev/null
+++ b/modelcheck/late_test.go
@@ -0,0 +1,73 @@
+package modelcheck
+
+import "testing"
+
+// What comes late or is lost between nodes and the state service breaks no rule, and
+// each guard is missed when it is taken away.
+func TestNothingLateBreaksARule(t *testing.T) {
+	for _, c := range []struct {
+		without Breach
+		world   *Scenario
+		moves   []Kind
+		depth   int
+	}{
+		{UnknownCounts, LateOfOne(), []Kind{Pass, PassLate, LateTxn, Trip, Image, Finish, Takeover}, 9},
+		{PageUnguarded, LateTransactions(), []Kind{Pass, PassLate, LateTxn, Trip, Image, Finish}, 10},
+		{CancelUnguards, LateOfOne(), []Kind{Pass, PassLost, PassLate, LateTxn, Trip, Image, Finish, Ask, AskHeard, AskLost, Again}, 9},
+		{DoneUnguarded, LateOfOne(), []Kind{Pass, PassLost, PassLate, LateTxn, Trip, Image, Finish, Ask, AskHeard, AskLost, Again}, 9},
+		{TermIgnored, refusedOnOne(), []Kind{Pass, Trip, Image, Cancel, Refuse, Wait, Takeover}, 10},
+		{TermFromAnswer, refusedOnOne(), []Kind{Pass, Trip, Image, Cancel, Refuse, Renewed, Wait}, 11},
+		{CopyShows, copiedWhileRunning(), []Kind{Pass, Trip, Image, Keep, Copy, Takeover, Wait}, 9},
+	} {
+		t.Run(c.without.String(), func(t *testing.T) {
+			if underRace && c.without == CopyShows {
+				t.Skip("the largest: .ci/run goes through it without the race detector")
+			}
+			sc := c.world
+			sc.Only = c.moves
+			without := Search(sc, c.without, c.depth, 5_000_000)
+			t.Log(without)
+			if without.Broken == "" {
+				t.Fatal("nothing found")
+			}
+			whole := Search(sc, None, len(without.Path), 5_000_000)
+			t.Logf("with the guard in its place: %v", whole)
+			if whole.Broken != "" || whole.States < 100 {
+				t.Errorf("with the guard in its place: %v", whole)
+			}
+		})
+	}
+}
+
+// refusedOnOne is the same with one machine.
+func refusedOnOne() *Scenario {
+	sc := RefusedAlone()
+	sc.Zones = sc.Zones[:1]
+	return sc
+}
+
+// copiedWhileRunning is the same once the task has got on its first machine: the last
+// report of that does not list it yet.
+func copiedWhileRunning() *Scenario {
+	sc := NextLeader()
+	sc.Begin = []Action{{Kind: Pass}, {Kind: Trip}, {Kind: Image}}
+	return sc
+}
+
+// A copy comes to the next leader before any other report of its worker, of a session
+// that has ended since, and with attempts that have: the search has gone through all
+// of these.
+func TestCopiesMeetTheNextLeader(t *testing.T) {
+	sc := copiedWhileRunning()
+	sc.Only = []Kind{Pass, Trip, Image, Keep, Copy, Takeover, Wait}
+	res := Search(sc, None, 6, 5_000_000)
+	t.Log(res, res.Met)
+	for _, what := range []string{"first at the next leader", "of an earlier session", "of an earlier attempt"} {
+		if res.Met[what] == 0 {
+			t.Errorf("no copy was %s", what)
+		}
+	}
+	if res.Broken != "" {
+		t.Error(res)
+	}
+}
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -70,5 +70,6 @@
 
 // Scenarios are all of them.
 func Scenarios() []*Scenario {
-	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split(), Muted(), Copied(), Ordered(), Preempted()}
+	return []*Scenario{Alone(), OneTask(), Pair(), Quota(), Page(), Gang(), Split(), Muted(), Copied(), Ordered(), Preempted(),
+		LateTransactions(), LateOfOne(), RefusedAlone(), NextLeader()}
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -49,6 +49,9 @@
 	if name, ok := orderNames[a.Kind]; ok {
 		return name
 	}
+	if name, ok := lateNames[a.Kind]; ok {
+		return fmt.Sprintf("%s %d", name, a.Arg)
+	}
 	return fmt.Sprintf("%s %d", [...]string{"pass", "pass, answer lost", "round trip of", "report of", "report arrives of", "answer arrives at", "given up by",
 		"late report arrives,", "late answer arrives,", "direct batch arrives,", "image at", "completes at", "cancelled, job", "leader learns", "time passes",
 		"takeover", "former leader answers", "nothing reaches, or all again,", "copy made of report of", "copy arrives,"}[a.Kind], a.Arg)
@@ -64,7 +67,7 @@
 }
 
 func (w *World) all() []Action {
-	out := append([]Action{{Kind: Pass}, {Kind: PassLost}, {Kind: Wait}}, w.orderActions()...)
+	out := append([]Action{{Kind: Pass}, {Kind: PassLost}, {Kind: Wait}}, append(w.orderActions(), w.lateActions()...)...)
 	if w.takeover < w.sc.Takeovers {
 		out = append(out, Action{Kind: Takeover})
 	}
@@ -100,7 +103,7 @@
 			out = append(out, Action{Finish, n})
 		}
 	}
-	for i := range w.late {
+	for i := range w.overdue {
 		out = append(out, Action{Late, uint8(i)})
 	}
 	for i := range w.answers {
@@ -120,7 +123,7 @@
 			out = append(out, Action{Cancel, uint8(i)})
 		}
 	}
-	if len(w.cancelled) > 0 && w.seen < w.rev {
+	if len(w.cancelled)+len(w.asked) > 0 && w.seen < w.rev && !w.refused {
 		out = append(out, Action{Kind: Learn})
 	}
 	return out
@@ -129,11 +132,14 @@
 // Do lets an action happen.
 func (w *World) Do(a Action) {
 	i := int(a.Arg)
+	w.Met = nil
 	switch a.Kind {
 	case Decide, Apply, Hear, Arrive:
 		w.doOrder(a.Kind)
+	case PassLate, LateTxn, Ask, AskHeard, AskLost, Again, Refuse, Renewed:
+		w.doLate(a)
 	case Pass, PassLost:
-		w.pass(a.Kind == PassLost)
+		w.pass(a.Kind)
 	case Trip:
 		w.trip(i)
 	case Send:
@@ -145,8 +151,8 @@
 	case GiveUp:
 		w.giveUp(w.workers[i])
 	case Late:
-		f := w.late[i]
-		w.late = slices.Delete(w.late, i, i+1)
+		f := w.overdue[i]
+		w.overdue = slices.Delete(w.overdue, i, i+1)
 		w.handle(f, w.model)
 	case LateAnswer:
 		f := w.answers[i]
@@ -202,6 +208,7 @@
 	All         bool // no state was left to go on from
 	Broken      string
 	Path        []Action
+	Met         map[string]int // transitions in which so much met (World.Met)
 }
 
 func (r Result) String() string {
@@ -234,6 +241,7 @@
 	path   []Action
 	hash   xxh3.Uint128
 	broken string
+	met    []string
 }
 
 // Search goes through all that may happen within so many actions, breadth
@@ -244,13 +252,16 @@
 	first := NewWorld(sc, b)
 	known := map[xxh3.Uint128]struct{}{first.hash(): {}}
 	level := [][]Action{nil}
-	res := Result{States: 1}
+	res := Result{States: 1, Met: map[string]int{}}
 	for res.Depth < depth && len(level) > 0 && res.States < states {
 		res.Depth++
 		next := expand(sc, b, level)
 		level = level[:0:0]
 		for _, f := range next {
 			res.Transitions++
+			for _, what := range f.met {
+				res.Met[what]++
+			}
 			if f.broken != "" {
 				res.Broken, res.Path = f.broken, f.path
 				return res
@@ -279,7 +290,7 @@
 				for _, a := range replay(sc, b, level[i]).Actions() {
 					path := append(slices.Clip(slices.Clone(level[i])), a)
 					w := replay(sc, b, path)
-					parts[i] = append(parts[i], found{path, w.hash(), w.Broken})
+					parts[i] = append(parts[i], found{path, w.hash(), w.Broken, w.Met})
 				}
 			}
 		}()
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -51,6 +51,9 @@
 	case OldStops:
 		return "old order's stops"
 	}
+	if name, ok := lateBreaches[b]; ok {
+		return name
+	}
 	return [...]string{"none", "uncommitted launch", "short lease", "no wait after takeover", "stale reports", "token not shown",
 		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel", "copies count", "unheard answers"}[b]
 }
@@ -61,16 +64,20 @@
 	Zones     []string // of each machine
 	Capacity  float64  // CPUs of each
 	Jobs      []wire.Job
-	Max       float64 // the team's limit in CPUs
-	Cancels   int     // jobs that their user may cancel, from the first on
-	Takeovers int     // changes of leader at most
-	Only      []Kind  // what may happen; nil: anything
-	Reliable  int     // of the last so many machines no message is split, late or lost
-	Shared    bool    // the jobs' records share a page
-	Mutes     int     // how often a worker's reports arrive, and nothing reaches it
-	Copies    int     // late copies of reports
-	Later     int     // of the last so many jobs, each is accepted later: 0 or 1
-	Plans     int     // orders of service that are applied, at most
+	Max       float64  // the team's limit in CPUs
+	Cancels   int      // jobs that their user may cancel, from the first on
+	Takeovers int      // changes of leader at most
+	Begin     []Action // what has happened already
+	Only      []Kind   // what may happen; nil: anything
+	Reliable  int      // of the last so many machines no message is split, late or lost
+	Shared    bool     // the jobs' records share a page
+	Mutes     int      // how often a worker's reports arrive, and nothing reaches it
+	Copies    int      // late copies of reports
+	Later     int      // of the last so many jobs, each is accepted later: 0 or 1
+	Plans     int      // orders of service that are applied, at most
+	Lates     int      // leader's transactions that are carried out late, at most
+	Asks      int      // jobs that their user may cancel by a transaction that is under way for a while, from the first on
+	Refusals  int      // how often the state service refuses the leader alone
 }
 
 const (
@@ -116,6 +123,7 @@
 	out     *flight // the report that it waits for an answer to
 	mute    bool    // neither answers nor commands reach it
 	last    *flight // its last report, while a copy of it may be made
+	heardBy uint64  // the last leader that has had a report of it which is no copy
 }
 
 // flight is a report on its way, and its answer.
@@ -154,7 +162,7 @@
 	takeover int
 
 	workers []*worker
-	late    []*flight // reports given up, not arrived
+	overdue []*flight // reports given up, not arrived
 	answers []*flight // answers given up, where workers execute these
 	copies  []*flight // of reports, on their way
 	mutes   int
@@ -165,8 +173,10 @@
 	cancelled map[string]int  // since which step
 
 	orders
+	late
 
-	Broken string // the first rule broken, with what broke it
+	Met    []string // what met in the last step, for tests that it did
+	Broken string   // the first rule broken, with what broke it
 }
 
 // NewWorld makes a world in which the machines are up, have shown the leader's
@@ -204,6 +214,9 @@
 		w.trip(i)
 		w.trip(i)
 	}
+	for _, a := range sc.Begin {
+		w.Do(a)
+	}
 	return w
 }
 
@@ -256,6 +269,7 @@
 	m.Loaded(w.now())
 	w.model, w.seen = m, w.rev
 	w.victims, w.stopped = nil, nil // the leader before's
+	w.refused, w.renewing, w.termFrom = false, false, w.step
 }
 
 // learn is the leader's watch: it sees which active records are gone.
@@ -281,7 +295,7 @@
 
 // commit applies a transaction as the state service does.
 func (w *World) commit(guards []wire.Guard, ops []wire.Op) (failed []string) {
-	for _, g := range w.conditions(guards) {
+	for _, g := range w.unguarded(w.conditions(guards)) {
 		if w.store[g.Key].version != g.Version {
 			failed = append(failed, g.Key)
 		}
@@ -293,6 +307,7 @@
 		return nil
 	}
 	w.rev++
+	was := w.finalRecords()
 	for _, o := range ops {
 		w.checkOrder(o)
 		if o.Delete != "" {
@@ -308,14 +323,15 @@
 			}
 		}
 	}
+	w.finals(was)
 	return nil
 }
 
 // pass is the leader's: what time has ended, what to place, its records, and
 // then what is sent directly. Where the answer to a commit is lost, the leader
-// does not know that it was applied.
-func (w *World) pass(answerLost bool) {
-	now := w.now()
+// does not know that it was applied, and where one comes late, whether it will be.
+func (w *World) pass(how Kind) {
+	now, answerLost := w.now(), how == PassLost
 	w.model.Tick(now)
 	w.plans()
 	if w.breach == UncommittedLaunch {
@@ -330,6 +346,14 @@
 		if b == nil {
 			break
 		}
+		if w.refused {
+			w.model.Failed(b) // 503: it was not executed
+			break
+		}
+		if how == PassLate {
+			w.hold(b)
+			break
+		}
 		failed := w.commit(b.Guards, b.Ops)
 		if failed == nil && !answerLost {
 			b.Committed(w.rev, now)
@@ -351,7 +375,9 @@
 		}
 	}
 	w.compare(answerLost)
-	w.sendDirects()
+	if w.sure() {
+		w.sendDirects()
+	}
 }
 
 func (w *World) sendDirects() {
@@ -391,15 +417,24 @@
 func (w *World) handle(f *flight, m *cluster.Model) {
 	f.handled = true
 	r := f.rep
+	copied := slices.Contains(w.copies, f)
+	if copied {
+		w.meets(f)
+	} else if m == w.model {
+		w.workers[f.w].heardBy = w.token
+	}
+	if !w.sure() {
+		return // a 503
+	}
 	if r.Token > m.Token {
 		return // it resigns
 	}
 	now := w.now()
-	if w.breach == StaleReports || w.breach == CopiesCount && slices.Contains(w.copies, f) {
+	if w.breach == StaleReports || w.breach == CopiesCount && copied {
 		r.Seq += 1000 * uint64(w.rev)
 		w.rev++
 	}
-	if w.breach == TokenNotShown {
+	if w.breach == TokenNotShown || w.breach == CopyShows && copied {
 		r.Token = m.Token
 	}
 	mc := m.Observe(&r, now)
@@ -472,13 +507,13 @@
 	f := k.out
 	k.out = nil
 	late := 0
-	for _, o := range w.late {
+	for _, o := range w.overdue {
 		if o.w == f.w {
 			late++
 		}
 	}
 	if !f.handled && late < maxLate {
-		w.late = append(w.late, f)
+		w.overdue = append(w.overdue, f)
 	}
 	if f.handled && w.breach == LateAnswers && len(w.answers) < maxLate {
 		w.answers = append(w.answers, f)
@@ -505,6 +540,12 @@
 				if t.why == wire.WhyDone && !w.recorded(t) {
 					w.broke("outcome lost", t.name+" is forgotten and nowhere recorded")
 				}
+				if t.why == wire.WhyDone && w.sc.Lates > 0 {
+					if w.forgotten == nil {
+						w.forgotten = map[string]bool{}
+					}
+					w.forgotten[t.name] = true
+				}
 				k.tasks = slices.Delete(k.tasks, at, at+1)
 			}
 		}
@@ -639,9 +680,7 @@
 			w.giveUp(k)
 		}
 	}
-	if w.breach != NoCatchUp {
-		w.learn()
-	}
+	w.renew()
 	for _, k := range w.workers {
 		if w.step-k.renewed < 2 {
 			continue
@@ -777,7 +816,7 @@
 		fmt.Fprint(out, "C")
 		w.flight(out, f)
 	}
-	for _, f := range w.late {
+	for _, f := range w.overdue {
 		fmt.Fprint(out, "L")
 		w.flight(out, f)
 	}
@@ -792,18 +831,7 @@
 	keys := slices.Sorted(maps.Keys(w.store))
 	for _, k := range keys {
 		fmt.Fprintf(out, "|%s", k)
-		switch v := w.store[k].v.(type) {
-		case ledger.JobRecord:
-			fmt.Fprint(out, v.State)
-		case ledger.IntakeRecord:
-			for _, e := range v.Jobs {
-				fmt.Fprint(out, ",", e.ID)
-			}
-		case ledger.PageRecord:
-			for _, c := range v.Chunks {
-				fmt.Fprintf(out, ",%s%d%v%v", c.Job, c.Attempt, c.Placed, c.Done)
-			}
-		}
+		writeRecord(out, w.store[k].v)
 	}
 	for i := range w.sc.Jobs {
 		j := &w.sc.Jobs[i]
@@ -816,6 +844,7 @@
 		}
 	}
 	w.orderDigest(out)
+	w.lateDigest(out)
 	w.model.Digest(out, w, w.now())
 	if w.old != nil {
 		w.old.Digest(out, w, w.now())
