An answer stops all that is to stop, before it forgets and launches

An answer renews the lease of all that is on the machine, and held 300 commands in the report's order: with as many outcomes or stops before them, tasks of a cancelled job were left running for another lease. Stops now come first, up to 800, which fit into an answer's 64 KiB with the longest names.

--- a/cluster/report.go
+++ b/cluster/report.go
@@ -9,8 +9,13 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// maxCommands bounds one answer; what is left goes with the next one.
-const maxCommands = 300
+const (
+	// maxCommands bounds one answer, but for stops; what is left goes with the next one.
+	maxCommands = 300
+	// maxStops bounds its stops: as many as fit into the 64 KiB of an answer, since
+	// an answer renews the lease of what it leaves running.
+	maxStops = 800
+)
 
 // Observe takes a worker's message in. It returns nil for one that is older
 // than what is known, or of a machine that is gone.
@@ -335,50 +340,31 @@
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
 	m.Timings.LeaseLeft(m.leaseOver(mc).Sub(now).Seconds())
 	mc.LastAnswer, mc.hearing.told, mc.hearing.at = now, true, r.Seq
-	var out []wire.Command
-	stop := func(name string, attempt uint64, grace float64) {
-		g := grace
-		out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: attempt, GraceS: &g})
-	}
+	// Stops come first: an answer renews the worker's lease, so that a task which it
+	// should have stopped and did not may stay for another lease.
+	out := m.stopsFor(mc, r)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
+		if t.State != wire.TaskExited {
+			continue
+		}
 		if len(out) >= maxCommands {
 			return out
 		}
-		id, n, ok := wire.SplitTask(t.Task)
-		var j *Job
-		if ok {
-			j = m.Job(id)
-		}
-		if t.State == wire.TaskExited {
-			e := mc.exits[exitKey{t.Task, t.Attempt}]
-			if e != nil {
-				o := m.Jobs[e.job]
-				if o != nil && !o.Finished && !o.Cancelled && o.Chunks[e.chunk].Committed < e.gen {
-					continue // the outcome is not committed yet
-				}
-			}
-			if e == nil && j != nil && n < len(j.Tasks) {
-				if p := j.Tasks[n].Place; p != nil && p.Machine == mc.Idx && p.Attempt == t.Attempt {
-					continue // and not taken in yet
-				}
+		e := mc.exits[exitKey{t.Task, t.Attempt}]
+		if e != nil {
+			o := m.Jobs[e.job]
+			if o != nil && !o.Finished && !o.Cancelled && o.Chunks[e.chunk].Committed < e.gen {
+				continue // the outcome is not committed yet
 			}
-			mc.hearing.forget = append(mc.hearing.forget, exitKey{t.Task, t.Attempt})
-			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
-			continue
-		}
-		if j == nil || n >= len(j.Tasks) {
-			stop(t.Task, t.Attempt, 0)
-			continue
-		}
-		p := j.Tasks[n].Place
-		if p == nil || p.Machine != mc.Idx || p.Attempt != t.Attempt {
-			stop(t.Task, t.Attempt, 0)
-			continue
 		}
-		if p.Stop != nil && (p.Seen != seenSaving || p.Stop.Grace == 0) {
-			stop(t.Task, t.Attempt, p.Stop.Grace)
+		if e == nil {
+			if p := m.placeOf(mc, t); p != nil {
+				continue // and not taken in yet
+			}
 		}
+		mc.hearing.forget = append(mc.hearing.forget, exitKey{t.Task, t.Attempt})
+		out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
 	}
 	for ref := range mc.Tasks {
 		if len(out) >= maxCommands {
@@ -386,13 +372,8 @@
 		}
 		j := m.Jobs[ref.Job]
 		p := j.Tasks[ref.Task].Place
-		name := wire.TaskName(j.ID, int(ref.Task))
-		switch {
-		case p.Stop != nil:
-			if p.Seen == seenNot {
-				stop(name, p.Attempt, p.Stop.Grace)
-			}
-		case !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero() && !mc.deaf():
+		if p.Stop == nil && !p.Sent && !p.Inherited && launchable(j, ref.Task) && mc.Notice.IsZero() && !mc.deaf() {
+			name := wire.TaskName(j.ID, int(ref.Task))
 			p.Sent, p.SentAt, p.Session, p.Seq = true, now, r.Session, r.Seq
 			m.Timings.Launched(now.Sub(p.At).Seconds())
 			out = append(out, wire.Command{Op: wire.OpStart, Task: name, Attempt: p.Attempt})
@@ -407,6 +388,52 @@
 	return out
 }
 
+// placeOf is the place of a task that a report lists, nil where that attempt has none
+// on this machine.
+func (m *Model) placeOf(mc *Machine, t *wire.TaskReport) *Place {
+	id, n, ok := wire.SplitTask(t.Task)
+	if !ok {
+		return nil
+	}
+	j := m.Job(id)
+	if j == nil || n >= len(j.Tasks) {
+		return nil
+	}
+	if p := j.Tasks[n].Place; p != nil && p.Machine == mc.Idx && p.Attempt == t.Attempt {
+		return p
+	}
+	return nil
+}
+
+// stopsFor are the stops that answer a report: of what it lists and has no place
+// there, of what is to stop, and of what may yet arrive there and is to stop.
+func (m *Model) stopsFor(mc *Machine, r *wire.Report) []wire.Command {
+	var out []wire.Command
+	stop := func(name string, attempt uint64, grace float64) {
+		if len(out) < maxStops {
+			out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: attempt, GraceS: &grace})
+		}
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if t.State == wire.TaskExited {
+			continue
+		}
+		if p := m.placeOf(mc, t); p == nil {
+			stop(t.Task, t.Attempt, 0)
+		} else if p.Stop != nil && (p.Seen != seenSaving || p.Stop.Grace == 0) {
+			stop(t.Task, t.Attempt, p.Stop.Grace)
+		}
+	}
+	for ref := range mc.Tasks {
+		j := m.Jobs[ref.Job]
+		if p := j.Tasks[ref.Task].Place; p.Stop != nil && p.Seen == seenNot {
+			stop(wire.TaskName(j.ID, int(ref.Task)), p.Attempt, p.Stop.Grace)
+		}
+	}
+	return out
+}
+
 // Direct is a stop to be sent to a worker's own address.
 type Direct struct {
 	Machine string
--- /dev/null
+++ b/cluster/stops_test.go
@@ -0,0 +1,65 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// An answer renews the lease of all that is on the machine. With 300 outcomes to be
+// forgotten, or as many other stops, before them, tasks of a cancelled job were left
+// running for another lease, and for good if no answer followed.
+func TestAnAnswerStopsAllThatIsToStop(t *testing.T) {
+	m := newModel(5)
+	m.PutJob("wk-000001", arrayJob("wk-000001", 2), 1, at(0))
+	answer(t, m, rep(1, 5), at(0))
+	m.Schedule(at(1), 0)
+	commit(t, m, at(1))
+	if launches, _, _ := ops(answer(t, m, rep(2, 5), at(2))); launches != 2 {
+		t.Fatalf("%d launches", launches)
+	}
+	m.RemoveJob("wk-000001", at(3))
+	var tasks []wire.TaskReport
+	for i := range 400 {
+		tasks = append(tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000002/%d", i), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone})
+	}
+	for i := range 600 { // of a job that an earlier leader has seen the end of
+		tasks = append(tasks, wire.TaskReport{Task: fmt.Sprintf("wk-999999/%d", 90_000+i), Attempt: 1_000_000, State: wire.TaskRunning})
+	}
+	// One of the job's own is listed last; the launch of the other was not heard.
+	tasks = append(tasks, wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.TaskRunning})
+	cmds := answer(t, m, rep(3, 5, tasks...), at(4))
+	stopped := map[string]bool{}
+	for _, c := range cmds {
+		if c.Op == wire.OpStop {
+			stopped[c.Task] = true
+		}
+	}
+	if len(stopped) != 601 || !stopped["wk-000001/0"] {
+		t.Errorf("%d of 601 tasks are stopped", len(stopped))
+	}
+	// What remains is forgotten by the answers that follow.
+	cmds = answer(t, m, rep(4, 5, tasks[:400]...), at(5))
+	if _, _, forgets := ops(cmds); forgets < 298 {
+		t.Errorf("%d forgotten", forgets)
+	}
+}
+
+// As many stops as an answer may have, with the longest names, fit into 64 KiB.
+func TestTheMostStopsFitIntoAnAnswer(t *testing.T) {
+	m := newModel(5)
+	var tasks []wire.TaskReport
+	for i := range 2000 {
+		tasks = append(tasks, wire.TaskReport{Task: fmt.Sprintf("wk-999999/%d", 90_000+i), Attempt: 1_000_000, State: wire.TaskRunning})
+	}
+	var out []map[string]any
+	for _, c := range answer(t, m, rep(1, 5, tasks...), at(0)) {
+		out = append(out, map[string]any{"geste": "halt", "piece": c.Task, "essai": c.Attempt, "repitS": *c.GraceS})
+	}
+	b, err := json.Marshal(map[string]any{"sceau": 1 << 40, "consignes": out})
+	if err != nil || len(out) != maxStops || len(b) > wire.MaxBody {
+		t.Errorf("%d commands are %d bytes (%v)", len(out), len(b), err)
+	}
+}
