--- /dev/null
+++ b/ledger/kept_test.go
@@ -0,0 +1,83 @@
+package ledger_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umberdeal/umberdeal/ledger"
+)
+
+// Jobs come four a second for minutes, and now and then many at once; some are
+// cancelled, all are over in the end, and users ask. What a node keeps of them
+// doesn't grow with how many there have been.
+func TestWhatIsKeptDoesNotGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(3)
+		s.raise(3)
+		nodes(t, 3, s, func(rs []*ledger.Reader) {
+			rnd := rand.New(rand.NewPCG(3, 31))
+			var wg sync.WaitGroup
+			n, most := 0, 0
+			come := func() {
+				n++
+				j, r, cancels := job(n), rs[n%3], rnd.IntN(4) == 0
+				wg.Go(func() {
+					if _, ok := accept(t.Context(), r, j); !ok {
+						t.Errorf("%s was not accepted", j.ID)
+					}
+					time.Sleep(2 * time.Second)
+					if cancels {
+						if _, found, err := r.Cancel(t.Context(), j.ID); err != nil || !found {
+							t.Errorf("%s: found %v, %v", j.ID, found, err)
+						}
+					} else {
+						for !s.finish(j.ID) {
+							time.Sleep(100 * time.Millisecond)
+						}
+					}
+					for _, o := range rs {
+						if _, found, err := o.Lookup(t.Context(), j.ID); err != nil || !found {
+							t.Errorf("%s, which is over: found %v, %v", j.ID, found, err)
+						}
+					}
+				})
+			}
+			for i := range 4 * 180 {
+				come()
+				for range i / 200 % 2 * 10 {
+					come()
+				}
+				time.Sleep(250 * time.Millisecond)
+				for _, r := range rs {
+					most = max(most, r.Kept()["jobs"])
+				}
+			}
+			wg.Wait()
+			if most < 20 || most > 400 {
+				t.Errorf("at most %d unfinished jobs were known", most)
+			}
+			for i, r := range rs {
+				for range 2 { // barriers bring what the others did
+					_, _, _ = r.Lookup(t.Context(), "wk-999999")
+				}
+				kept := r.Kept()
+				for kind, bound := range map[string]int{"jobs": 0, "pages": 0, "intake": 3, "lost": 0, "blind": 0, "queues": 3, "waiting": 0, "ends": 0} {
+					if kept[kind] > bound {
+						t.Errorf("node %d keeps %d of %s after %d jobs, not %d at most", i, kept[kind], kind, n, bound)
+					}
+				}
+				for k := range ledger.FinalMax + 100 {
+					r.KeepFinal(fmt.Sprintf("wk-7%06d", k))
+				}
+				if kept := r.Kept(); kept["finals"] != ledger.FinalMax || kept["order"] != ledger.FinalMax {
+					t.Errorf("node %d keeps %d ends, in an order of %d", i, kept["finals"], kept["order"])
+				}
+			}
+			t.Log(n, "jobs,", most, "at most unfinished")
+		})
+	})
+}
