Cancellations that wait for a page share a transaction

A cancellation of a job that shares its page changes that page on condition that nobody else has. Cancellations now wait where submissions wait, go to the bucket's node while there is a crowd, and share a transaction; the two take turns.

--- a/controller/form.go
+++ b/controller/form.go
@@ -139,10 +139,11 @@
 	missedFor = 3 * time.Second
 )
 
-// toBucketsNode hands a submission to the node that adds jobs to its bucket, where
-// several nodes would be in one another's way. It is a matter of speed only: any
-// node may add to any bucket, and the head's version tells who was first.
-func (n *Node) toBucketsNode(ctx context.Context, id string, body []byte) (mesh.Answer, bool) {
+// toBucketsNode hands a submission or a cancellation to the node that adds jobs to
+// its bucket, where several nodes would be in one another's way. It is a matter of
+// speed only: any node may change any bucket, and the head's version tells who was
+// first.
+func (n *Node) toBucketsNode(ctx context.Context, id string, r mesh.Request) (mesh.Answer, bool) {
 	form := n.reader.Form()
 	if form.Form < ledger.FormIntake {
 		return mesh.Answer{}, false
@@ -157,10 +158,11 @@
 	}
 	pctx, cancel := context.WithTimeout(ctx, bucketFor)
 	defer cancel()
-	a, err := p.User(pctx, mesh.Request{Op: opSubmit, Body: body, From: n.cfg.Node})
+	r.From = n.cfg.Node
+	a, err := p.User(pctx, r)
 	switch {
 	case err != nil:
-		n.log.Debug("submission not passed on", "to", p.Name, "err", err)
+		n.log.Debug("not passed on", "op", r.Op, "to", p.Name, "err", err)
 		return mesh.Answer{}, false
 	case a.Status == http.StatusServiceUnavailable && a.RetryAfter != busyFor:
 		return mesh.Answer{}, false // it is that node's trouble
--- a/controller/users.go
+++ b/controller/users.go
@@ -216,7 +216,7 @@
 	case opShow:
 		return n.show(ctx, r.ID)
 	case opCancel:
-		return n.cancel(ctx, r.ID)
+		return n.cancel(ctx, r.ID, r.From)
 	}
 	return answer(http.StatusNotFound, wire.Error{Error: "no such operation"}, 0), nil
 }
@@ -269,10 +269,17 @@
 	return answer(http.StatusOK, n.status(v), 0), nil
 }
 
-func (n *Node) cancel(ctx context.Context, id string) (mesh.Answer, error) {
+// cancel takes a cancellation that users have sent here, or that another node, from,
+// has passed on.
+func (n *Node) cancel(ctx context.Context, id, from string) (mesh.Answer, error) {
 	if !wire.ValidUserID(id) {
 		return answer(http.StatusNotFound, wire.Error{Error: "no such job"}, 0), nil
 	}
+	if _, over := n.reader.Remembered(id); from == "" && !over {
+		if a, ok := n.toBucketsNode(ctx, id, mesh.Request{Op: opCancel, ID: id}); ok {
+			return a, nil
+		}
+	}
 	var final string
 	var found bool
 	err := retryRefused(ctx, func() (err error) {
@@ -321,7 +328,7 @@
 		return answer(status, wire.Error{Error: jerr.Error()}, retry), nil
 	}
 	if from == "" {
-		if a, ok := n.toBucketsNode(ctx, job.ID, body); ok {
+		if a, ok := n.toBucketsNode(ctx, job.ID, mesh.Request{Op: opSubmit, Body: body}); ok {
 			return a, nil
 		}
 	}
--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -588,3 +588,44 @@
 		return cancelled
 	})
 }
+
+// So many submissions come at every node that they share pages, and fill what the
+// state service takes of changes: cancellations, each of which changes a page under
+// the condition that nobody else has, come through all the same.
+func TestACrowdStarvesNoCancellation(t *testing.T) {
+	meetings(t, 2, fake.Options{Machines: 6, Capacity: 6, StateRPS: 200, StateWPS: 25}, func(t *testing.T, w *fake.World, rnd *rand.Rand) int {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var slowest time.Duration
+		cancelled, onPages := 0, 0
+		n := 0
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); n++ {
+			j, cancels, after := quick(n+1), rnd.IntN(4) == 0, time.Duration(rnd.IntN(1000))*time.Millisecond
+			wg.Go(func() {
+				if !w.Submit(j) || !cancels {
+					return
+				}
+				time.Sleep(after)
+				alone := exists(w, ledger.JobKey(j.ID))
+				at := time.Now()
+				got := w.Cancel(j.ID)
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(at))
+				if got == wire.JobCancelled {
+					cancelled++
+					if !alone {
+						onPages++
+					}
+				}
+			})
+			time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+		}
+		wg.Wait()
+		t.Logf("%d jobs, %d cancelled, %d of them on a page; the slowest took %v", n, cancelled, onPages, slowest)
+		if slowest > 10*time.Second {
+			t.Errorf("a cancellation took %v", slowest)
+		}
+		return onPages
+	})
+}
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -228,6 +228,7 @@
 // queue is what waits for a bucket's next transaction.
 type queue struct {
 	waiting []*submission
+	ending  []*ending
 	busy    bool      // a transaction is under way
 	alone   int       // jobs that are being given keys of their own
 	crowded time.Time // when submissions last shared a transaction
@@ -371,12 +372,17 @@
 	}
 	s := &submission{entry: e, tier: tier, done: make(chan accepted, 1)}
 	q.waiting = append(q.waiting, s)
+	r.write(bucket, q)
+	return s, nil
+}
+
+// write has what waits for a bucket committed; the lock is held.
+func (r *Reader) write(bucket int, q *queue) {
 	if !q.busy {
 		q.busy = true
 		r.writers.Add(1)
 		go func() { defer r.writers.Done(); r.drain(r.ctx, bucket, q) }()
 	}
-	return s, nil
 }
 
 // await waits until a submission is answered.
@@ -392,20 +398,31 @@
 	}
 }
 
-// drain commits what waits for a bucket until nothing does.
+// drain commits what waits for a bucket until nothing does, cancellations and
+// submissions in turn.
 func (r *Reader) drain(ctx context.Context, bucket int, q *queue) {
 	for {
+		r.mu.Lock()
+		ends := r.takeEnding(q)
+		r.mu.Unlock()
+		if len(ends) > 0 {
+			ectx, cancel := context.WithTimeout(ctx, 3*time.Second)
+			r.commitEnding(ectx, ends)
+			cancel()
+		}
 		r.mu.Lock()
 		batch := r.gather(bucket, q)
-		if len(batch) == 0 {
+		if len(batch) == 0 && len(q.ending) == 0 {
 			q.busy = false
 			r.mu.Unlock()
 			return
 		}
 		r.mu.Unlock()
-		bctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-		r.commitBatch(bctx, bucket, q, batch)
-		cancel()
+		if len(batch) > 0 {
+			bctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+			r.commitBatch(bctx, bucket, q, batch)
+			cancel()
+		}
 	}
 }
 
@@ -621,25 +638,3 @@
 		}
 	}
 }
-
-// cancelOnPage ends a job whose record shares a page with others.
-func (r *Reader) cancelOnPage(ctx context.Context, id, home string, over JobRecord) error {
-	r.mu.Lock()
-	p := r.intake[home]
-	if p == nil || !slices.ContainsFunc(p.rec.Jobs, func(e IntakeEntry) bool { return e.ID == id }) {
-		r.mu.Unlock()
-		return fmt.Errorf("%w: the job has moved", state.ErrUnknown)
-	}
-	rec, version := p.rec.Without(map[string]bool{id: true}), p.version
-	r.mu.Unlock()
-	op := wire.Op{Put: home, Value: rec}
-	if len(rec.Jobs) == 0 && !IsHead(home) {
-		op = wire.Op{Delete: home}
-	}
-	ops := []wire.Op{op, {Put: FinalKey(id), Value: over}}
-	rev, err := r.store.Commit(ctx, []wire.Guard{{Key: home, Version: version}, {Key: FinalKey(id)}}, ops)
-	if err == nil {
-		r.wrote(ops, rev)
-	}
-	return err
-}
