--- a/controller/meetings_test.go
+++ b/controller/meetings_test.go
@@ -575,6 +575,99 @@
 	})
 }
 
+// Everything meets: teams are kept at their limits by jobs of all kinds, while some
+// are cancelled, machines can't be asked in one way or another, and leaders change.
+func TestMeetingsAtRandom(t *testing.T) {
+	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		ways := []func(string, bool){w.CutMachine, w.Hang, w.Mute, w.Silence}
+		var ids, asked, troubled []string
+		submitted := 0
+		more := func() {
+			submitted++ // one that is not known to be accepted may be all the same
+			j := job(submitted, func(j *wire.Job) {
+				j.Team, j.Tasks, j.CPUs = []string{"core", "edge"}[rnd.IntN(2)], 1+rnd.IntN(4), float64(1+rnd.IntN(4))
+				j.EstimateS = float64(10 + rnd.IntN(2)*60)
+				switch rnd.IntN(4) {
+				case 0:
+					gang(j)
+					j.OneZone = rnd.IntN(2) == 0
+				case 1:
+					j.OneZone = true
+				case 2:
+					j.Spread = true
+				}
+			})
+			if w.Submit(j) {
+				ids = append(ids, j.ID)
+			}
+		}
+		for range 16 {
+			more()
+		}
+		time.Sleep(10 * time.Second)
+		w.Met()
+		met, token, changed := 0, w.Token(), 0
+		for step := 0; step < 30 || step < 90 && (met == 0 || changed == 0); step++ {
+			more()
+			names := w.Cloud.Machines()
+			at := names[rnd.IntN(len(names))]
+			switch rnd.IntN(9) {
+			case 0, 1:
+				for _, m := range troubled {
+					for _, end := range ways {
+						end(m, false)
+					}
+				}
+				troubled = nil
+			case 2, 3, 4:
+				ways[rnd.IntN(len(ways))](at, true)
+				troubled = append(troubled, at)
+			case 5:
+				w.HoldDirect(at)
+			case 6:
+				w.DeliverDirect(at)
+			case 7:
+				endLeader(w, rnd)
+			case 8:
+				w.StartAll()
+			}
+			if rnd.IntN(2) == 0 {
+				now, hung := w.CancelNow(1+rnd.IntN(2), between(rnd, 0, 25*time.Second)*time.Duration(rnd.IntN(2)))
+				asked = append(asked, now...)
+				full := w.CPUs("core") > teamMax-4 || w.CPUs("edge") > teamMax-4 // no room for one of the largest tasks
+				for _, id := range now {
+					for _, m := range tasksOn(w, wire.Job{ID: id, Tasks: 4}) {
+						if full && (slices.Contains(troubled, m) || slices.Contains(hung, m)) {
+							met++
+						}
+					}
+				}
+			}
+			time.Sleep(between(rnd, 0, 6*time.Second))
+			if k := w.Token(); k != 0 && k != token {
+				token, changed = k, changed+1
+			}
+		}
+		if met == 0 || changed == 0 {
+			t.Errorf("%d cancelled tasks on machines in trouble with a team at its limit, %d changes of leader", met, changed)
+		}
+		for _, m := range w.Cloud.Machines() {
+			w.DeliverDirect(m)
+		}
+		well(t, w)
+		for _, id := range ids {
+			want := wire.JobDone
+			if slices.Contains(asked, id) {
+				want = w.Cancel(id)
+			}
+			if !w.Await(id, want, 20*time.Minute) {
+				t.Errorf("%s is not %s in the end", id, want)
+			}
+		}
+		t.Logf("%d tasks met, %d changes of leader, %d starts after a cancellation", met, changed, w.StartedAfterCancel())
+	})
+}
+
 // The checks that these stories rest on can fail.
 func TestTheCheckerSeesCancelledAndWaitingJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
