--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -98,6 +98,7 @@
 			plan.Apply(randomPlan(rnd), 3*time.Second)
 		}
 		randomFailure(rnd, w)
+		randomStorage(rnd, w)
 		for range 2 {
 			if len(ids) > 0 {
 				w.Poll(w.Any(), ids[rnd.IntN(len(ids))])
@@ -106,6 +107,8 @@
 		time.Sleep(time.Duration(rnd.IntN(9000)) * time.Millisecond)
 	}
 	w.State.SetOutage(false)
+	w.State.LoseAnswers(0, 0, 0)
+	w.Cloud.LateDeletes(0)
 	w.Cloud.SetOutage(false)
 	w.Cloud.SetBoots(nil)
 	w.Cloud.SetSlow(0)
@@ -233,3 +236,25 @@
 		w.Bounce(n, time.Duration(rnd.IntN(900))*time.Millisecond)
 	}
 }
+
+// randomStorage makes transactions late or their answers lost, machines come up at
+// once, and deletions late, or ends that; mostly it leaves things as they are.
+func randomStorage(rnd *rand.Rand, w *fake.World) {
+	switch rnd.IntN(12) {
+	case 0:
+		w.State.LoseAnswers(0.05+0.25*rnd.Float64(), 0, rnd.Uint64())
+	case 1:
+		w.State.LoseAnswers(0, 0.05+0.25*rnd.Float64(), rnd.Uint64())
+	case 2:
+		w.State.LoseAnswers(0.15, 0.1, rnd.Uint64())
+	case 3:
+		w.Cloud.SetBoots(func(n int) time.Duration { return time.Duration(100+n*397%1800) * time.Millisecond })
+		w.Cloud.SetSlow(time.Duration(rnd.IntN(4)) * time.Second)
+	case 4:
+		w.Cloud.LateDeletes(time.Duration(6+rnd.IntN(40)) * time.Second)
+	case 5, 6:
+		w.State.LoseAnswers(0, 0, 0)
+	case 7:
+		w.Cloud.LateDeletes(0)
+	}
+}
