--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -283,6 +283,39 @@
 	})
 }
 
+// Requests that take, renew and end leases come late, while leaders change: a lease
+// that was given up is renewed or ended in the time of the next one.
+func TestLeasesAreRenewedAndEndedLate(t *testing.T) {
+	seeded(t, fake.Options{Machines: 4, Capacity: 6}, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		stop := tokens(w)
+		defer stop()
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 6, 4, 70 }))
+		time.Sleep(5 * time.Second)
+		w.State.LateLeases(0.25, rnd.Uint64())
+		for n := range 6 {
+			l := mustLead(t, w, 60*time.Second, anyNode)
+			mustSubmit(t, w, job(n+2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 2, 1, 10 }))
+			time.Sleep(within(rnd, 0, 8*time.Second))
+			if n%2 == 0 {
+				w.Bounce(l, within(rnd, 0, 900*time.Millisecond))
+			} else {
+				w.State.Refuse(fmt.Sprintf("n-%d", l), true)
+				time.Sleep(within(rnd, 2*time.Second, 20*time.Second))
+				w.State.Refuse(fmt.Sprintf("n-%d", l), false)
+			}
+		}
+		w.State.LateLeases(0, 0)
+		time.Sleep(13 * time.Second)
+		led := stop()
+		if late, past := w.State.LeasesLate(); len(led) < 4 || late < 5 || past == 0 {
+			t.Errorf("led under tokens %v, %d requests late, %d of them in another's time", led, late, past)
+		} else {
+			t.Logf("led under tokens %v, %d requests late, %d of them in another's time", led, late, past)
+		}
+		mustFinish(t, w, 4*time.Minute, 1, 2, 3, 4, 5, 6, 7)
+	})
+}
+
 // The leadership goes to another node and back, all end, and one returns, within a
 // second or after some; each leader leaves a transaction that comes in the time of
 // the next but one.
--- a/internal/fake/lagging.go
+++ b/internal/fake/lagging.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +19,10 @@
 	unanswered int // so many were not answered
 	carriedOut int // and so many of them have been gone through by now
 
+	leases     float64 // the share of requests about leases
+	leasesLate int     // of these, so many were carried out late
+	leasesPast int     // and so many while the leader held another lease
+
 	waiting int                // late ones that are still to come
 	arrived int                // transactions that have come, ever
 	applied map[string]arrival // the newest of each node that has changed something
@@ -132,6 +137,41 @@
 	return by, true
 }
 
+// drawLease says whether a request about a lease is left without an answer, and how
+// long after it came it is carried out.
+func (l *lagging) drawLease(path string) (by time.Duration, unanswered bool) {
+	if l.leases == 0 || !strings.HasPrefix(path, "/holds") || l.rnd.Float64() >= l.leases {
+		return 0, false
+	}
+	return 2*time.Second + time.Duration(l.rnd.Int64N(int64(10*time.Second))), true
+}
+
+// LateLeases leaves a share of the requests that take, renew or end leases without an
+// answer, and carries them out 2 s to 12 s later; 0 ends that.
+func (s *State) LateLeases(share float64, seed uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lagging.leases = share
+	s.lagging.rnd = rand.New(rand.NewPCG(seed, 17))
+}
+
+// leaseCame counts a late request about a lease that is being carried out.
+func (l *lagging) leaseCame(path string, leader uint64) {
+	l.leasesLate++
+	id := strings.TrimSuffix(strings.TrimPrefix(path, "/holds/"), "/touch")
+	if n, err := strconv.ParseUint(id, 10, 64); err == nil && leader != 0 && n != leader {
+		l.leasesPast++
+	}
+}
+
+// LeasesLate is how many requests about leases were carried out late, and how many of
+// them, to renew or to end one, while the leader held another.
+func (s *State) LeasesLate() (all, past int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lagging.leasesLate, s.lagging.leasesPast
+}
+
 // unheard is an answer that nobody gets.
 type unheard struct{ http.ResponseWriter }
 
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -270,6 +270,14 @@
 		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many requests"})
 		return
 	}
+	if by, unanswered := s.lagging.drawLease(r.URL.Path); unanswered {
+		s.mu.Unlock()
+		time.Sleep(by)
+		s.mu.Lock()
+		s.expire()
+		s.lagging.leaseCame(r.URL.Path, s.keys[election.Key].Lease)
+		w = unheard{w}
+	}
 	s.expire()
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/kv/"):
