--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -163,6 +163,36 @@
 	})
 }
 
+// The record of moves has no answer and comes after the one that was written in its
+// place, whose moves have begun.
+func TestAnOlderRecordOfMovesComesLate(t *testing.T) {
+	seeded(t, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		// One machine of a zone has 5 CPUs taken, the other 2: nothing has 7 left, unless
+		// that task moves.
+		long := func(n, tasks int, cpus float64, zone string) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Tasks, j.CPUs, j.Zone, j.EstimateS, j.CheckpointS, j.SaveS = tasks, cpus, zone, 200, 5, 1
+			})
+		}
+		mustSubmit(t, w, long(1, 2, 8, "b"), long(2, 1, 5, "a"), long(3, 1, 6, "a"))
+		time.Sleep(5 * time.Second)
+		mustSubmit(t, w, long(4, 1, 2, "a"))
+		if !tell.Until(20*time.Second, 100*time.Millisecond, func() bool { return w.Running() == 5 }) {
+			t.Fatalf("%d tasks run", w.Running())
+		}
+		w.Cancel("wk-000003")
+		time.Sleep(5 * time.Second)
+		w.State.LateNextOf(ledger.Cycles, within(rnd, 6*time.Second, 12*time.Second))
+		mustSubmit(t, w, job(5, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 7, 10 }))
+		if !tell.Until(30*time.Second, 50*time.Millisecond, func() bool { return w.State.Overtaken().Older > 0 }) {
+			t.Fatalf("the older record of moves has not come after the newer one: %+v", w.State.Overtaken())
+		}
+		w.KillNode(w.Leader())
+		mustFinish(t, w, 2*time.Minute, 5)
+		mustFinish(t, w, 6*time.Minute, 1, 2, 4)
+	})
+}
+
 // Machines are up before their rental is answered, and have work at once while
 // writes lag. Then their leader ends, before it has recorded their names.
 func TestALeaderEndsJustAfterItsMachinesCameUpAndGotWork(t *testing.T) {
