The fake breaks where records of leaders are changed by a node that does not lead

Late transactions of a leader whose term is over are seen as what they are, whatever conditions they have.

--- a/internal/fake/lagging.go
+++ b/internal/fake/lagging.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/election"
+	"github.com/umberdeal/umberdeal/ledger"
+	"github.com/umberdeal/umberdeal/wire"
 )
 
 // lagging is what becomes of transactions whose answers are lost. The state's lock
@@ -120,6 +122,27 @@
 	return ""
 }
 
+// checkLeader sees to it that what leaders alone write is changed by the node that
+// leads as the transaction is being applied, and by no other, however late it comes.
+func (s *State) checkLeader(t *txn, node string) {
+	if s.breaks == nil || !strings.HasPrefix(node, "n-") {
+		return // a story's own, or a snapshot's
+	}
+	var rec struct {
+		Node string `msgpack:"node"`
+	}
+	if e, ok := s.keys[election.Key]; ok && wire.Unmarshal(e.Value, &rec) == nil && rec.Node == node {
+		return
+	}
+	for _, op := range t.Then {
+		key := op.Put + op.Delete
+		_, page := ledger.ParsePageKey(key)
+		if page || strings.HasPrefix(key, ledger.Cycles) || strings.HasPrefix(key, ledger.Rentals) || key == ledger.ReturnsKey {
+			s.breaks("%s changes %s while %q leads", node, key, rec.Node)
+		}
+	}
+}
+
 // draw says whether a transaction with so many changes is left without an answer, and
 // how long after its request it is carried out.
 func (l *lagging) draw(changes int) (by time.Duration, unanswered bool) {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -455,6 +455,7 @@
 		return
 	}
 	s.checkOrders(&t)
+	s.checkLeader(&t, came.node)
 	if len(t.Then) > 0 {
 		s.rev++
 		s.lagging.applied[came.node] = came
