--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -163,6 +163,36 @@
 	})
 }
 
+// The record of moves has no answer and comes after the one that was written in its
+// place, whose moves have begun.
+func TestAnOlderRecordOfMovesComesLate(t *testing.T) {
+	seeded(t, fake.Options{Machines: 4, Capacity: 4}, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		// One machine of a zone has 5 CPUs taken, the other 2: nothing has 7 left, unless
+		// that task moves.
+		long := func(n, tasks int, cpus float64, zone string) wire.Job {
+			return job(n, func(j *wire.Job) {
+				j.Tasks, j.CPUs, j.Zone, j.EstimateS, j.CheckpointS, j.SaveS = tasks, cpus, zone, 200, 5, 1
+			})
+		}
+		mustSubmit(t, w, long(1, 2, 8, "b"), long(2, 1, 5, "a"), long(3, 1, 6, "a"))
+		time.Sleep(5 * time.Second)
+		mustSubmit(t, w, long(4, 1, 2, "a"))
+		if !tell.Until(20*time.Second, 100*time.Millisecond, func() bool { return w.Running() == 5 }) {
+			t.Fatalf("%d tasks run", w.Running())
+		}
+		w.Cancel("wk-000003")
+		time.Sleep(5 * time.Second)
+		w.State.LateNextOf(ledger.Cycles, within(rnd, 6*time.Second, 12*time.Second))
+		mustSubmit(t, w, job(5, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 7, 10 }))
+		if !tell.Until(30*time.Second, 50*time.Millisecond, func() bool { return w.State.Overtaken().Older > 0 }) {
+			t.Fatalf("the older record of moves has not come after the newer one: %+v", w.State.Overtaken())
+		}
+		w.KillNode(w.Leader())
+		mustFinish(t, w, 2*time.Minute, 5)
+		mustFinish(t, w, 6*time.Minute, 1, 2, 4)
+	})
+}
+
 // Machines are up before their rental is answered, and have work at once while
 // writes lag. Then their leader ends, before it has recorded their names.
 func TestALeaderEndsJustAfterItsMachinesCameUpAndGotWork(t *testing.T) {
@@ -283,6 +313,39 @@
 	})
 }
 
+// Requests that take, renew and end leases come late, while leaders change: a lease
+// that was given up is renewed or ended in the time of the next one.
+func TestLeasesAreRenewedAndEndedLate(t *testing.T) {
+	seeded(t, fake.Options{Machines: 4, Capacity: 6}, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+		stop := tokens(w)
+		defer stop()
+		mustSubmit(t, w, job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 6, 4, 70 }))
+		time.Sleep(5 * time.Second)
+		w.State.LateLeases(0.25, rnd.Uint64())
+		for n := range 6 {
+			l := mustLead(t, w, 60*time.Second, anyNode)
+			mustSubmit(t, w, job(n+2, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 2, 1, 10 }))
+			time.Sleep(within(rnd, 0, 8*time.Second))
+			if n%2 == 0 {
+				w.Bounce(l, within(rnd, 0, 900*time.Millisecond))
+			} else {
+				w.State.Refuse(fmt.Sprintf("n-%d", l), true)
+				time.Sleep(within(rnd, 2*time.Second, 20*time.Second))
+				w.State.Refuse(fmt.Sprintf("n-%d", l), false)
+			}
+		}
+		w.State.LateLeases(0, 0)
+		time.Sleep(13 * time.Second)
+		led := stop()
+		if late, past := w.State.LeasesLate(); len(led) < 4 || late < 5 || past == 0 {
+			t.Errorf("led under tokens %v, %d requests late, %d of them in another's time", led, late, past)
+		} else {
+			t.Logf("led under tokens %v, %d requests late, %d of them in another's time", led, late, past)
+		}
+		mustFinish(t, w, 4*time.Minute, 1, 2, 3, 4, 5, 6, 7)
+	})
+}
+
 // The leadership goes to another node and back, all end, and one returns, within a
 // second or after some; each leader leaves a transaction that comes in the time of
 // the next but one.
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -337,6 +337,14 @@
 		reply(w, http.StatusTooManyRequests, wire.Error{Error: "too many requests"})
 		return
 	}
+	if by, unanswered := s.lagging.drawLease(r.URL.Path); unanswered {
+		s.mu.Unlock()
+		time.Sleep(by)
+		s.mu.Lock()
+		s.expire()
+		s.lagging.leaseCame(r.URL.Path, s.keys[election.Key].Lease)
+		w = unheard{w}
+	}
 	s.expire()
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/kv/"):
@@ -515,6 +523,7 @@
 	}
 	s.checkOrders(&t)
 	s.checkEnds(&t)
+	s.checkLeader(&t, came.node)
 	if len(t.Then) > 0 {
 		s.rev++
 		s.lagging.applied[came.node] = came
