The ledger's story sees a job that was accepted and stands nowhere

Without the page's version as a condition of a cancellation it passed: jobs that others had added meanwhile were lost, and nobody looked for them.

--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -622,6 +622,11 @@
 			time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
 		}
 		wg.Wait()
+		for k := range n { // each is what it was, or has gone on
+			if status := w.Look(k%3, quick(k+1).ID); status == http.StatusNotFound {
+				t.Errorf("%s, which was accepted, is not known", quick(k+1).ID)
+			}
+		}
 		t.Logf("%d jobs, %d cancelled, %d of them on a page; the slowest took %v", n, cancelled, onPages, slowest)
 		if slowest > 10*time.Second {
 			t.Errorf("a cancellation took %v", slowest)
--- a/ledger/intake_test.go
+++ b/ledger/intake_test.go
@@ -78,7 +78,8 @@
 			s := newStore(seed)
 			s.lost, s.late, s.lateBy, s.slow = 0.1, 0.15, 2*time.Minute, 50*time.Millisecond
 			const jobs, singles = 90, 30
-			told := map[string]string{} // final states
+			told := map[string]string{}   // final states
+			accepted := map[string]bool{} // by any node
 			s.check = func() {
 				for n := range jobs {
 					id := job(n).ID
@@ -86,6 +87,9 @@
 					if len(at) > 1 {
 						t.Errorf("seed %d: %s stands at %v", seed, id, at)
 					}
+					if accepted[id] && len(at) == 0 {
+						t.Errorf("seed %d: %s was accepted, and stands nowhere", seed, id)
+					}
 					if told[id] != "" && (len(at) != 1 || at[0] != ledger.FinalKey(id)) {
 						t.Errorf("seed %d: %s was called %s, and stands at %v", seed, id, told[id], at)
 					}
@@ -113,6 +117,9 @@
 								if _, ok := accept(t.Context(), r, j); !ok {
 									t.Errorf("seed %d: %d was never accepted", seed, n)
 								}
+								s.mu.Lock()
+								accepted[j.ID] = true
+								s.mu.Unlock()
 								time.Sleep(20 * time.Second)
 							}
 						})
