--- a/controller/meetings_test.go
+++ b/controller/meetings_test.go
@@ -1,12 +1,9 @@
 package controller_test
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,25 +19,6 @@
 // miss each other shows nothing, and fails. When what happens is drawn anew for
 // each seed, within the window in which they meet.
 
-func meet(t *testing.T, o fake.Options, tell func(t *testing.T, w *fake.World, rnd *rand.Rand)) {
-	t.Helper()
-	seeds := uint64(3)
-	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
-		seeds = n
-	}
-	for seed := uint64(1); seed <= seeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			o.Seed = seed
-			story(t, o, func(t *testing.T, w *fake.World) { tell(t, w, rand.New(rand.NewPCG(seed, 1234))) })
-		})
-	}
-}
-
-// between draws a time.
-func between(rnd *rand.Rand, from, to time.Duration) time.Duration {
-	return from + time.Duration(rnd.Int64N(int64(to-from)))
-}
-
 // limited are two teams of 16 CPUs each, of the 48 that six machines have.
 func limited() fake.Options {
 	return fake.Options{Machines: 6, Capacity: 6, Lease: 30,
@@ -93,7 +71,7 @@
 func endLeader(w *fake.World, rnd *rand.Rand) (dead int) {
 	dead = max(0, w.Leader())
 	if rnd.IntN(2) == 0 {
-		w.Bounce(dead, between(rnd, 0, 900*time.Millisecond))
+		w.Bounce(dead, within(rnd, 0, 900*time.Millisecond))
 	} else {
 		w.KillNode(dead)
 	}
@@ -119,7 +97,7 @@
 // hang, and the leader changes. What is cancelled counts for its team until it is
 // gone, at the next leader as well, which has not heard of those machines.
 func TestMeetingOfTeamsAtTheirLimitsCancellationsAndAChangeOfLeader(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		fillTeams(t, w)
 		hang := rnd.IntN(2) == 0
 		trouble := w.CutMachine
@@ -137,7 +115,7 @@
 		for _, m := range names {
 			trouble(m, true)
 		}
-		time.Sleep(between(rnd, 0, 3*time.Second))
+		time.Sleep(within(rnd, 0, 3*time.Second))
 		before := w.Token()
 		early := rnd.IntN(2) == 0
 		if early {
@@ -167,7 +145,7 @@
 		if left == 0 || !atLimit(w) {
 			t.Errorf("%d machines have cancelled tasks as the next leader comes", left)
 		}
-		time.Sleep(between(rnd, 0, 35*time.Second))
+		time.Sleep(within(rnd, 0, 35*time.Second))
 		for _, m := range names {
 			trouble(m, false)
 		}
@@ -181,7 +159,7 @@
 func TestMeetingOfAChangeOfLeaderAndACancellation(t *testing.T) {
 	o := limited()
 	o.Lease = 22 // the leader's is 10 s then, and so is the spell without one
-	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		fillTeams(t, w)
 		var names []string
 		ids := []string{job(101+rnd.IntN(2), nil).ID, job(201+rnd.IntN(2), nil).ID}
@@ -194,11 +172,11 @@
 		trouble := ways[rnd.IntN(len(ways))]
 		before, dead := w.Token(), w.Leader()
 		w.KillNode(dead)
-		time.Sleep(between(rnd, 3*time.Second, 4500*time.Millisecond)) // users go to other nodes
+		time.Sleep(within(rnd, 3*time.Second, 4500*time.Millisecond)) // users go to other nodes
 		for _, m := range names {
 			trouble(m, true)
 		}
-		time.Sleep(between(rnd, 0, time.Second))
+		time.Sleep(within(rnd, 0, time.Second))
 		for _, id := range ids {
 			if s := w.Cancel(id); s != wire.JobCancelled {
 				t.Fatalf("cancel answered %q", s)
@@ -218,7 +196,7 @@
 		if !atLimit(w) {
 			t.Error("the teams are not at their limits as the next leader comes")
 		}
-		time.Sleep(between(rnd, 0, 35*time.Second))
+		time.Sleep(within(rnd, 0, 35*time.Second))
 		for _, m := range names {
 			trouble(m, false)
 		}
@@ -231,7 +209,7 @@
 // known to be gone. At some seeds the leader changes, and the next one has never
 // heard of these machines.
 func TestMeetingOfSilentMachinesAndCancellations(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		fillTeams(t, w)
 		id := job(101+rnd.IntN(4), nil).ID
 		names := tasksOn(w, wire.Job{ID: id, Tasks: 2})
@@ -239,7 +217,7 @@
 			w.Silence(m, true)
 		}
 		silent := time.Now()
-		time.Sleep(between(rnd, 0, 8*time.Second))
+		time.Sleep(within(rnd, 0, 8*time.Second))
 		at := names[rnd.IntN(len(names))]
 		direct, started, before := w.Direct(at), w.Started(), w.Token()
 		late := rnd.IntN(2) == 0
@@ -270,12 +248,12 @@
 				t.Error("a silent machine was answered")
 			}
 		}
-		time.Sleep(between(rnd, 0, 35*time.Second))
+		time.Sleep(within(rnd, 0, 35*time.Second))
 		for _, m := range names {
 			w.Silence(m, false)
 		}
 		if late {
-			time.Sleep(between(rnd, 0, 5*time.Second))
+			time.Sleep(within(rnd, 0, 5*time.Second))
 			if done, refused := w.DeliverDirect(at); done+refused == 0 {
 				t.Error("no direct command was held back")
 			}
@@ -288,7 +266,7 @@
 // and the machine then goes on: the launches are executed, count for the team, and
 // are gone in time.
 func TestMeetingOfHeldUpAnswersAndCancellations(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		fillTeams(t, w)
 		id := job(101+rnd.IntN(4), nil).ID
 		// Its room is what the next job fits into best: launches go to its machines, and
@@ -312,7 +290,7 @@
 			w.DeliverDirect(m)
 			w.HoldDirect(m)
 		}
-		time.Sleep(between(rnd, 1200*time.Millisecond, 1600*time.Millisecond))
+		time.Sleep(within(rnd, 1200*time.Millisecond, 1600*time.Millisecond))
 		w.Met()
 		started := w.Started()
 		for i := 1; i <= 1+rnd.IntN(2); i++ { // the others want the room
@@ -325,7 +303,7 @@
 				w.Mute(m, false)
 			}
 		}
-		time.Sleep(between(rnd, 400*time.Millisecond, 1700*time.Millisecond))
+		time.Sleep(within(rnd, 400*time.Millisecond, 1700*time.Millisecond))
 		for _, m := range names {
 			for _, n := range w.Nodes() {
 				w.Net.SetMute(m, n, true) // nobody hears that they go on
@@ -333,12 +311,12 @@
 			w.Hang(m, false)
 			w.Mute(m, false)
 		}
-		time.Sleep(between(rnd, 0, time.Second))
+		time.Sleep(within(rnd, 0, time.Second))
 		change := rnd.IntN(2) == 0
 		if change {
 			endLeader(w, rnd)
 		}
-		time.Sleep(between(rnd, time.Second, 15*time.Second))
+		time.Sleep(within(rnd, time.Second, 15*time.Second))
 		for _, m := range names {
 			late += w.LateAnswers(m)
 			for _, n := range w.Nodes() {
@@ -354,7 +332,7 @@
 		if change {
 			changes(t, w, before)
 		}
-		time.Sleep(between(rnd, 0, 20*time.Second))
+		time.Sleep(within(rnd, 0, 20*time.Second))
 		commands := 0
 		for _, m := range names {
 			executed, refused := w.DeliverDirect(m)
@@ -372,7 +350,7 @@
 // next one's answers: a task is on one machine only, and goes on there if its
 // machine is back within its lease. Copies of old reports show nothing.
 func TestMeetingOfLongTasksAndAChangeOfLeader(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		for _, m := range w.Cloud.Machines() {
 			w.KeepReport(m) // lists no task
 		}
@@ -384,22 +362,22 @@
 		names := slices.Sorted(maps.Keys(on))
 		rnd.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
 		names = names[:1+rnd.IntN(len(names))]
-		time.Sleep(between(rnd, 0, 5*time.Second))
+		time.Sleep(within(rnd, 0, 5*time.Second))
 		dead, late := w.Leader(), rnd.IntN(2) == 0
 		if late {
 			w.KillNode(dead)
-			time.Sleep(between(rnd, 0, time.Second))
+			time.Sleep(within(rnd, 0, time.Second))
 		}
 		for _, m := range names {
 			trouble(m, true)
 		}
 		from := time.Now()
 		if !late {
-			time.Sleep(between(rnd, 0, time.Second))
+			time.Sleep(within(rnd, 0, time.Second))
 			w.KillNode(dead)
 		}
 		if rnd.IntN(2) == 0 {
-			time.Sleep(between(rnd, 0, 900*time.Millisecond))
+			time.Sleep(within(rnd, 0, 900*time.Millisecond))
 			w.StartNode(dead)
 		}
 		changes(t, w, before)
@@ -421,9 +399,9 @@
 		// Within the 30 s of a lease, or well beyond it.
 		short := rnd.IntN(2) == 0
 		if short {
-			time.Sleep(between(rnd, 0, 3*time.Second))
+			time.Sleep(within(rnd, 0, 3*time.Second))
 		} else {
-			time.Sleep(between(rnd, 32*time.Second, time.Minute))
+			time.Sleep(within(rnd, 32*time.Second, time.Minute))
 		}
 		lasted := time.Since(from)
 		for _, m := range names {
@@ -445,11 +423,11 @@
 // worker's lease. Its workers go on for as long as a controller there answers them
 // with a valid token; then what they had starts elsewhere, and once only.
 func TestMeetingOfACutZoneAndLimits(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		fillTeams(t, w)
 		zone, before := fake.Zones[w.Leader()%2], w.Token()
-		within := rnd.IntN(3) > 0 // the leader is in that zone
-		if !within {
+		inside := rnd.IntN(3) > 0 // the leader is in that zone
+		if !inside {
 			zone = fake.Zones[1-w.Leader()%2]
 		}
 		there := 0
@@ -460,7 +438,7 @@
 		}
 		w.CutOff(zone, true)
 		w.Met()
-		time.Sleep(between(rnd, 0, 20*time.Second))
+		time.Sleep(within(rnd, 0, 20*time.Second))
 		if there == 0 || !atLimit(w) {
 			t.Errorf("%d tasks in the zone that is cut off, teams at their limits: %v", there, atLimit(w))
 		}
@@ -468,12 +446,12 @@
 		if s := w.Cancel(id); s != wire.JobCancelled {
 			t.Errorf("cancel answered %q", s)
 		}
-		time.Sleep(between(rnd, 32*time.Second, 50*time.Second))
+		time.Sleep(within(rnd, 32*time.Second, 50*time.Second))
 		if w.Expired() == 0 {
 			t.Error("no lease ended in the zone")
 		}
-		if k := w.Token(); within == (k == before) {
-			t.Errorf("the leader was cut off: %v; it has changed: %v", within, k != before)
+		if k := w.Token(); inside == (k == before) {
+			t.Errorf("the leader was cut off: %v; it has changed: %v", inside, k != before)
 		}
 		w.CutOff(zone, false)
 		well(t, w)
@@ -485,7 +463,7 @@
 func TestMeetingOfJobsOfOneZoneAndLostMachines(t *testing.T) {
 	o := limited()
 	o.Teams = nil
-	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		// Three of the array's tasks run, in the one zone, and two wait. There would
 		// be room for them in the other.
 		mustSubmit(t, w, job(1, func(j *wire.Job) { j.OneZone, j.Tasks, j.CPUs, j.EstimateS = true, 5, 5, 90 }))
@@ -493,7 +471,7 @@
 		if !tell.Until(40*time.Second, 200*time.Millisecond, func() bool { return w.Running() == 6 }) {
 			t.Fatalf("%d tasks run", w.Running())
 		}
-		time.Sleep(between(rnd, time.Second, 10*time.Second))
+		time.Sleep(within(rnd, time.Second, 10*time.Second))
 		before := w.Token()
 		var lost, rest []string // one machine of each job, and those of their other tasks
 		for n := 1; n <= 2; n++ {
@@ -513,14 +491,14 @@
 		for _, m := range lost {
 			w.KillMachine(m)
 		}
-		time.Sleep(between(rnd, 0, 2*time.Second))
+		time.Sleep(within(rnd, 0, 2*time.Second))
 		endLeader(w, rnd)
 		w.Met()
 		changes(t, w, before)
 		if n := w.Running(); n == 0 || n > 5 || w.Started() != started {
 			t.Errorf("%d tasks run as the leader changes, %d starts", n, w.Started()-started)
 		}
-		time.Sleep(between(rnd, 0, 40*time.Second))
+		time.Sleep(within(rnd, 0, 40*time.Second))
 		w.Cloud.SetOutage(false)
 		for _, m := range rest {
 			w.CutMachine(m, false)
@@ -538,7 +516,7 @@
 func TestMeetingOfTasksThatEndFarApartAndAChangeOfLeader(t *testing.T) {
 	o := limited()
 	o.Teams = []config.Team{{Name: "core", CPUsMax: 5}}
-	meet(t, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, o, func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		tasks := 2 + rnd.IntN(2)
 		// One after another, as the team's limit lets them.
 		j := job(1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = tasks, 5, float64(20+rnd.IntN(30)) })
@@ -554,7 +532,7 @@
 			if !tell.Until(20*time.Second, 50*time.Millisecond, func() bool { return w.Finished(j.ID) == done }) {
 				t.Fatalf("%d tasks are done", w.Finished(j.ID))
 			}
-			time.Sleep(between(rnd, 0, 1500*time.Millisecond))
+			time.Sleep(within(rnd, 0, 1500*time.Millisecond))
 			w.KillNode(w.Leader())
 			w.Met()
 			w.State.SetOutage(false)
@@ -578,7 +556,7 @@
 // Everything meets: teams are kept at their limits by jobs of all kinds, while some
 // are cancelled, machines can't be asked in one way or another, and leaders change.
 func TestMeetingsAtRandom(t *testing.T) {
-	meet(t, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
+	seeded(t, 1234, limited(), func(t *testing.T, w *fake.World, rnd *rand.Rand) {
 		ways := []func(string, bool){w.CutMachine, w.Hang, w.Mute, w.Silence}
 		var ids, asked, troubled []string
 		submitted := 0
@@ -632,7 +610,7 @@
 				w.StartAll()
 			}
 			if rnd.IntN(2) == 0 {
-				now, hung := w.CancelNow(1+rnd.IntN(2), between(rnd, 0, 25*time.Second)*time.Duration(rnd.IntN(2)))
+				now, hung := w.CancelNow(1+rnd.IntN(2), within(rnd, 0, 25*time.Second)*time.Duration(rnd.IntN(2)))
 				asked = append(asked, now...)
 				full := w.CPUs("core") > teamMax-4 || w.CPUs("edge") > teamMax-4 // no room for one of the largest tasks
 				for _, id := range now {
@@ -643,7 +621,7 @@
 					}
 				}
 			}
-			time.Sleep(between(rnd, 0, 6*time.Second))
+			time.Sleep(within(rnd, 0, 6*time.Second))
 			if k := w.Token(); k != 0 && k != token {
 				token, changed = k, changed+1
 			}
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -72,7 +72,8 @@
 	defer w.Close()
 	time.Sleep(3 * time.Second)
 	// The other draws stay as they were.
-	users, machines, storage := rand.New(rand.NewPCG(seed, 23)), rand.New(rand.NewPCG(seed, 24)), rand.New(rand.NewPCG(seed, 25))
+	users, machines := rand.New(rand.NewPCG(seed, 23)), rand.New(rand.NewPCG(seed, 24))
+	storage, copies := rand.New(rand.NewPCG(seed, 25)), rand.New(rand.NewPCG(seed, 26))
 	var ids, asked []string
 	cancelled, broken := map[string]bool{}, map[string]bool{}
 	plan := tell.Plans{World: w}
@@ -103,6 +104,7 @@
 		randomUsers(users, w, ids)
 		asked = append(asked, randomMachines(machines, w)...)
 		randomStorage(storage, w)
+		randomCopies(copies, w)
 		for range 2 {
 			if len(ids) > 0 {
 				w.Poll(w.Any(), ids[rnd.IntN(len(ids))])
@@ -179,6 +181,14 @@
 	})
 }
 
+// randomCopies keeps copies of reports for the next leaders from now on, or none any
+// more.
+func randomCopies(rnd *rand.Rand, w *fake.World) {
+	if rnd.IntN(10) == 0 {
+		w.CopyForNext(rnd.IntN(4))
+	}
+}
+
 // randomFailure does one thing that goes wrong, or undoes one.
 func randomFailure(rnd *rand.Rand, w *fake.World) {
 	n := rnd.IntN(3)
--- /dev/null
+++ b/controller/seeds_test.go
@@ -0,0 +1,33 @@
+package controller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+)
+
+// seeded plays a story a few times, or as often as STORY_SEEDS says, with other times
+// within the same window: they are drawn from the seed and the story's own number.
+func seeded(t *testing.T, number uint64, o fake.Options, tell func(t *testing.T, w *fake.World, rnd *rand.Rand)) {
+	t.Helper()
+	seeds := uint64(3)
+	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			o.Seed = seed
+			story(t, o, func(t *testing.T, w *fake.World) { tell(t, w, rand.New(rand.NewPCG(seed, number))) })
+		})
+	}
+}
+
+// within draws a time from a window.
+func within(rnd *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rnd.Int64N(int64(to-from)))
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -44,6 +44,7 @@
 	kept     map[string][]byte   // a report of each machine, for stories of late ones
 	reached  map[reach]time.Time // when a machine last sent a report that a node answered
 	kept200  map[reach]time.Time // and one whose 200 it took
+	next     forNext
 	rnd      *rand.Rand
 	jobs     map[string]*job
 	here     map[string]map[*machine]bool // tasks that have their image, by name
