--- a/election/election_test.go
+++ b/election/election_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,14 +15,29 @@
 
 // held is a state service with one lease, which takes its time for renewals.
 type held struct {
+	renewal time.Duration
+
+	mu       sync.Mutex
 	entry    wire.Entry
-	renewal  time.Duration
 	released time.Time
 }
 
-func (h *held) Get(context.Context, string) (wire.Entry, error) { return h.entry, nil }
+func (h *held) Get(context.Context, string) (wire.Entry, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entry, nil
+}
+
+// ended is when the lease was released: zero if it was not.
+func (h *held) ended() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.released
+}
 
 func (h *held) Commit(_ context.Context, _ []wire.Guard, ops []wire.Op) (uint64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.entry.Version != 0 || !h.released.IsZero() {
 		return 0, &state.Conflict{Failed: []string{Key}}
 	}
@@ -33,7 +49,7 @@
 func (h *held) Hold(context.Context, time.Duration) (uint64, error) { return 7, nil }
 
 func (h *held) Touch(context.Context, uint64) error {
-	if !h.released.IsZero() {
+	if !h.ended().IsZero() {
 		return state.ErrNoLease
 	}
 	time.Sleep(h.renewal)
@@ -42,9 +58,11 @@
 
 // Release ends the lease at once, and its answer is lost.
 func (h *held) Release(ctx context.Context, _ uint64) error {
+	h.mu.Lock()
 	if h.released.IsZero() {
 		h.released, h.entry = time.Now(), wire.Entry{}
 	}
+	h.mu.Unlock()
 	<-ctx.Done()
 	return state.ErrUnknown
 }
@@ -82,11 +100,11 @@
 		for range 100 {
 			time.Sleep(10 * time.Millisecond)
 			if term.Valid() {
-				t.Errorf("valid again; the lease was released %v ago", time.Since(h.released))
+				t.Errorf("valid again; the lease was released %v ago", time.Since(h.ended()))
 				break
 			}
 		}
-		if h.released.IsZero() {
+		if h.ended().IsZero() {
 			t.Error("the lease was not released")
 		}
 		cancel()
