--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -422,9 +422,10 @@
 
 // HoldDirect holds back direct commands to a machine until they are delivered.
 func (w *World) HoldDirect(name string) {
+	m := w.Cloud.machine(name) // before the world's lock, as everywhere
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Cloud.machine(name).holding = true
+	m.holding = true
 }
 
 // DeliverDirect delivers what was held back, whether its sender still waits or
