The story of handing over counts late placements begun; the detector's own failed check is known in both its forms

One run of all tests under the race detector failed in two places. The story compared how many transactions are still to come, of which an earlier one may come meanwhile: it counts those that were begun. The detector ended a story's process with 'ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346', its own sources' check, which stories outlive by being begun again; only an older wording of it was known. The line must begin so and name the detector's sources; beside a race or a failed test it forgives nothing, as before.

--- a/internal/fake/lagging.go
+++ b/internal/fake/lagging.go
@@ -26,6 +26,7 @@
 	leasesPast int     // and so many while the leader held another lease
 
 	waiting int                // late ones that are still to come
+	begun   int                // late ones so far, come or not
 	arrived int                // transactions that have come, ever
 	applied map[string]arrival // the newest of each node that has changed something
 	passed  Overtaken
@@ -83,6 +84,13 @@
 	return s.lagging.passed
 }
 
+// Lagged is how many transactions have been held up so far, come or not.
+func (s *State) Lagged() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lagging.begun
+}
+
 // Waiting is how many late transactions are still to be carried out.
 func (s *State) Waiting() int {
 	s.mu.Lock()
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -472,6 +472,7 @@
 		by := s.late
 		s.late, late = 0, true
 		s.lagging.waiting++
+		s.lagging.begun++
 		s.mu.Unlock()
 		time.Sleep(by)
 		s.mu.Lock()
@@ -482,6 +483,7 @@
 		if by > 0 {
 			late = true
 			s.lagging.waiting++
+			s.lagging.begun++
 			s.mu.Unlock()
 			time.Sleep(by)
 			s.mu.Lock()
--- a/internal/tell/apart.go
+++ b/internal/tell/apart.go
@@ -120,6 +120,10 @@
 	return 0
 }
 
+// checkFailed is how the detector says that a check in its own sources failed; which of
+// the two ways depends on its version.
+var checkFailed = regexp.MustCompile(`(?m)^(FATAL: ThreadSanitizer CHECK failed|ThreadSanitizer: CHECK failed: (tsan|sanitizer)_\w+\.(cpp|h):\d+ )`)
+
 var faultAt = regexp.MustCompile(`(?m)^PC=0x([0-9a-f]+) `)
 
 // detectorEnded says whether a process was ended by the race detector's own
@@ -129,7 +133,7 @@
 	if bytes.Contains(text, []byte("WARNING: DATA RACE")) || bytes.Contains(text, []byte("--- FAIL")) {
 		return false
 	}
-	if bytes.Contains(text, []byte("FATAL: ThreadSanitizer CHECK failed")) {
+	if checkFailed.Match(text) {
 		return true
 	}
 	at := faultAt.FindSubmatch(text)
--- a/internal/tell/apart_test.go
+++ b/internal/tell/apart_test.go
@@ -21,11 +21,16 @@
 		}
 	}
 	for text, want := range map[string]bool{
-		"FATAL: ThreadSanitizer CHECK failed: tsan_rtl.cpp:390":                                  true,
-		"WARNING: DATA RACE\nFATAL: ThreadSanitizer CHECK failed: tsan_rtl.cpp:390":              false,
-		"--- FAIL: TestX (0.00s)\nFAIL":                                                          false,
-		"panic: runtime error: invalid memory address\n[signal SIGSEGV: segmentation violation]": false,
-		"SIGSEGV: segmentation violation\nPC=0x1 m=3 sigcode=1 addr=0x0":                         false,
+		"FATAL: ThreadSanitizer CHECK failed: tsan_rtl.cpp:390":                                       true,
+		"WARNING: DATA RACE\nFATAL: ThreadSanitizer CHECK failed: tsan_rtl.cpp:390":                   false,
+		"ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346 \"(exiting) != (0)\" (0x0, 0x0) (tid=12133)": true,
+		"WARNING: DATA RACE\nThreadSanitizer: CHECK failed: tsan_rtl.cpp:346 \"x\"":                   false,
+		"--- FAIL: TestX (0.00s)\nThreadSanitizer: CHECK failed: tsan_rtl.cpp:346 \"x\"":              false,
+		"ThreadSanitizer: CHECK failed: story_test.go:346 \"x\"":                                      false,
+		"it says ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346 \"x\"":                               false,
+		"--- FAIL: TestX (0.00s)\nFAIL":                                                               false,
+		"panic: runtime error: invalid memory address\n[signal SIGSEGV: segmentation violation]":      false,
+		"SIGSEGV: segmentation violation\nPC=0x1 m=3 sigcode=1 addr=0x0":                              false,
 	} {
 		if got := detectorEnded(os.Args[0], []byte(text)); got != want {
 			t.Errorf("%q: %v", text, got)
