--- a/controller/gap_test.go
+++ b/controller/gap_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -287,12 +285,6 @@
 // deployments are the workers' times of the users' sites.
 var deployments = []struct{ report, lease float64 }{{1.5, 12}, {4, 22}, {5, 27}}
 
-// manySeeds says how many seeds are asked for beyond those that are always played.
-func manySeeds() (n uint64, many bool) {
-	n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64)
-	return n, err == nil
-}
-
 // The moments that matter, one by one.
 func TestCancelledInTheGap(t *testing.T) {
 	_, many := manySeeds()
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +21,7 @@
 // must be over in the end.
 func TestRulesHoldUnderRandomFailures(t *testing.T) {
 	seeds := uint64(8)
-	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+	if n, many := manySeeds(); many {
 		seeds = n
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
--- a/controller/seeds_test.go
+++ b/controller/seeds_test.go
@@ -11,13 +11,19 @@
 	"github.com/umberdeal/umberdeal/internal/fake"
 )
 
+// manySeeds says how many seeds are asked for instead of those that are always played.
+func manySeeds() (n uint64, many bool) {
+	n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64)
+	return n, err == nil
+}
+
 // seeded plays a story a few times, or as often as STORY_SEEDS says, with other times
 // within the same window: they are drawn from the seed and the story's own number.
 func seeded(t *testing.T, number uint64, o fake.Options, tell func(t *testing.T, w *fake.World, rnd *rand.Rand)) {
 	t.Helper()
-	seeds := uint64(3)
-	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
-		seeds = n
+	seeds, many := manySeeds()
+	if !many {
+		seeds = 3
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,14 +19,14 @@
 )
 
 // Stories in which troubles meet at the users' door. Each sees to it that they do
-// meet: one in which they miss one another fails. docs/meetings-U.md lists them with
+// meet: one in which they miss one another fails. docs/meetings.md lists them with
 // the guards that keep the rules.
 
 // meetings plays a story for a few seeds, or for as many as STORY_SEEDS says. It
 // returns how often its troubles met.
 func meetings(t *testing.T, seeds uint64, o fake.Options, play func(t *testing.T, w *fake.World, rnd *rand.Rand) int) {
 	t.Helper()
-	if n, err := strconv.ParseUint(os.Getenv("STORY_SEEDS"), 10, 64); err == nil {
+	if n, many := manySeeds(); many {
 		seeds = n
 	} else if tell.UnderRace {
 		seeds = 1
--- a/internal/fake/lagging.go
+++ b/internal/fake/lagging.go
@@ -84,6 +84,18 @@
 	return s.lagging.passed
 }
 
+// holdUp keeps a transaction for so long; the lock is held before and after, not
+// meanwhile.
+func (s *State) holdUp(by time.Duration) {
+	s.lagging.waiting++
+	s.lagging.begun++
+	s.mu.Unlock()
+	time.Sleep(by)
+	s.mu.Lock()
+	s.lagging.waiting--
+	s.expire()
+}
+
 // Lagged is how many transactions have been held up so far, come or not.
 func (s *State) Lagged() int {
 	s.mu.Lock()
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -471,24 +471,12 @@
 	if s.late > 0 && t.changes(s.lateOf) {
 		by := s.late
 		s.late, late = 0, true
-		s.lagging.waiting++
-		s.lagging.begun++
-		s.mu.Unlock()
-		time.Sleep(by)
-		s.mu.Lock()
-		s.lagging.waiting--
-		s.expire()
+		s.holdUp(by)
 	}
 	if by, unanswered := s.lagging.draw(len(t.Then)); unanswered {
 		if by > 0 {
 			late = true
-			s.lagging.waiting++
-			s.lagging.begun++
-			s.mu.Unlock()
-			time.Sleep(by)
-			s.mu.Lock()
-			s.lagging.waiting--
-			s.expire()
+			s.holdUp(by)
 		}
 		defer func() { // after it was carried out
 			s.lagging.carriedOut++
--- a/ledger/ending.go
+++ b/ledger/ending.go
@@ -57,9 +57,12 @@
 		most = 11
 	}
 	q.ending = slices.DeleteFunc(q.ending, func(e *ending) bool {
+		if e.home != home || len(taken) >= most {
+			return false
+		}
 		raw, err := wire.Marshal(e.over)
 		size := wire.JSONSize(raw) + 64
-		if e.home != home || len(taken) >= most || len(taken) > 0 && (err != nil || bytes+size > 2*r.Limits.bytes()) {
+		if len(taken) > 0 && (err != nil || bytes+size > 2*r.Limits.bytes()) {
 			return false
 		}
 		bytes += size
