--- a/controller/doubt.go
+++ b/controller/detector.go
@@ -15,22 +15,22 @@
 const (
 	askLeaderEvery = 700 * time.Millisecond
 	askLeaderFor   = 900 * time.Millisecond
-	doubtAfter     = 2 // questions without an answer
+	suspectAfter   = 2 // questions without an answer
 )
 
-// doubts is what a follower holds of the leader: one that stands still or has
+// failureDetector is what a follower holds of the leader: one that stands still or has
 // no power takes a worker's connection, or seems to, and never answers. Each
 // follower that sends the worker there costs it 4 s of its lease.
-type doubts struct {
+type failureDetector struct {
 	mu     sync.Mutex
 	leader string
 	missed int
 }
 
-func (d *doubts) note(leader string, err error) (began, ended bool) {
+func (d *failureDetector) note(leader string, err error) (began, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	before := d.missed >= doubtAfter
+	before := d.missed >= suspectAfter
 	if d.leader != leader {
 		d.leader, d.missed = leader, 0
 		before = false
@@ -45,15 +45,15 @@
 	default:
 		d.missed++
 	}
-	after := d.missed >= doubtAfter
+	after := d.missed >= suspectAfter
 	return after && !before, before && !after
 }
 
-// of says whether the leader is doubted.
-func (d *doubts) of(leader string) bool {
+// suspects says whether the leader is suspected to be down.
+func (d *failureDetector) suspects(leader string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.leader == leader && d.missed >= doubtAfter
+	return d.leader == leader && d.missed >= suspectAfter
 }
 
 // watchLeader asks the leader again and again whether it is there.
@@ -73,14 +73,14 @@
 		if err == nil && said.Plan != nil && said.Plan.Leader == name {
 			n.learn(*said.Plan, time.Now())
 		}
-		switch began, ended := n.doubts.note(name, err); {
+		switch began, ended := n.detector.note(name, err); {
 		case began:
 			n.log.Info("the leader does not answer this node", "leader", name, "err", err)
 		case ended:
 			n.log.Info("the leader answers this node again", "leader", name)
 			n.tell()
 		}
-		if n.doubts.of(name) {
+		if n.detector.suspects(name) {
 			n.askPeers(ctx) // to know where workers may be sent meanwhile
 		}
 	}
@@ -99,7 +99,7 @@
 // next, and wait for one that stands still as long as for an answer.
 const awaitFor = 2500 * time.Millisecond
 
-// awaitLeader waits until a leader is known that is not doubted; "" where there
+// awaitLeader waits until a leader is known that is not suspected; "" where there
 // is none in time.
 func (n *Node) awaitLeader(ctx context.Context) string {
 	ctx, cancel := context.WithTimeout(ctx, awaitFor)
@@ -111,7 +111,7 @@
 		// This node, once elected, still has to read the records and to be sure
 		// of its lease; sent on from here, a worker may well come upon a node
 		// that stands still.
-		if name := n.elector.Leader(); name != "" && !n.doubts.of(name) && (name != n.cfg.Node || n.leads()) {
+		if name := n.elector.Leader(); name != "" && !n.detector.suspects(name) && (name != n.cfg.Node || n.leads()) {
 			return name
 		}
 		if n.crowded() || n.alone() {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -205,10 +205,10 @@
 	return nil
 }
 
-// catchUp implements election.Elector.CatchUp: a leader counts as sure of its
+// readBarrier implements election.Elector.ReadBarrier: a leader counts as sure of its
 // lease only with knowledge as fresh as the renewal, so that it tells no
 // worker to go on with a job that was cancelled long ago.
-func (n *Node) catchUp(ctx context.Context, t *election.Term) error {
+func (n *Node) readBarrier(ctx context.Context, t *election.Term) error {
 	l := n.leadership()
 	if l == nil || l.term != t {
 		return errors.New("not leading yet")
--- a/controller/node.go
+++ b/controller/node.go
@@ -47,21 +47,21 @@
 	log    *slog.Logger
 	net    Network
 
-	state   *state.Client
-	cloud   *cloud.Client
-	workers *worker.Client
-	reader  *ledger.Reader
-	elector *election.Elector
-	peers   []*mesh.Peer
-	lanes   []*mesh.Lane
-	users   chan struct{}    // bounds the users' submissions and cancellations under way
-	polls   *admission.Gate  // and their polls
-	turns   admission.Turns  // whose polls come first
-	tiers   *admission.Tiers // how many each tier of submissions has of users
-	reports *admission.Gate  // bounds the workers' reports
-	door    *admission.Door  // of users and workers; set before anybody is served
-	pulse   pulse
-	doubts  doubts
+	state    *state.Client
+	cloud    *cloud.Client
+	workers  *worker.Client
+	reader   *ledger.Reader
+	elector  *election.Elector
+	peers    []*mesh.Peer
+	lanes    []*mesh.Lane
+	users    chan struct{}    // bounds the users' submissions and cancellations under way
+	polls    *admission.Gate  // and their polls
+	turns    admission.Turns  // whose polls come first
+	tiers    *admission.Tiers // how many each tier of submissions has of users
+	reports  *admission.Gate  // bounds the workers' reports
+	door     *admission.Door  // of users and workers; set before anybody is served
+	pulse    pulse
+	detector failureDetector
 
 	answered *admission.Answered          // when workers were last answered here
 	plan     atomic.Pointer[published]    // where workers report
@@ -143,7 +143,7 @@
 	w := cfg.Cluster.Workers
 	n.elector = &election.Elector{
 		Store: n.state, Self: cfg.Node, TTL: config.Seconds(w.LeaderLeaseS()), Drift: config.Drift, Log: log,
-		Lead: n.runLeader, CatchUp: n.catchUp, Seen: n.seen,
+		Lead: n.runLeader, ReadBarrier: n.readBarrier, Seen: n.seen,
 	}
 	return n
 }
--- a/controller/pulse_test.go
+++ b/controller/pulse_test.go
@@ -33,23 +33,23 @@
 
 // A refused connection is no sign that the leader is gone: a packet filter may
 // stand between the nodes while workers reach it.
-func TestALeaderIsDoubtedForSilenceNotForARefusal(t *testing.T) {
-	var d doubts
+func TestALeaderIsSuspectedForSilenceNotForARefusal(t *testing.T) {
+	var d failureDetector
 	refused := &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	for range 5 {
 		d.note("n-1", refused)
 	}
-	if d.of("n-1") {
-		t.Error("doubted although it was refused only")
+	if d.suspects("n-1") {
+		t.Error("suspected although it was refused only")
 	}
-	for range doubtAfter {
+	for range suspectAfter {
 		d.note("n-1", context.DeadlineExceeded)
 	}
-	if !d.of("n-1") || d.of("n-2") {
-		t.Error("a silent leader is not doubted, or another one is")
+	if !d.suspects("n-1") || d.suspects("n-2") {
+		t.Error("a silent leader is not suspected, or another one is")
 	}
 	d.note("n-1", nil)
-	if d.of("n-1") {
-		t.Error("doubted although it has answered")
+	if d.suspects("n-1") {
+		t.Error("suspected although it has answered")
 	}
 }
--- a/election/election.go
+++ b/election/election.go
@@ -1,6 +1,6 @@
 // Package election keeps one leader among the controller nodes: whoever holds
 // the leader key under a lease of the state service. The key's revision is the
-// token that workers compare, so tokens only grow.
+// fencing token that workers compare and that guards every write, so tokens only grow.
 package election
 
 import (
@@ -37,7 +37,7 @@
 
 // Term is one leadership.
 type Term struct {
-	Token uint64
+	Token uint64 // the fencing token
 	Since time.Time
 
 	lease    uint64
@@ -75,10 +75,10 @@
 	TTL   time.Duration
 	Drift float64 // how far two steady clocks drift apart, as a share
 	Log   *slog.Logger
-	// Lead runs while this node leads, until ctx ends. CatchUp must bring the
+	// Lead runs while this node leads, until ctx ends. ReadBarrier must bring the
 	// leader's knowledge up to date; the lease counts as sure only after it.
-	Lead    func(ctx context.Context, t *Term, ready func()) error
-	CatchUp func(ctx context.Context, t *Term) error
+	Lead        func(ctx context.Context, t *Term, ready func()) error
+	ReadBarrier func(ctx context.Context, t *Term) error
 	// Seen, if set, is called when another leader is seen, or none, and when this
 	// node becomes sure of leading.
 	Seen func()
@@ -286,5 +286,5 @@
 			return state.ErrNoLease
 		}
 	}
-	return e.CatchUp(ctx, t)
+	return e.ReadBarrier(ctx, t)
 }
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -85,7 +85,7 @@
 				<-ctx.Done()
 				return errors.New("over")
 			},
-			CatchUp: func(context.Context, *Term) error { return nil }}
+			ReadBarrier: func(context.Context, *Term) error { return nil }}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); e.Run(ctx) }()
--- a/ledger/accept.go
+++ b/ledger/accept.go
@@ -258,7 +258,7 @@
 		r.mu.Lock()
 		if !r.loaded {
 			r.mu.Unlock()
-			if err := r.sync(ctx); err != nil {
+			if err := r.readBarrier(ctx); err != nil {
 				return false, err
 			}
 			r.mu.Lock()
@@ -323,7 +323,7 @@
 		case slices.Contains(c.Failed, JobKey(j.ID)) || slices.Contains(c.Failed, FinalKey(j.ID)):
 			return true, nil
 		}
-		if err := r.sync(ctx); err != nil {
+		if err := r.readBarrier(ctx); err != nil {
 			return false, err
 		}
 	}
@@ -531,7 +531,7 @@
 			stale := len(q.waiting) > 0 && r.each(HeadKey(bucket)) > 1
 			r.mu.Unlock()
 			if stale {
-				_ = r.sync(ctx) // where it fails the next transaction takes fewer
+				_ = r.readBarrier(ctx) // where it fails the next transaction takes fewer
 			}
 			return
 		}
@@ -550,7 +550,7 @@
 			answer(all, accepted{err: err})
 			return
 		}
-		if serr := r.sync(ctx); serr != nil {
+		if serr := r.readBarrier(ctx); serr != nil {
 			err = serr
 			break
 		}
--- a/ledger/damage.go
+++ b/ledger/damage.go
@@ -187,7 +187,7 @@
 // Recall says what this node remembers of a record, whether or not it can be read
 // any more; nil where it does not. It is as of a moment after the call.
 func (r *Reader) Recall(ctx context.Context, key string, version uint64) *Memory {
-	if version == 0 || r.sync(ctx) != nil {
+	if version == 0 || r.readBarrier(ctx) != nil {
 		return nil
 	}
 	r.mu.Lock()
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// sync waits for a barrier that starts after the call.
-func (r *Reader) sync(ctx context.Context) error {
+// readBarrier waits for one that starts after the call.
+func (r *Reader) readBarrier(ctx context.Context) error {
 	done := make(chan error, 1)
 	select {
 	case r.asks <- done:
@@ -446,7 +446,7 @@
 	if v, ok := r.Remembered(id); ok {
 		return v, true, nil
 	}
-	if err := r.sync(ctx); err != nil {
+	if err := r.readBarrier(ctx); err != nil {
 		return View{}, false, err
 	}
 	v, found, unsure := r.view(id)
--- a/ledger/reserve.go
+++ b/ledger/reserve.go
@@ -189,7 +189,7 @@
 	if r.detail == nil {
 		return Entry{}, nil, errNoDetail
 	}
-	if err := r.sync(ctx); err != nil {
+	if err := r.readBarrier(ctx); err != nil {
 		return Entry{}, nil, err
 	}
 	r.mu.Lock()
@@ -269,7 +269,7 @@
 	if r.detail == nil {
 		return nil, errNoDetail
 	}
-	if err := r.sync(ctx); err != nil {
+	if err := r.readBarrier(ctx); err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
--- a/modelcheck/late.go
+++ b/modelcheck/late.go
@@ -152,7 +152,7 @@
 		return
 	}
 	w.termFrom = w.step
-	if w.breach != NoCatchUp {
+	if w.breach != NoReadBarrier {
 		w.learn()
 	}
 }
--- a/modelcheck/modelcheck_test.go
+++ b/modelcheck/modelcheck_test.go
@@ -17,7 +17,7 @@
 }{
 	{UncommittedLaunch, OneTask, []Kind{Pass, Trip, Image, Finish, Takeover}, 8},
 	{ForgetAtOnce, OneTask, nil, 5},
-	{NoCatchUp, OneTask, []Kind{Pass, Trip, Image, Cancel, Learn, Wait}, 8},
+	{NoReadBarrier, OneTask, []Kind{Pass, Trip, Image, Cancel, Learn, Wait}, 8},
 	{ShortLease, OneTask, []Kind{Pass, Trip, Image, Wait}, 9},
 	{NoTakeoverWait, OneTask, []Kind{Pass, Trip, Image, Wait, Takeover}, 9},
 	{LeaderGoesOn, oneTakeover, []Kind{Pass, Trip, Image, Wait, Takeover, Old}, 12},
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -36,7 +36,7 @@
 	LateAnswers              // a worker executes an answer it has given up
 	DirectLaunch             // a summons is the launch itself
 	ForgetAtOnce             // an exit is forgotten before its outcome is committed
-	NoCatchUp                // a leader renews its lease without learning of cancellations
+	NoReadBarrier            // a leader renews its lease without learning of cancellations
 	LeaderGoesOn             // a leader answers on past the end of its lease
 	DropsOnCancel            // a cancelled job's tasks count as gone at once
 	CopiesCount              // a late copy of a report counts as the newest
