A report that its own copy has overtaken is answered again, not refused

Cause: a report equal to the newest one known of its machine got a 503. Where a copy of the very report that is being sent came to a leader first, the report itself was refused, and its worker went on to the next node a second later.

Change: a leader that is sure answers the newest report, come once more, as an idempotent retry (cluster.Model.Repeated): its token and all stops that are due, no launches, nothing to be forgotten. It is not observed again, and the time from which the worker's lease counts stays (or, where there has been no answer, is that of the first receipt): copies of a dead machine's last report put nothing off. What only one of two answers told is no sign of whether the machine hears. Strictly older reports get 503 and change nothing, as before.

--- a/cluster/digest.go
+++ b/cluster/digest.go
@@ -57,7 +57,7 @@
 			names = append(names, fmt.Sprintf("f%s.%d", k.name, k.attempt))
 		}
 		slices.Sort(names)
-		fmt.Fprint(w, names, h.told, h.shown, mc.deaf(), m.showing(mc, now), m.mute(mc, now), "|")
+		fmt.Fprint(w, names, h.told, (number{mc.Session, mc.Seq}) == h.twice, h.shown, mc.deaf(), m.showing(mc, now), m.mute(mc, now), "|")
 	}
 	for _, j := range m.Jobs {
 		if j == nil {
@@ -76,6 +76,9 @@
 			if p := t.Place; p != nil {
 				fmt.Fprintf(w, "g%tP%s,%d,%t,%t,%d,%t,%s", j.Chunks[i/ledger.ChunkSize].Committed >= p.gen, p.name, p.Attempt, p.Inherited, p.Sent, p.Seen, now.Sub(p.Summoned) < summonAgain,
 					behind(p.name, p.Session, p.Seq))
+				if (number{p.Session, p.Seq}) == m.Machines[p.Machine].hearing.twice {
+					fmt.Fprint(w, "2")
+				}
 				if p.Held {
 					fmt.Fprint(w, "H")
 				}
--- a/cluster/hearing.go
+++ b/cluster/hearing.go
@@ -33,12 +33,16 @@
 	since time.Time // since when it shows that it does not hear; zero: it does, as far as is known
 	via   string    // the node by way of which the last report came
 	at    uint64    // the number of the last report that was answered
+	twice number    // the last report to which there were two answers, of which it heard one at most
 	// What the last answer said that the next report must show.
 	told   bool
 	forget []exitKey
 	probe  exitKey
 }
 
+// number is a report's.
+type number struct{ session, seq uint64 }
+
 // deaf says whether the machine's reports show that it has not heard the last
 // that it was told.
 func (mc *Machine) deaf() bool { return !mc.hearing.since.IsZero() }
@@ -104,14 +108,26 @@
 		listed[k] = true
 	}
 	for _, k := range forget {
-		if listed[k] {
-			m.missed(mc, "forget", now)
-		} else {
+		if !listed[k] {
 			m.heard(mc, now)
+		} else if (number{mc.Session, mc.Seq}) != h.twice {
+			m.missed(mc, "forget", now)
 		}
 	}
 }
 
+// answeredTwice takes in that the newest report, which has come once more, is answered
+// once more. What the first answer alone told may have gone unheard by a machine that
+// hears, and which of two nodes it stays with is not known: neither is a sign any more.
+// That it shows the token still is: both answers bear that.
+func (mc *Machine) answeredTwice(via string) {
+	h := &mc.hearing
+	h.twice = number{mc.Session, mc.Seq}
+	if h.via != via {
+		h.via = ""
+	}
+}
+
 // Came takes in by way of which node a report came that has just been observed. A
 // worker stays with the node that has answered it: where its very next report
 // comes to another one, it has not heard the answer.
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -130,7 +130,9 @@
 			// The answer with the launch was lost, and cannot be executed any
 			// more, since the worker has sent another report.
 			p.Sent = false
-			m.missed(mc, "launch", now)
+			if (number{p.Session, p.Seq}) != mc.hearing.twice {
+				m.missed(mc, "launch", now)
+			}
 			continue
 		}
 		m.lost(j, ref.Task, "not on its machine", now)
@@ -335,6 +337,36 @@
 	return true
 }
 
+// Repeated is for a report that Observe has not taken in. If it is the newest that is
+// known of its machine, it is an idempotent retry: this one and the one before are the
+// same message, of which one is a copy, and the worker waits for the answer to one of
+// them. Refused, it would go on to the next node, a second of its lease later, because
+// a copy was faster. The caller must be sure of its lease.
+//
+// The answer renews the worker's lease from when the report was sent, which was before
+// this leader first received it. So no more is counted for it than that: with a time
+// of its own, copies of a dead machine's last report would put off for as long as they
+// come what is to start again elsewhere. It tells all stops, as every answer that
+// renews a lease, and nothing that is noted as told: launches and outcomes to be
+// forgotten are the other answer's. A worker takes one of the two at most, and none
+// once it has sent its next report, so that a launch which that one does not list was
+// not executed, and never will be.
+func (m *Model) Repeated(r *wire.Report, via string) (cmds []wire.Command, ok bool) {
+	i, known := m.machineIdx[r.Machine]
+	if !known {
+		return nil, false
+	}
+	mc := m.Machines[i]
+	if mc.Gone || !mc.Up || mc.Session != r.Session || mc.Seq != r.Seq {
+		return nil, false
+	}
+	if mc.LastAnswer.Before(mc.LastSeen) {
+		mc.LastAnswer = mc.LastSeen // the other has had no answer, or not yet
+	}
+	mc.answeredTwice(via)
+	return m.stopsFor(mc, r), true
+}
+
 // Answer makes the commands that answer a report just observed. Launches are
 // noted as sent with it.
 func (m *Model) Answer(mc *Machine, r *wire.Report, now time.Time) []wire.Command {
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -39,6 +39,13 @@
 	}
 	freed := l.m.Freed
 	mc := l.m.Observe(&r, now)
+	if mc == nil && l.term.Valid() {
+		if cmds, ok := l.m.Repeated(&r, via); ok {
+			l.mu.Unlock()
+			l.gate.Leave()
+			return l.commands(cmds)
+		}
+	}
 	if mc != nil {
 		l.m.Came(mc, via, now)
 		if via == l.n.cfg.Node {
@@ -61,6 +68,11 @@
 	l.mu.Unlock()
 	kick(l.schedKick)
 	kick(l.flushKick)
+	return l.commands(cmds)
+}
+
+// commands is the answer of a leader that was sure of its lease when it made them.
+func (l *leadership) commands(cmds []wire.Command) mesh.Answer {
 	if cmds == nil {
 		cmds = []wire.Command{}
 	}
--- a/internal/fake/copies.go
+++ b/internal/fake/copies.go
@@ -23,13 +23,24 @@
 	oneIn    int
 	watching bool
 	copies   map[string][]wire.Report
+	first    map[firstOf]bool
 	met      Meetings
+
+	ahead  int // one in so many reports is overtaken by its copies
+	outrun Outrun
+}
+
+// firstOf is a report and the token of a leader that has answered it.
+type firstOf struct {
+	machine             string
+	session, seq, token uint64
 }
 
 // Meetings is what copies have met so far. One that is answered 200 was the newest
-// that its leader had heard of the machine: no report of the worker came before it.
+// that its leader had heard of the machine, and its worker's own report was not
+// answered by that leader before.
 type Meetings struct {
-	First          int // answered by a leader that began after the copy was made
+	First          int // answered by a leader that began after the copy was made, the first time
 	EarlierSession int // of these, of a session that has ended since
 	EarlierAttempt int // and of these, with an attempt that is not on the machine any more
 	Older          int // came after newer reports, and were not answered 200
@@ -118,6 +129,14 @@
 	case status != http.StatusOK || wire.Unmarshal(body, &a) != nil || a.Token <= r.Token:
 		return
 	}
+	first := firstOf{r.Machine, r.Session, r.Seq, a.Token}
+	if w.next.first[first] || m.took == first {
+		return // not the first that this leader has heard
+	}
+	if w.next.first == nil {
+		w.next.first = map[firstOf]bool{}
+	}
+	w.next.first[first] = true
 	met := &w.next.met
 	met.First++
 	if m.session > r.Session {
@@ -137,3 +156,79 @@
 	defer w.mu.Unlock()
 	return w.next.met
 }
+
+// Outrun is what became of reports that their own copies have overtaken.
+type Outrun struct {
+	Ahead   int // a leader answered the copy 200, and the report was sent after that
+	Next    int // of these, the report does not show this leader's token: it has begun since
+	Kept    int // of all, the report itself was answered 200 by the node that it came to
+	Refused int // or got a 503; others were sent to the node where their worker belongs
+}
+
+// overtakeMost is how long a report waits for its copies to be answered; nodes keep
+// reports for 2.5 s while nobody leads, and the worker gives its own up after 4 s.
+const overtakeMost = 3 * time.Second
+
+// CopyAhead has one in so many reports overtaken by its own copies: every node has
+// one, and a leader has answered it, before the report itself is sent; 0 ends that.
+func (w *World) CopyAhead(oneIn int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next.ahead = oneIn
+}
+
+// Outrun is what has become of such reports.
+func (w *World) Outrun() Outrun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.next.outrun
+}
+
+// overtake sends a report's copies ahead of it, and returns the token by which one of
+// them was answered 200, or 0.
+func (w *World) overtake(r wire.Report) uint64 {
+	heard := make(chan uint64, len(w.nodes))
+	for _, n := range w.nodes {
+		w.wg.Add(1)
+		go func() {
+			defer w.wg.Done()
+			var a wire.ReportAnswer
+			if status, body := w.post(n.bind, wire.PathReport, r); status != http.StatusOK || wire.Unmarshal(body, &a) != nil {
+				a.Token = 0
+			}
+			heard <- a.Token
+		}()
+	}
+	late := time.NewTimer(overtakeMost)
+	defer late.Stop()
+	for range w.nodes {
+		select {
+		case token := <-heard:
+			if token > 0 {
+				return token
+			}
+		case <-late.C:
+			return 0
+		}
+	}
+	return 0
+}
+
+// overtook takes in how a report was answered that its copies have overtaken; the lock
+// is held.
+func (w *World) overtook(r wire.Report, token uint64, status int) {
+	if token == 0 {
+		return
+	}
+	o := &w.next.outrun
+	o.Ahead++
+	if token > r.Token {
+		o.Next++
+	}
+	switch status {
+	case http.StatusOK:
+		o.Kept++
+	case http.StatusServiceUnavailable:
+		o.Refused++
+	}
+}
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -71,8 +71,9 @@
 	tokenAt time.Time
 	holding bool // direct commands are held back
 	held    []wire.DirectCommands
-	direct  int // direct commands carried out
-	late    int // answers taken more than a second after their reports
+	direct  int     // direct commands carried out
+	late    int     // answers taken more than a second after their reports
+	took    firstOf // the last report of its own that was answered 200, and by whom
 }
 
 func newMachine(w *World, name string, typ wire.MachineType, zone string, spot bool, boot time.Duration) *machine {
@@ -250,7 +251,12 @@
 	m.w.keepForNext(r)
 	session := m.session
 	node := m.w.nodes[m.node%len(m.w.nodes)]
+	ahead := m.w.next.ahead > 0 && m.w.pick(m.w.next.ahead) == 0
 	m.w.mu.Unlock()
+	copied := uint64(0)
+	if ahead {
+		copied = m.w.overtake(r)
+	}
 	ctx, cancel := context.WithTimeout(m.ctx, dropsAfter)
 	defer cancel()
 	status, body, err := call.Do(ctx, m.hc, http.MethodPost, "http://"+node.bind+wire.PathReport, r, 1<<20)
@@ -267,6 +273,7 @@
 	}
 	if err == nil {
 		m.w.reached[reach{node.name, m.name}] = at
+		m.w.overtook(r, copied, status)
 	}
 	if err != nil || status != http.StatusOK {
 		var to wire.Redirect
@@ -289,6 +296,7 @@
 	if time.Since(at) > time.Second {
 		m.late++
 	}
+	m.took = firstOf{m.name, session, r.Seq, a.Token}
 	m.sawToken(a.Token, at)
 	m.renewed = at
 	m.w.kept200[reach{node.name, m.name}] = at
--- a/modelcheck/late.go
+++ b/modelcheck/late.go
@@ -45,6 +45,12 @@
 var lateNames = map[Kind]string{PassLate: "pass, to be carried out late", LateTxn: "late transaction is carried out,", Ask: "cancellation sent, job", AskHeard: "cancellation carried out, job",
 	AskLost: "cancellation carried out and its answer lost, job", Again: "cancelled again, job", Refuse: "leader refused, or no longer", Renewed: "late answer to a renewal"}
 
+// What meets where a copy overtakes the report that is being sent.
+const (
+	repeated       = "answered as it came after its copy"
+	repeatedAtNext = repeated + ", at the next leader"
+)
+
 // txn is a transaction on its way.
 type txn struct {
 	token  uint64 // of the leader that sent it; 0: a user's
--- a/modelcheck/late_test.go
+++ b/modelcheck/late_test.go
@@ -55,6 +55,41 @@
 	return sc
 }
 
+// A copy comes before the very report that its worker waits for an answer to, and that
+// is answered as it comes again: at the leader that has launched by it, and at the next.
+func TestCopiesOvertakeReports(t *testing.T) {
+	for _, c := range []struct {
+		world *Scenario
+		moves []Kind
+		depth int
+	}{
+		{oneCopy(), []Kind{Pass, Trip, Send, Handle, Answer, GiveUp, Late, Image, Keep, Copy, Takeover, Wait}, 6},
+		{copiedWhileRunning(), []Kind{Pass, Trip, Send, Handle, Answer, Image, Keep, Copy, Takeover, Wait}, 6},
+		{cancelledAlone(), []Kind{Pass, Trip, Send, Handle, Answer, Image, Keep, Copy, Cancel, Learn, Takeover, Wait}, 7},
+	} {
+		c.world.Only = c.moves
+		res := Search(c.world, None, c.depth, 5_000_000)
+		t.Log(res, res.Met)
+		if res.Broken != "" {
+			t.Error(res)
+		}
+		for _, what := range []string{repeated, repeatedAtNext} {
+			if res.Met[what] == 0 {
+				t.Errorf("no report was %s", what)
+			}
+		}
+	}
+}
+
+// cancelledAlone is the one task on one machine with a copy, once it runs; its user may
+// cancel it.
+func cancelledAlone() *Scenario {
+	sc := Alone()
+	sc.Name, sc.Copies, sc.Takeovers = "copy and cancellation", 1, 1
+	sc.Begin = []Action{{Kind: Pass}, {Kind: Trip}, {Kind: Image}}
+	return sc
+}
+
 // A copy comes to the next leader before any other report of its worker, of a session
 // that has ended since, and with attempts that have: the search has gone through all
 // of these.
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -439,6 +439,16 @@
 	}
 	mc := m.Observe(&r, now)
 	if mc == nil {
+		if cmds, ok := m.Repeated(&r, ""); ok {
+			f.token, f.commands = m.Token, cmds
+			sortRuns(f.commands)
+			if !copied && w.workers[f.w].out == f {
+				w.Met = append(w.Met, repeated)
+				if r.Token < m.Token {
+					w.Met = append(w.Met, repeatedAtNext)
+				}
+			}
+		}
 		return // refused
 	}
 	f.token, f.commands = m.Token, m.Answer(mc, &r, now) // though nobody may wait for the answer any more
