--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -36,7 +36,7 @@
 	LateAnswers              // a worker executes an answer it has given up
 	DirectLaunch             // a summons is the launch itself
 	ForgetAtOnce             // an exit is forgotten before its outcome is committed
-	NoCatchUp                // a leader renews its lease without learning of cancellations
+	NoReadBarrier            // a leader renews its lease without learning of cancellations
 	LeaderGoesOn             // a leader answers on past the end of its lease
 	DropsOnCancel            // a cancelled job's tasks count as gone at once
 	CopiesCount              // a late copy of a report counts as the newest
@@ -439,6 +439,16 @@
 	}
 	mc := m.Observe(&r, now)
 	if mc == nil {
+		if cmds, ok := m.Repeated(&r, ""); ok {
+			f.token, f.commands = m.Token, cmds
+			sortRuns(f.commands)
+			if !copied && w.workers[f.w].out == f {
+				w.Met = append(w.Met, repeated)
+				if r.Token < m.Token {
+					w.Met = append(w.Met, repeatedAtNext)
+				}
+			}
+		}
 		return // refused
 	}
 	f.token, f.commands = m.Token, m.Answer(mc, &r, now) // though nobody may wait for the answer any more
