--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -43,6 +43,7 @@
 	Mute                   // nothing reaches a worker any more, or again
 	Keep                   // a copy is made of a worker's last report
 	Copy                   // a copy arrives
+	Fail                   // a start is refused
 )
 
 func (a Action) String() string {
@@ -54,7 +55,7 @@
 	}
 	return fmt.Sprintf("%s %d", [...]string{"pass", "pass, answer lost", "round trip of", "report of", "report arrives of", "answer arrives at", "given up by",
 		"late report arrives,", "late answer arrives,", "direct batch arrives,", "image at", "completes at", "cancelled, job", "leader learns", "time passes",
-		"takeover", "former leader answers", "nothing reaches, or all again,", "copy made of report of", "copy arrives,"}[a.Kind], a.Arg)
+		"takeover", "former leader answers", "nothing reaches, or all again,", "copy made of report of", "copy arrives,", "refused at"}[a.Kind], a.Arg)
 }
 
 // Actions lists what may happen next.
@@ -98,6 +99,9 @@
 		}
 		if slices.ContainsFunc(k.tasks, func(t *task) bool { return t.state == wire.TaskFetching }) {
 			out = append(out, Action{Image, n})
+			if w.errors < w.sc.Errors {
+				out = append(out, Action{Fail, n})
+			}
 		}
 		if slices.ContainsFunc(k.tasks, func(t *task) bool { return t.state == wire.TaskRunning }) {
 			out = append(out, Action{Finish, n})
@@ -161,14 +165,11 @@
 	case Direct:
 		d := w.directs[i]
 		w.directs = slices.Delete(w.directs, i, i+1)
-		k := w.workers[d.w]
-		k.seq++
-		if d.batch.Token >= k.token && d.batch.Session == k.session {
-			k.token = d.batch.Token
-			w.execute(d.w, d.batch.Commands)
-		}
+		w.deliverDirect(d)
 	case Image:
 		w.image(i)
+	case Fail:
+		w.fail(i)
 	case Finish:
 		w.finish(i)
 	case Cancel:
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -41,6 +41,7 @@
 	DropsOnCancel            // a cancelled job's tasks count as gone at once
 	CopiesCount              // a late copy of a report counts as the newest
 	UnheardAnswers           // every answer counts as unheard, also where no report has shown that
+	DirectForget             // outcomes are also forgotten by direct commands
 	Breaches
 )
 
@@ -55,7 +56,7 @@
 		return name
 	}
 	return [...]string{"none", "uncommitted launch", "short lease", "no wait after takeover", "stale reports", "token not shown",
-		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel", "copies count", "unheard answers"}[b]
+		"late answers", "direct launch", "forget at once", "no catching up", "leader goes on", "dropped on cancel", "copies count", "unheard answers", "direct forget"}[b]
 }
 
 // Scenario is what a search begins with.
@@ -78,6 +79,7 @@
 	Lates     int      // leader's transactions that are carried out late, at most
 	Asks      int      // jobs that their user may cancel by a transaction that is under way for a while, from the first on
 	Refusals  int      // how often the state service refuses the leader alone
+	Errors    int      // how often a start is refused
 }
 
 const (
@@ -124,6 +126,9 @@
 	mute    bool    // neither answers nor commands reach it
 	last    *flight // its last report, while a copy of it may be made
 	heardBy uint64  // the last leader that has had a report of it which is no copy
+	// launches are when, by their count, its tasks were launched.
+	launches map[taskKey]int
+	launched int
 }
 
 // flight is a report on its way, and its answer.
@@ -137,8 +142,9 @@
 }
 
 type direct struct {
-	w     int
-	batch wire.DirectCommands
+	w        int
+	batch    wire.DirectCommands
+	launches int // of its worker before it was sent
 }
 
 type value struct {
@@ -167,6 +173,7 @@
 	copies  []*flight // of reports, on their way
 	mutes   int
 	copied  int
+	errors  int
 	directs []direct
 
 	completed map[string]bool // tasks that have exited with done
@@ -393,7 +400,7 @@
 		}
 		if len(w.directs) < maxDirects {
 			i := slices.IndexFunc(w.workers, func(o *worker) bool { return o.name == d.Machine })
-			w.directs = append(w.directs, direct{i, d.Batch})
+			w.directs = append(w.directs, direct{i, d.Batch, w.workers[i].launched})
 		}
 	}
 }
@@ -456,6 +463,9 @@
 		mc.LastAnswer = time.Time{}
 	}
 	sortRuns(f.commands)
+	if w.breach == DirectForget {
+		w.forgetDirectly(f, m.Token)
+	}
 	if w.breach == ForgetAtOnce {
 		for _, t := range r.Tasks {
 			if t.State == wire.TaskExited {
@@ -539,6 +549,7 @@
 		case wire.OpStart:
 			if at < 0 {
 				k.tasks = append(k.tasks, w.launch(k, c))
+				k.noteLaunch(c)
 			}
 		case wire.OpStop:
 			if at >= 0 && k.tasks[at].state != wire.TaskExited {
@@ -821,7 +832,7 @@
 			w.flight(out, k.last)
 		}
 	}
-	fmt.Fprintf(out, "m%d,%d", w.mutes, w.copied)
+	fmt.Fprintf(out, "m%d,%d,%d", w.mutes, w.copied, w.errors)
 	for _, f := range w.copies {
 		fmt.Fprint(out, "C")
 		w.flight(out, f)
