Late records of moves, copies at other nodes, and a leader that is still loading

A record of moves whose group's cooldown is over is not begun by the next leader: it may be of a transaction that was carried out late. A leader that was elected and has not read the records is waited for over the mesh, and where that takes longer the worker is sent to it; it was refused with a 503 at once, and went on to the next node, which may be the one that has ended.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -248,3 +248,26 @@
 		t.Error("not quarantined")
 	}
 }
+
+// A record of moves whose transaction was carried out late names moves that were never
+// begun. Once the group's cooldown is over, the next leader does not begin them.
+func TestMovesOfAnOldRecordAreNotBegun(t *testing.T) {
+	for _, c := range []struct {
+		coolUntil time.Time
+		stops     int
+	}{{at(1), 1}, {at(0), 0}, {at(-60), 0}} {
+		m := newModel(9)
+		m.PutJob("wk-000001", arrayJob("wk-000001", 1), 1, at(0))
+		m.LoadPage(0, ledger.PageRecord{Chunks: []ledger.ChunkRecord{{Job: "wk-000001", Attempt: 3,
+			Placed: []ledger.Placement{{Task: 0, Attempt: 3, Machine: "host-1"}}}}}, 2, at(0))
+		m.LoadCycle("a/m", ledger.CycleRecord{Moves: []ledger.Move{{Task: "wk-000001/0", Attempt: 3, From: "host-1", To: "host-2"}},
+			CoolUntil: c.coolUntil.UnixMilli(), Rest: map[string]int64{"wk-000001/0": at(90).UnixMilli()}}, at(0))
+		running := wire.TaskReport{Task: "wk-000001/0", Attempt: 3, State: wire.TaskRunning}
+		if _, s, _ := ops(answer(t, m, rep(1, 9, running), at(1))); s != c.stops {
+			t.Errorf("cooling until %v: %d stops, want %d", c.coolUntil, s, c.stops)
+		}
+		if m.Cycles["a/m"].Record.Rest["wk-000001/0"] == 0 {
+			t.Error("the task's rest was lost")
+		}
+	}
+}
--- a/cluster/cycle.go
+++ b/cluster/cycle.go
@@ -20,8 +20,15 @@
 // LoadCycle takes an earlier leader's cycle record in. Moves whose task is
 // still where it was are stopped again, since the stop may have been sent;
 // those whose stop was confirmed are simply waiting and start on their target.
+//
+// The record may be of a transaction that had no answer and was carried out late, so that
+// its moves were never begun. Once the group's cooldown is over nobody wants them any
+// more, and they are not begun then.
 func (m *Model) LoadCycle(group string, rec ledger.CycleRecord, now time.Time) {
 	m.Cycles[group] = &Cycle{Record: rec}
+	if now.UnixMilli() >= rec.CoolUntil {
+		return
+	}
 	for _, mv := range rec.Moves {
 		ref, p := m.moved(mv)
 		if p == nil || p.Attempt != mv.Attempt {
--- a/controller/answers.go
+++ b/controller/answers.go
@@ -43,7 +43,9 @@
 		if cmds, ok := l.m.Repeated(&r, via); ok {
 			l.mu.Unlock()
 			l.gate.Leave()
-			return l.commands(cmds)
+			a := l.commands(cmds)
+			a.Repeated = true
+			return a
 		}
 	}
 	if mc != nil {
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -227,3 +227,32 @@
 		}
 	})
 }
+
+// A copy of the newest report comes to another node than its worker's. It is answered, and
+// its worker does not count as answered there.
+func TestACopyDoesNotMakeItsWorkerCountAsAnswered(t *testing.T) {
+	story(t, fake.Options{Machines: 1, Capacity: 1, Metrics: true}, func(t *testing.T, w *fake.World) {
+		busy(t, w, 1)
+		at, other := -1, -1
+		for i := range w.Nodes() {
+			if overview(t, w, i).Reports.Served > 0 {
+				at = i
+			} else {
+				other = i
+			}
+		}
+		if at < 0 || other < 0 {
+			t.Fatalf("node %d has answered the worker, and node %d has not", at, other)
+		}
+		name := w.Cloud.Machines()[0]
+		w.KeepReport(name)
+		for i, node := range []int{at, other, other} {
+			if status := w.LateReport(name, node); status != 200 {
+				t.Fatalf("copy %d was answered %d", i, status)
+			}
+		}
+		if n := overview(t, w, other).Reports.Served; n != 0 {
+			t.Errorf("%d workers count as answered at a node that only had copies", n)
+		}
+	})
+}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -47,7 +47,10 @@
 	}
 	defer n.reports.Leave()
 	a := n.report(ctx, who, body)
-	if a.Status == http.StatusOK {
+	if a.Status == http.StatusOK && !a.Repeated {
+		// A copy that came to this node shows nothing of whether the worker is answered
+		// here. Where it was the copy that came first, its worker counts as longer
+		// unanswered than it is, and waits the shorter.
 		n.answered.Note(who.Machine, time.Now())
 	}
 	if n.workersFull() {
@@ -132,6 +135,13 @@
 		}
 		return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader is not reached"}, 1)
 	}
+	if a.Status == http.StatusMisdirectedRequest && !n.guest(machine).CameBack(leader) {
+		// It was elected and has not read the records yet. Refused here, the worker would
+		// go on to the next node, which may be the one that has ended, and lose seconds of
+		// its lease to that; at the leader its report waits until that is ready.
+		n.noteSent(machine, leader)
+		return redirect(leader)
+	}
 	if a.Status != http.StatusOK {
 		return answer(http.StatusServiceUnavailable, wire.Error{Error: "the leader does not answer"}, 1)
 	}
@@ -141,15 +151,15 @@
 
 // Report implements mesh.Handler: a report that another node received.
 func (n *Node) Report(ctx context.Context, r mesh.Request) mesh.Answer {
-	l := n.leadership()
-	if l == nil {
-		return answer(http.StatusServiceUnavailable, wire.Error{Error: "not the leader"}, 1)
-	}
-	if !l.term.Valid() {
+	if !n.leads() {
 		// Sent away, the worker would come back in a second, by way of another
 		// node, and so would all others.
 		n.awaitLeader(ctx)
 	}
+	l := n.leadership()
+	if l == nil {
+		return redirect("") // it has not read the records yet, or leads no more
+	}
 	return l.report(ctx, r.Body, r.AgoS, r.From)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,6 +36,7 @@
 	Status     int
 	Body       []byte
 	RetryAfter int
+	Repeated   bool // of a report that had been answered before: nobody may wait for this answer
 }
 
 // Status is what a node says of itself.
