Work that needs nothing its team is guaranteed is within no guarantee

Where teams are guaranteed GPUs only, every job without GPUs counted as within the guarantee, came before all others and filled the machines with GPUs. The late-stop scenario has tasks save for 1.5 s to 3 s first.

--- a/cluster/order.go
+++ b/cluster/order.go
@@ -105,17 +105,27 @@
 			continue
 		}
 		use[j.Team] = use[j.Team].Add(j.Need, float64(len(j.Tasks)-j.Done))
-		g := m.guarantee[j.Team]
-		// A resource of which the team is guaranteed nothing does not count: a
-		// team with guaranteed CPUs and no word of GPUs may use both.
-		if g.CPU+g.GPU > 0 && (g.CPU == 0 || use[j.Team].CPU <= g.CPU+1e-6) &&
-			(g.GPU == 0 || use[j.Team].GPU <= g.GPU+1e-6) {
+		if g := m.guarantee[j.Team]; guaranteed(j.Need, g) && within(use[j.Team], g) {
 			out[j.Idx] = true
 		}
 	}
 	return out
 }
 
+// guaranteed says whether a task needs any resource of which its team is guaranteed some.
+// Work that needs none of them is within no guarantee: where teams were guaranteed GPUs
+// only, every job without GPUs came before all others.
+func guaranteed(need, g placement.Res) bool {
+	return need.CPU > 0 && g.CPU > 0 || need.GPU > 0 && g.GPU > 0
+}
+
+// within says whether what a team uses is within its guarantee. A resource of which the
+// team is guaranteed nothing does not count: a team with guaranteed CPUs and no word of
+// GPUs may use both.
+func within(use, g placement.Res) bool {
+	return (g.CPU == 0 || use.CPU <= g.CPU+1e-6) && (g.GPU == 0 || use.GPU <= g.GPU+1e-6)
+}
+
 func (m *Model) openJobs() []*Job {
 	// A leader may see far more jobs over its time than are there at once: those
 	// that are out of the model are dropped here, not looked at for ever.
--- a/cluster/triage_test.go
+++ b/cluster/triage_test.go
@@ -116,3 +116,35 @@
 		t.Errorf("%d lists had a late job, %d had none", differ, ends)
 	}
 }
+
+// Where teams are guaranteed GPUs only, work that needs none is within no guarantee, and
+// does not come before all other work. It counts for nothing that GPU work is guaranteed.
+func TestWorkThatNeedsNothingGuaranteedIsWithinNoGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		guarantee placement.Res
+		want      []bool // of three jobs of 2 CPUs, of which the second and the third need a GPU as well
+	}{
+		{"GPUs", placement.Res{GPU: 1}, []bool{false, true, false}},
+		{"CPUs", placement.Res{CPU: 4}, []bool{true, true, false}},
+		{"both", placement.Res{CPU: 6, GPU: 1}, []bool{true, true, false}},
+		{"nothing", placement.Res{}, []bool{false, false, false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(5)
+			m.guarantee = []placement.Res{c.guarantee}
+			for i, gpus := range []float64{0, 1, 1} {
+				rec := arrayJob(fmt.Sprintf("wk-00000%d", i+1), 1)
+				rec.Job.GPUs, rec.AtMs = gpus, at(float64(i)).UnixMilli()
+				m.PutJob(rec.Job.ID, rec, 1, at(float64(i)))
+			}
+			jobs := m.openJobs()
+			in := m.within(jobs)
+			for i, j := range jobs {
+				if in[j.Idx] != c.want[i] {
+					t.Errorf("%s is within the guarantee: %t", j.ID, in[j.Idx])
+				}
+			}
+		})
+	}
+}
--- a/controller/late_commands_test.go
+++ b/controller/late_commands_test.go
@@ -134,6 +134,8 @@
 			if !tell.Until(5*time.Second, 20*time.Millisecond, func() bool { return w.Direct(at) > saved }) {
 				t.Fatal("nothing on the machine was told to save")
 			}
+			// It saves for 8 s, counts all the while, and starts nowhere else.
+			time.Sleep(within(rnd, 1500*time.Millisecond, 3*time.Second))
 			w.Silence(at, true)
 			w.DelayCommands(1, rnd.Uint64())
 			w.Met()
