Work that no aim wants started soon keeps off machines with GPUs while others wait for them

Thousands of one-CPU tasks refilled the CPUs beside the GPUs one by one: 900 of them stood on machines with GPUs while gangs and arrays that need GPUs waited.

--- a/cluster/order.go
+++ b/cluster/order.go
@@ -203,10 +203,12 @@
 }
 
 // keepOffGPUs keeps work that needs no GPU away from machines that have them
-// while other work waits for GPUs: jobs that no aim speaks of altogether, and
-// the others as long as stopping such jobs elsewhere makes room for them.
+// while other work waits for GPUs: jobs that no aim speaks of altogether, those
+// that no aim wants started soon as long as what waits is of no lower priority,
+// and the others as long as stopping such jobs elsewhere makes room for them.
 // Otherwise a guest's tasks take the machines without GPUs for minutes, and
-// everybody else's those with GPUs.
+// everybody else's those with GPUs; and thousands of small tasks refill the CPUs
+// beside the GPUs one by one, so that a task which needs both never finds them.
 func (m *Model) keepOffGPUs(out []*ranked, jobs []*Job) {
 	gpus := slices.ContainsFunc(out, func(k *ranked) bool { return k.j.Need.GPU > 0 })
 	plain := make([]bool, len(m.Types))
@@ -222,7 +224,7 @@
 			continue
 		}
 		switch {
-		case !m.aimed(k.j) && !k.within:
+		case !m.aimed(k.j) && !k.within, !k.within && !k.owed && !m.startsSoon(k.j) && m.waitsForGPUs(out, k.j.Priority):
 			k.req.Types = both(k.req.Types, plain)
 		case aimless:
 			k.req.First = both(k.req.Types, plain)
@@ -230,6 +232,20 @@
 	}
 }
 
+// startsSoon says whether an aim wants jobs of the job's class started soon.
+func (m *Model) startsSoon(j *Job) bool {
+	c := m.classes[j.Spec.Class]
+	return c != nil && c.waits
+}
+
+// waitsForGPUs says whether work of that priority or a higher one waits for GPUs, and not
+// for its team's limit.
+func (m *Model) waitsForGPUs(out []*ranked, priority int) bool {
+	return slices.ContainsFunc(out, func(k *ranked) bool {
+		return k.j.Need.GPU > 0 && k.j.Priority <= priority && placement.Allowed(&k.req, m.teams) > 0
+	})
+}
+
 // typesFor lists the types on which a task of the job fits.
 func (m *Model) typesFor(j *Job) (out []int) {
 	for i := range m.Types {
--- a/cluster/triage_test.go
+++ b/cluster/triage_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/placement"
+	"github.com/umberdeal/umberdeal/wire"
 )
 
 // due makes a job of the test's class that is to be done within its deadline.
@@ -148,3 +149,44 @@
 		})
 	}
 }
+
+// Small tasks that need no GPU, and that no aim wants started soon, keep off machines with
+// GPUs while other work waits for these: they would refill the CPUs beside the GPUs.
+func TestWorkWithoutGPUsKeepsOffThemWhileOthersWait(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		aim     string // on the class without GPUs
+		gpus    float64
+		waiting string // priority of the work with GPUs
+		limit   float64
+		keeps   bool
+	}{
+		{"others wait", "deadline", 1, wire.PriorityNormal, 0, true},
+		{"others of a higher priority wait", "deadline", 1, wire.PriorityHigh, 0, true},
+		{"others of a lower priority wait", "deadline", 1, wire.PriorityLow, 0, false},
+		{"others wait for their team's limit", "deadline", 1, wire.PriorityNormal, 0.5, false},
+		{"nobody waits for GPUs", "deadline", 0, wire.PriorityNormal, 0, false},
+		{"it is to start soon itself", "wait", 1, wire.PriorityNormal, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(5)
+			m.teams[0].Max.GPU = c.limit
+			m.cfg.Cluster.Objectives = []config.Objective{{Kind: c.aim, Class: "small", WithinS: 40, Share: 0.9}, {Kind: "finished", Class: "c", WithinS: 150, Share: 0.9}}
+			m.SetTypes([]wire.MachineType{
+				{Name: "m", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: []string{"a"}},
+				{Name: "plain", CPUs: 8, MemoryGB: 64, CacheGB: 50, FetchGBPS: 1, BootS: 30, ZonesNamed: []string{"a"}}})
+			small, deadline := arrayJob("wk-000001", 4), 100.0
+			small.Job.Class, small.Job.DeadlineS = "small", &deadline
+			m.PutJob(small.Job.ID, small, 1, at(0))
+			other := arrayJob("wk-000002", 1)
+			other.Job.GPUs, other.Job.Priority = c.gpus, c.waiting
+			m.PutJob(other.Job.ID, other, 1, at(0))
+			jobs := m.openJobs()
+			for _, k := range m.requests(jobs, m.within(jobs), at(1)) {
+				if k.j.Spec.Class == "small" && k.req.Types[m.typeIdx["m"]] == c.keeps {
+					t.Errorf("may go to a machine with GPUs: %t", !c.keeps)
+				}
+			}
+		})
+	}
+}
