--- a/internal/fake/answers.go
+++ b/internal/fake/answers.go
@@ -254,7 +254,7 @@
 }
 
 // oddKinds are what OddRequests draws from.
-const oddKinds = 7
+const oddKinds = 10
 
 // OddRequests sends each node so many requests that users seldom send: submissions
 // of known jobs again, as they were or damaged, cancellations of jobs that are
@@ -277,6 +277,7 @@
 		for range each {
 			w.mu.Lock()
 			kind, a, b := w.pick(oddKinds), w.pick(max(1, len(known))), w.pick(max(1, len(over)))
+			invalid := w.pick(4 * len(invalidFields))
 			w.odd++
 			spec := wire.Job{ID: fmt.Sprintf("wk-8%07d", w.odd), Class: "odd", Team: w.Settings.Cluster.Teams[0].Name, Kind: wire.KindArray,
 				Priority: wire.PriorityNormal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "img-odd", ImageGB: 1, EstimateS: 5}
@@ -307,6 +308,15 @@
 			case kind == 6:
 				count, want = &odd.Unknown, http.StatusNotFound
 				r = w.ask(cancellation, id, n.bind, nil, 5*time.Second)
+			case kind == 7:
+				spec.Team, want = "nobody", http.StatusUnprocessableEntity
+				r = w.ask(submission, id, n.bind, spec, 5*time.Second)
+			case kind == 8:
+				spec, want = beyondLimit(spec, w.Settings.Cluster.Teams), http.StatusUnprocessableEntity
+				r = w.ask(submission, id, n.bind, spec, 5*time.Second)
+			case kind == 9:
+				want = http.StatusBadRequest
+				r = w.ask(submission, id, n.bind, malformed(spec, invalid), 5*time.Second)
 			}
 			switch r.status {
 			case 0, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -320,6 +330,48 @@
 	return odd
 }
 
+// beyondLimit is a gang that needs more than its team's limit, of a team that has one, and
+// else one that no team has.
+func beyondLimit(j wire.Job, teams []config.Team) wire.Job {
+	i := slices.IndexFunc(teams, func(t config.Team) bool { return t.CPUsMax > 0 })
+	if i < 0 {
+		j.Team = "nobody"
+		return j
+	}
+	j.Kind, j.Team, j.Tasks = wire.KindGang, teams[i].Name, int(teams[i].CPUsMax)+1
+	return j
+}
+
+// invalidFields are values that a field must not have.
+var invalidFields = []struct {
+	name  string
+	value any
+}{
+	{"pieces", -1}, {"pieces", 0}, {"pieces", wire.MaxTasks + 1}, {"pieces", 1.5}, {"pieces", "two"}, {"cpus", -2.0}, {"cpus", "two"},
+	{"cpus", nil}, {"facon", "swarm"}, {"rang", "low"}, {"gammes", []any{1}}, {"oneZone", 1}, {"dureeS", -1.0}, {"gabarit", 7},
+}
+
+// malformed is a submission with an invalid field, or none at all.
+func malformed(j wire.Job, draw int) any {
+	switch draw % 4 {
+	case 0:
+		return wire.Raw{0xc1} // no MessagePack begins so
+	case 1:
+		return []string{"not", "a", "map"}
+	}
+	raw, err := wire.Marshal(j)
+	if err != nil {
+		panic(err) // a scenario is made wrong
+	}
+	fields := map[string]any{}
+	if err := wire.Unmarshal(raw, &fields); err != nil {
+		panic(err) // a scenario is made wrong
+	}
+	invalid := invalidFields[draw/4%len(invalidFields)]
+	fields[invalid.name] = invalid.value
+	return fields
+}
+
 // lackings are fields without which a job is not accepted.
 var lackings = []string{"pieces", "cpus", "facon", "gabarit", "oneZone"}
 
