--- /dev/null
+++ b/internal/fake/cancellations.go
@@ -0,0 +1,137 @@
+package fake
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file has users cancel jobs at moments at which that is hard to get right, and checks what
+// becomes of the tasks of cancelled jobs.
+
+const (
+	longToGo  = 30.0                   // seconds
+	cancelsIn = 200 * time.Millisecond // all that CancelNow asks for
+	hangsMost = 8                      // machines
+)
+
+// CancelNow cancels so many jobs, within a fifth of a second, that run and have
+// long to go. With hang some of their machines hang for so long, from before the
+// first is asked for. It does not wait for the answers.
+func (w *World) CancelNow(n int, hang time.Duration) (ids, hung []string) {
+	w.mu.Lock()
+	now := time.Now()
+	on := map[string][]*machine{}
+	for name, ms := range w.here {
+		id, _, _ := wire.SplitTask(name)
+		j := w.jobs[id]
+		for m := range ms {
+			for _, t := range m.tasks {
+				long := j.spec.Kind == wire.KindService || j.spec.EstimateS-w.progress[name]-now.Sub(t.waiting).Seconds() > longToGo
+				if t.name == name && t.here && j.accepted && !j.asked && long {
+					on[id] = append(on[id], m)
+				}
+			}
+		}
+	}
+	for id := range on {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	w.rnd.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	ids = ids[:min(n, len(ids))]
+	var machines []*machine
+	for _, id := range ids {
+		slices.SortFunc(on[id], func(a, b *machine) int { return cmp.Compare(a.name, b.name) })
+		for _, m := range on[id] {
+			if hang > 0 && len(machines) < hangsMost && !m.hung && !slices.Contains(machines, m) {
+				m.hung = true
+				machines, hung = append(machines, m), append(hung, m.name)
+			}
+		}
+	}
+	w.mu.Unlock()
+	for i, id := range ids {
+		w.wg.Go(func() {
+			if call.Pause(w.ctx, cancelsIn*time.Duration(i)/time.Duration(len(ids))) {
+				w.Cancel(id)
+			}
+		})
+	}
+	w.wg.Go(func() {
+		if call.Pause(w.ctx, hang) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, m := range machines {
+				m.hung = false
+			}
+		}
+	})
+	return ids, hung
+}
+
+// cancelAtEnd has jobs cancelled as their last task ends. The world's lock guards it.
+type cancelAtEnd struct {
+	share float64
+	rnd   *rand.Rand
+	asked []string
+}
+
+// CancelAtEnd has the users of a share of the jobs that end cancel them at that moment; 0
+// ends that.
+func (w *World) CancelAtEnd(share float64, seed uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.atEnd.share, w.atEnd.rnd = share, rand.New(rand.NewPCG(seed, 43))
+}
+
+// CancelledAtEnd lists the jobs whose users have asked so.
+func (w *World) CancelledAtEnd() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.atEnd.asked)
+}
+
+// taskDone takes in that a task has completed, as the last of its job or not; the lock is
+// held.
+func (w *World) taskDone(j *job, task int) {
+	if j.done[task] {
+		return
+	}
+	j.done[task] = true
+	if len(j.done) < j.spec.Tasks || j.asked || !wire.ValidUserID(j.spec.ID) ||
+		w.atEnd.share == 0 || w.atEnd.rnd.Float64() >= w.atEnd.share {
+		return
+	}
+	j.asked = true
+	w.atEnd.asked = append(w.atEnd.asked, j.spec.ID)
+	w.wg.Go(func() { w.Cancel(j.spec.ID) })
+}
+
+// StartedAfterCancel is how many tasks got on a machine after their job's user was
+// told that it is cancelled. Those whose launch was on its way then are allowed to
+// for as long as cancel_s, after which the checker calls the rule broken.
+func (w *World) StartedAfterCancel() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.afterCancel
+}
+
+// checkCancelled sees to it that what is on a machine is not of a job cancelled
+// more than cancel_s ago. The lock is held.
+func (w *World) checkCancelled(t *task, now time.Time) {
+	j := w.jobs[t.job.ID]
+	if j.cancelled.IsZero() || now.Sub(j.cancelled) <= secs(w.Settings.Cluster.Workers.CancelS) {
+		return
+	}
+	how := ""
+	if t.m.hung {
+		how = ", which hangs"
+	}
+	w.breaksLocked("ran_cancelled: %s is on %s%s", t.name, t.m.name, how)
+	j.cancelled = now // said once for each cancel_s
+}
--- /dev/null
+++ b/internal/fake/latereports.go
@@ -0,0 +1,60 @@
+package fake
+
+import (
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/call"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// This file copies reports of workers and holds them back.
+
+// maxCopies bounds the copies of reports on their way.
+const maxCopies = 100
+
+// CopyReports makes the network copy one in so many reports, to arrive at any
+// node 1 s to 5 leases later, whatever becomes of the machine; 0 ends that.
+func (w *World) CopyReports(oneIn int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copying = oneIn
+}
+
+// mayCopy copies a report if it is its turn; the lock is held.
+func (w *World) mayCopy(r wire.Report) {
+	if w.copying == 0 || w.copies >= maxCopies || w.pick(w.copying) > 0 {
+		return
+	}
+	w.copies++
+	most := int(5 * w.Settings.Cluster.Workers.LeaseS * 1000)
+	in, to := time.Duration(1000+w.pick(most-1000))*time.Millisecond, w.pick(len(w.nodes))
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		if call.Pause(w.ctx, in) {
+			w.post(w.nodes[to].bind, wire.PathReport, r)
+		}
+		w.mu.Lock()
+		w.copies--
+		w.mu.Unlock()
+	}()
+}
+
+// KeepReport remembers a worker's report of this moment; LateReport sends it
+// to a node as if a cut had held it back.
+func (w *World) KeepReport(name string) {
+	m := w.Cloud.machine(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kept[name], _ = wire.Marshal(m.report())
+}
+
+// LateReport sends what KeepReport kept.
+func (w *World) LateReport(name string, node int) (status int) {
+	w.mu.Lock()
+	var r wire.Report
+	_ = wire.Unmarshal(w.kept[name], &r)
+	w.mu.Unlock()
+	status, _ = w.post(w.nodes[node].bind, wire.PathReport, r)
+	return status
+}
--- a/modelcheck/commands_test.go
+++ b/modelcheck/commands_test.go
@@ -32,10 +32,14 @@
 		depth int
 		meets []string
 	}{
+		{runningAlone(), []Kind{Pass, Trip, Direct, Cancel, Learn, Takeover, Wait}, 7, []string{formerLeader, refusedToken, refusedSession}},
 		{runningAlone(), []Kind{Pass, Trip, Image, Direct, Cancel, Learn, Takeover, Wait}, 9, []string{formerLeader, refusedToken, refusedSession}},
 		{failedGangReplaced(), []Kind{Pass, Trip, Image, Fail, Direct, Cancel, Learn, Takeover, Wait}, 8, []string{formerLeader, refusedToken, refusedSession}},
 		{runningQuota(), []Kind{Pass, Trip, Image, Direct, Cancel, Learn, Takeover, Wait}, 8, []string{formerLeader, refusedToken, refusedSession}},
 	} {
+		if underRace && c.depth > 7 {
+			continue // .ci/run goes through these without the race detector
+		}
 		c.world.Only = c.moves
 		res := Search(c.world, None, c.depth, 5_000_000)
 		t.Log(c.world.Name, res, res.Met)
