--- a/modelcheck/commands_test.go
+++ b/modelcheck/commands_test.go
@@ -10,16 +10,7 @@
 	// A start was refused, and that is recorded and forgotten.
 	sc.Begin = []Action{{Kind: Pass}, {Kind: Trip}, {Kind: Fail}, {Kind: Trip}, {Kind: Pass}, {Kind: Trip}}
 	sc.Only = []Kind{Pass, Trip, Image, Finish, Direct, Wait}
-	without := Search(sc, DirectForget, 11, 5_000_000)
-	t.Log(without)
-	if without.Broken == "" {
-		t.Fatal("nothing found")
-	}
-	whole := Search(sc, None, len(without.Path), 5_000_000)
-	t.Logf("with the guard in its place: %v", whole)
-	if whole.Broken != "" || whole.States < 100 {
-		t.Errorf("with the guard in its place: %v", whole)
-	}
+	mustMiss(t, sc, DirectForget, 11)
 }
 
 // Direct batches arrive late: after the next leader has begun, where the worker has seen
--- a/modelcheck/late_test.go
+++ b/modelcheck/late_test.go
@@ -23,18 +23,8 @@
 			if underRace && c.without == CopyShows {
 				t.Skip("the largest: .ci/run goes through it without the race detector")
 			}
-			sc := c.world
-			sc.Only = c.moves
-			without := Search(sc, c.without, c.depth, 5_000_000)
-			t.Log(without)
-			if without.Broken == "" {
-				t.Fatal("nothing found")
-			}
-			whole := Search(sc, None, len(without.Path), 5_000_000)
-			t.Logf("with the guard in its place: %v", whole)
-			if whole.Broken != "" || whole.States < 100 {
-				t.Errorf("with the guard in its place: %v", whole)
-			}
+			c.world.Only = c.moves
+			mustMiss(t, c.world, c.without, c.depth)
 		})
 	}
 }
--- a/modelcheck/modelcheck_test.go
+++ b/modelcheck/modelcheck_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// mustMiss wants a search to find a broken rule with a guard taken away, and nothing, as
+// deep as that, with it in its place.
+func mustMiss(t *testing.T, sc *Scenario, guard Breach, depth int) {
+	t.Helper()
+	without := Search(sc, guard, depth, 5_000_000)
+	t.Log(without)
+	if without.Broken == "" {
+		t.Fatal("nothing found")
+	}
+	whole := Search(sc, None, len(without.Path), 5_000_000)
+	t.Logf("with the guard in its place: %v", whole)
+	if whole.Broken != "" || whole.States < 100 {
+		t.Errorf("with the guard in its place: %v", whole)
+	}
+}
+
 // States are merged by their digest: two worlds with the same one must have the
 // same successors.
 func TestWhatIsMergedGoesOnInTheSameWay(t *testing.T) {
