--- a/cluster/order.go
+++ b/cluster/order.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -219,12 +220,13 @@
 		return
 	}
 	aimless := slices.ContainsFunc(jobs, func(j *Job) bool { return j.Placed > 0 && j.Need.GPU == 0 && !m.aimed(j) })
+	first := m.firstForGPUs(out)
 	for _, k := range out {
 		if k.j.Need.GPU > 0 || !slices.ContainsFunc(m.typesFor(k.j), func(ti int) bool { return plain[ti] }) {
 			continue
 		}
 		switch {
-		case !m.aimed(k.j) && !k.within, !k.within && !k.owed && !m.startsSoon(k.j) && m.waitsForGPUs(out, k.j.Priority):
+		case !m.aimed(k.j) && !k.within, !k.within && !k.owed && k.j.Priority >= first && !m.startsSoon(k.j):
 			k.req.Types = both(k.req.Types, plain)
 		case aimless:
 			k.req.First = both(k.req.Types, plain)
@@ -238,12 +240,16 @@
 	return c != nil && c.waits
 }
 
-// waitsForGPUs says whether work of that priority or a higher one waits for GPUs, and not
-// for its team's limit.
-func (m *Model) waitsForGPUs(out []*ranked, priority int) bool {
-	return slices.ContainsFunc(out, func(k *ranked) bool {
-		return k.j.Need.GPU > 0 && k.j.Priority <= priority && placement.Allowed(&k.req, m.teams) > 0
-	})
+// firstForGPUs is the highest priority, the lowest number, of what waits for GPUs and not
+// for its team's limit; above all of them if nothing does.
+func (m *Model) firstForGPUs(out []*ranked) int {
+	first := math.MaxInt
+	for _, k := range out {
+		if k.j.Need.GPU > 0 && k.j.Priority < first && placement.Allowed(&k.req, m.teams) > 0 {
+			first = k.j.Priority
+		}
+	}
+	return first
 }
 
 // typesFor lists the types on which a task of the job fits.
--- a/controller/late_commands_test.go
+++ b/controller/late_commands_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/fake"
 	"github.com/umberdeal/umberdeal/internal/tell"
 	"github.com/umberdeal/umberdeal/wire"
@@ -20,10 +19,11 @@
 // lateCommandRounds bounds how often a scenario is repeated until its faults have met.
 const lateCommandRounds = 20
 
-// delayedLimited is two teams at their limits whose leases last 12 s.
+// delayedLimited is the two limited teams with leases of 12 s.
 func delayedLimited() fake.Options {
-	return fake.Options{Machines: 6, Capacity: 6, Lease: 12,
-		Teams: []config.Team{{Name: "core", CPUsMax: 16}, {Name: "edge", CPUsMax: 16}}}
+	o := limited()
+	o.Lease = 12
+	return o
 }
 
 // submitSavingJobs submits jobs that fill a team's limit, and as many again that wait.
--- a/controller/meetings_test.go
+++ b/controller/meetings_test.go
@@ -78,16 +78,21 @@
 	return dead
 }
 
-// well sees to it that what waits runs, now that all is over.
-func well(t *testing.T, w *fake.World) {
-	t.Helper()
-	w.StartAll()
+// healMachines ends what has been done to machines.
+func healMachines(w *fake.World) {
 	for _, m := range w.Cloud.Machines() {
 		w.Hang(m, false)
 		w.Mute(m, false)
 		w.Silence(m, false)
 		w.CutMachine(m, false)
 	}
+}
+
+// well sees to it that what waits runs, now that all is over.
+func well(t *testing.T, w *fake.World) {
+	t.Helper()
+	w.StartAll()
+	healMachines(w)
 	if ids := w.Starved(90 * time.Second); len(ids) > 0 {
 		t.Errorf("%v wait, though there is room and their teams are under their limits", ids)
 	}
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -180,12 +180,7 @@
 	w.CopyReports(0)
 	w.DelayCommands(0, 0)
 	w.CancelAtEnd(0, 0)
-	for _, m := range w.Cloud.Machines() {
-		w.Hang(m, false)
-		w.Mute(m, false)
-		w.Silence(m, false)
-		w.CutMachine(m, false)
-	}
+	healMachines(w)
 }
 
 var everything = []string{"state", "workers", "nodes", "cloud", "user"}
--- a/internal/fake/answers.go
+++ b/internal/fake/answers.go
@@ -351,6 +351,18 @@
 	{"cpus", nil}, {"facon", "swarm"}, {"rang", "low"}, {"gammes", []any{1}}, {"oneZone", 1}, {"dureeS", -1.0}, {"gabarit", 7},
 }
 
+// encoded is a submission as it is sent, and its fields by their wire names.
+func encoded(j wire.Job) (raw []byte, fields map[string]any) {
+	raw, err := wire.Marshal(j)
+	if err == nil {
+		err = wire.Unmarshal(raw, &fields)
+	}
+	if err != nil {
+		panic(err) // a scenario is made wrong
+	}
+	return raw, fields
+}
+
 // malformed is a submission with an invalid field, or none at all.
 func malformed(j wire.Job, draw int) any {
 	switch draw % 4 {
@@ -359,14 +371,7 @@
 	case 1:
 		return []string{"not", "a", "map"}
 	}
-	raw, err := wire.Marshal(j)
-	if err != nil {
-		panic(err) // a scenario is made wrong
-	}
-	fields := map[string]any{}
-	if err := wire.Unmarshal(raw, &fields); err != nil {
-		panic(err) // a scenario is made wrong
-	}
+	_, fields := encoded(j)
 	invalid := invalidFields[draw/4%len(invalidFields)]
 	fields[invalid.name] = invalid.value
 	return fields
@@ -380,17 +385,10 @@
 	if !bad {
 		return j
 	}
-	raw, err := wire.Marshal(j)
-	if err != nil {
-		panic(err) // a story is made wrong
-	}
+	raw, m := encoded(j)
 	if at := strings.Index(string(raw), j.ID); short && at >= 0 {
 		return wire.Raw(raw[:at+len(j.ID)+3])
 	}
-	m := map[string]any{}
-	if err := wire.Unmarshal(raw, &m); err != nil {
-		panic(err) // a story is made wrong
-	}
 	delete(m, lacking)
 	return m
 }
