--- a/controller/forwarding.go
+++ b/controller/forwarding.go
@@ -90,6 +90,9 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardedWriteTimeout)
 	defer cancel()
 	a, err := n.serveLocally(ctx, r)
+	if err != nil {
+		n.log.Debug("forwarded write not served", "op", r.Op, "id", r.ID, "peer", r.From, "err", err)
+	}
 	switch {
 	case err == nil:
 		return a
--- a/controller/node.go
+++ b/controller/node.go
@@ -149,6 +149,7 @@
 		leaderChanged:    make(chan struct{}),
 	}
 	n.setUpMetrics() // first of all, since it wraps the log
+	n.kv = n.kv.WithObserver(n.transactionObserver("node"))
 	n.logUnknownObjectives()
 	n.setUpJobStore()
 	n.setUpPeers()
@@ -176,15 +177,17 @@
 // users' share of the store's rate, so that users never starve the leader's writes.
 func (n *Node) setUpJobStore() {
 	store := n.cfg.Cluster.State
-	n.userKV = n.kv.WithAdaptiveLimits(store.RPS*0.7, store.WriteRPS, userRateShare/float64(max(1, n.cfg.Cluster.Size)))
+	n.userKV = n.kv.WithAdaptiveLimits(store.RPS*0.7, store.WriteRPS, userRateShare/float64(max(1, n.cfg.Cluster.Size))).
+		WithObserver(n.transactionObserver("users"))
 	n.jobs = jobstore.New(n.userKV, jobstore.Config{
 		Limits: jobstore.Limits{TxnOps: store.TxnOps, ValueKB: store.ValueKB},
 		BarrierInterval: func() time.Duration {
 			return config.Seconds(min(barrierRateShare/max(n.userKV.RequestRate(), 1), 0.6))
 		},
-		SubmissionTier: func(team, class string) int { return n.priorities().TierOf(team, class) },
-		FinalReadOrder: func(id string) float64 { return admission.PollSchedule{Period: pollRound}.Priority(id, time.Now()) },
-		Log:            n.log,
+		SubmissionTier:     func(team, class string) int { return n.priorities().TierOf(team, class) },
+		FinalReadOrder:     func(id string) float64 { return admission.PollSchedule{Period: pollRound}.Priority(id, time.Now()) },
+		ObserveQueuedWrite: n.observeQueuedWrite,
+		Log:                n.log,
 	})
 	n.pollTurns.Tier = n.pollTier
 }
--- a/controller/node_metrics.go
+++ b/controller/node_metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/umberdeal/umberdeal/admission"
 	"github.com/umberdeal/umberdeal/calendar"
+	"github.com/umberdeal/umberdeal/jobstore"
+	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/metrics"
 )
 
@@ -160,3 +162,21 @@
 	}
 	n.broadcastLeaderChange()
 }
+
+// transactionObserver returns what records the transactions of one of this node's clients of the
+// key-value store, by which the path of a write that took long can be read from metrics and log.
+func (n *Node) transactionObserver(client string) func(kvstore.Transaction) {
+	return func(t kvstore.Transaction) {
+		n.metrics.ObserveTransaction(metrics.Transaction{Client: client, Result: t.Result.String(), Changes: t.Changes,
+			LimiterSeconds: t.LimiterWait.Seconds(), ResponseSeconds: t.ResponseTime.Seconds()})
+		n.log.Debug("transaction ended", "client", client, "key", t.Key, "changes", t.Changes, "result", t.Result,
+			"limiter_wait", t.LimiterWait, "response_time", t.ResponseTime, "write_rate", t.WriteRate)
+	}
+}
+
+// observeQueuedWrite records a submission or a cancellation that has left its bucket's queue.
+func (n *Node) observeQueuedWrite(w jobstore.QueuedWrite) {
+	n.metrics.ObserveQueuedWrite(string(w.Kind), string(w.Result), w.Queued.Seconds())
+	n.log.Debug("queued write ended", "kind", w.Kind, "id", w.ID, "result", w.Result, "queued", w.Queued,
+		"transactions", w.Transactions, "shared", w.Shared)
+}
--- a/controller/users.go
+++ b/controller/users.go
@@ -97,6 +97,7 @@
 		n.metrics.ObserveStep(metrics.StepAccepted, time.Since(began).Seconds())
 	}
 	n.countRefusal(op, a)
+	n.log.Debug("user request answered", "op", op, "id", req.ID, "status", a.Status, "retry_after_s", a.RetryAfter, "duration", time.Since(began))
 	writeAnswer(w, a)
 }
 
--- a/jobstore/accept.go
+++ b/jobstore/accept.go
@@ -23,9 +23,10 @@
 
 // submission is a job to be accepted.
 type submission struct {
-	entry JobPageEntry
-	tier  int
-	done  chan acceptResult // receives the result if a bucket's writer commits it
+	entry  JobPageEntry
+	tier   int
+	ticket queueTicket
+	done   chan acceptResult // receives the result if a bucket's writer commits it
 }
 
 type acceptResult struct {
--- a/jobstore/batch.go
+++ b/jobstore/batch.go
@@ -68,6 +68,7 @@
 	if s.config.SubmissionTier != nil {
 		sub.tier = s.config.SubmissionTier(job.Team, job.Class)
 	}
+	sub.ticket = queueTicket{queuedAt: time.Now()}
 	q.submissions = append(q.submissions, sub)
 	s.startWriter(q)
 	return nil
@@ -87,11 +88,18 @@
 func (s *Store) awaitAcceptance(ctx context.Context, q *bucketQueue, sub *submission) (duplicate bool, err error) {
 	select {
 	case r := <-sub.done:
+		result := writeResultOf(r.err)
+		if r.duplicate {
+			result = WriteDuplicate
+		}
+		s.observeQueuedWrite(WriteSubmission, sub.entry.ID, sub.ticket, result)
 		return r.duplicate, r.err
 	case <-ctx.Done():
 		s.mu.Lock()
 		q.submissions = slices.DeleteFunc(q.submissions, func(o *submission) bool { return o == sub })
+		ticket := sub.ticket
 		s.mu.Unlock()
+		s.observeQueuedWrite(WriteSubmission, sub.entry.ID, ticket, WriteAbandoned)
 		return false, unknownError(ctx)
 	}
 }
@@ -254,6 +262,9 @@
 		q.submissions = append(slices.Clone(b.submissions[most:]), q.submissions...)
 		b.submissions = b.submissions[:most]
 	}
+	for _, sub := range b.submissions {
+		sub.ticket.joined(len(b.submissions))
+	}
 	guards, ops := s.batchTransaction(q, b.submissions)
 	return guards, ops, nil
 }
--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
+	"time"
 
 	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/wire"
@@ -80,23 +80,27 @@
 	id      string
 	pageKey string // the job's page at the time of the lookup
 	final   JobRecord
+	ticket  queueTicket
 	done    chan error
 }
 
 // cancelOnPage cancels a job whose record is on a job page.
 func (s *Store) cancelOnPage(ctx context.Context, id, pageKey string, final JobRecord) error {
-	c := &cancellation{id: id, pageKey: pageKey, final: final, done: make(chan error, 1)}
+	c := &cancellation{id: id, pageKey: pageKey, final: final, ticket: queueTicket{queuedAt: time.Now()}, done: make(chan error, 1)}
 	q, err := s.enqueueCancellation(c)
 	if err != nil {
 		return err
 	}
 	select {
 	case err := <-c.done:
+		s.observeQueuedWrite(WriteCancellation, id, c.ticket, writeResultOf(err))
 		return err
 	case <-ctx.Done():
 		s.mu.Lock()
 		q.cancellations = slices.DeleteFunc(q.cancellations, func(o *cancellation) bool { return o == c })
+		ticket := c.ticket
 		s.mu.Unlock()
+		s.observeQueuedWrite(WriteCancellation, id, ticket, WriteAbandoned)
 		return unknownError(ctx) // its transaction may be in flight
 	}
 }
@@ -175,7 +179,7 @@
 	p := s.jobPages[pageKey]
 	for _, c := range batch {
 		if p == nil || !p.page.has(c.id) || ids[c.id] {
-			c.done <- fmt.Errorf("%w: the job has moved", kvstore.ErrOutcomeUnknown)
+			c.done <- errJobMoved
 			continue
 		}
 		ids[c.id] = true
@@ -184,5 +188,8 @@
 	if len(present) == 0 {
 		return JobPage{}, 0, nil
 	}
+	for _, c := range present {
+		c.ticket.joined(len(present))
+	}
 	return p.page.Without(ids), p.version, present
 }
--- a/jobstore/errors.go
+++ b/jobstore/errors.go
@@ -47,6 +47,10 @@
 // errTooManyConflicts is returned if concurrent changes of the same records made every try fail.
 var errTooManyConflicts = fmt.Errorf("%w: too many conflicts", kvstore.ErrRefused)
 
+// errJobMoved means that a job is no longer on the page from which it was to be removed: it is to be
+// looked up again.
+var errJobMoved = fmt.Errorf("%w: the job has moved", kvstore.ErrOutcomeUnknown)
+
 // errStopped is returned if Run is not running, so that nothing can be committed.
 var errStopped = fmt.Errorf("%w: shutting down", kvstore.ErrRefused)
 
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -39,6 +39,9 @@
 	// FinalReadOrder returns the rank of a waiting read of a job's final record; the smallest is served
 	// first. Nil: in order of arrival.
 	FinalReadOrder func(id string) float64
+	// ObserveQueuedWrite is called for each write that has left its bucket's queue, and must not block.
+	// Nil: not called.
+	ObserveQueuedWrite func(QueuedWrite)
 	// Log receives an error for each record that can't be decoded. Nil: nothing is logged.
 	Log *slog.Logger
 }
--- a/kvstore/client.go
+++ b/kvstore/client.go
@@ -41,7 +41,8 @@
 	httpClient *http.Client
 	requests   limiter
 	writes     limiter   // counts changed keys, not transactions
-	outcomes   *outcomes // shared with the clients that WithAdaptiveLimits derives
+	outcomes   *outcomes // shared with the clients that WithAdaptiveLimits and WithObserver derive
+	observe    func(Transaction)
 }
 
 // outcomes holds the times at which a request last succeeded and last failed.
@@ -59,6 +60,7 @@
 		requests:   newFixedLimiter(rps),
 		writes:     newFixedLimiter(wps),
 		outcomes:   &outcomes{},
+		observe:    func(Transaction) {},
 	}
 }
 
@@ -158,23 +160,50 @@
 // *ConflictError; otherwise it is one of this package's. Errors are wrapped in an
 // *OpError, which names only the first key.
 func (c *Client) CompareAndSwap(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
-	revision, err := c.commit(ctx, guards, ops)
-	return revision, opError("compare-and-swap", firstKey(guards, ops), err)
+	t := Transaction{Key: firstKey(guards, ops), Changes: len(ops)}
+	revision, err := c.commit(ctx, guards, ops, &t)
+	if t.Changes > 0 {
+		t.WriteRate = c.writes.currentRate()
+		c.observe(t)
+	}
+	return revision, opError("compare-and-swap", t.Key, err)
 }
 
-func (c *Client) commit(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error) {
-	if n := len(ops); n > 0 {
-		if err := c.writes.WaitN(ctx, n); err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrRateLimited, err)
-		}
+// commit executes a transaction, and completes its description.
+func (c *Client) commit(ctx context.Context, guards []wire.Guard, ops []wire.Op, t *Transaction) (uint64, error) {
+	began := time.Now()
+	if err := c.awaitWrites(ctx, t.Changes); err != nil {
+		t.LimiterWait, t.Result = time.Since(began), resultOf(err, 0)
+		return 0, err
 	}
+	sent := time.Now()
 	resp, err := c.do(ctx, request{method: http.MethodPost, path: "/commit", body: wire.Txn{If: guards, Then: ops}})
-	if err != nil {
-		if resp.status == http.StatusTooManyRequests && len(ops) > 0 {
-			c.writes.rateLimited()
-		}
-		return 0, err
+	var revision uint64
+	if err == nil {
+		revision, err = decodeCommit(resp)
+	} else if resp.status == http.StatusTooManyRequests && t.Changes > 0 {
+		c.writes.rateLimited()
 	}
+	t.LimiterWait, t.ResponseTime, t.Result = sent.Sub(began), time.Since(sent), resultOf(err, resp.status)
+	return revision, err
+}
+
+// awaitWrites waits until this client's rate limit allows a number of changes.
+func (c *Client) awaitWrites(ctx context.Context, changes int) error {
+	if changes == 0 {
+		return nil
+	}
+	if most := c.writes.burst(); changes > most {
+		return fmt.Errorf("%w: %d changes, at most %d", ErrTransactionTooLarge, changes, most)
+	}
+	if err := c.writes.WaitN(ctx, changes); err != nil {
+		return fmt.Errorf("%w: %w", ErrRateLimited, err)
+	}
+	return nil
+}
+
+// decodeCommit returns the revision of a committed transaction, or why it was not committed.
+func decodeCommit(resp response) (uint64, error) {
 	var answer wire.TxnAnswer
 	if err := wire.Unmarshal(resp.body, &answer); err != nil {
 		return 0, fmt.Errorf("%w: status %d: %w", ErrInvalidRequest, resp.status, err)
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -14,6 +14,10 @@
 	// ErrRateLimited is the ErrRefused of a rate limit, the store's or this client's.
 	// Other nodes use the same store, so retrying through another node only adds load.
 	ErrRateLimited = fmt.Errorf("%w: too many requests", ErrRefused)
+	// ErrTransactionTooLarge is the ErrRateLimited of a transaction with more changes than this
+	// client's rate limit ever grants at once at its present rate: waiting does not help, fewer
+	// changes do.
+	ErrTransactionTooLarge = fmt.Errorf("%w: more changes than the limit's burst", ErrRateLimited)
 	// ErrOutcomeUnknown means that no usable response arrived: the request may have been
 	// executed, or may still be.
 	ErrOutcomeUnknown = errors.New("no answer from the key-value store")
--- a/kvstore/ratelimit.go
+++ b/kvstore/ratelimit.go
@@ -14,6 +14,8 @@
 	WaitN(ctx context.Context, n int) error
 	// available reports whether n may be sent without waiting.
 	available(n int) bool
+	// burst returns the largest n that WaitN can grant at present.
+	burst() int
 	// currentRate returns how many may be sent per second at present.
 	currentRate() float64
 	// rateLimited records that the store refused a request with status 429.
@@ -29,6 +31,8 @@
 
 func (f fixedLimiter) available(n int) bool { return f.Tokens() >= float64(n) }
 
+func (f fixedLimiter) burst() int { return f.Burst() }
+
 func (f fixedLimiter) currentRate() float64 { return float64(f.Limit()) }
 
 func (fixedLimiter) rateLimited() {}
@@ -104,3 +108,8 @@
 	a.currentRate()
 	return a.bucket.Tokens() >= float64(n)
 }
+
+func (a *adaptiveLimiter) burst() int {
+	a.currentRate()
+	return a.bucket.Burst()
+}
--- /dev/null
+++ b/kvstore/transaction.go
@@ -0,0 +1,69 @@
+package kvstore
+
+import (
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Result is how a compare-and-swap ended.
+type Result int
+
+// Results of a compare-and-swap. Of all but ResultUnknown it is known whether the transaction was
+// executed.
+const (
+	ResultCommitted      Result = iota
+	ResultConflict              // a guard did not hold
+	ResultTooLarge              // more changes than this client's rate limit grants at once
+	ResultLimiterTimeout        // the context ended, or would have, before this client's rate limit allowed it
+	ResultStoreBusy             // the store answered 429
+	ResultUnavailable           // the store answered 503
+	ResultUnknown               // no usable response
+	ResultInvalid               // rejected as malformed, or for its lease
+	resultCount
+)
+
+var resultNames = [resultCount]string{"committed", "conflict", "too large", "limiter timeout", "store busy", "unavailable", "unknown", "invalid"}
+
+// String returns the result as logs and metrics show it.
+func (r Result) String() string { return resultNames[r] }
+
+// Transaction describes a compare-and-swap that has ended, for metrics and logs.
+type Transaction struct {
+	Key          string // the first key that it changes
+	Changes      int
+	LimiterWait  time.Duration // how long this client's rate limits delayed it
+	ResponseTime time.Duration // from its sending to the store's response; 0 if it was not sent
+	Result       Result
+	WriteRate    float64 // changes per second that this client may make afterwards
+}
+
+// WithObserver returns a client that shares this one's limits, and calls observe after each
+// compare-and-swap that changes anything. observe must not block.
+func (c *Client) WithObserver(observe func(Transaction)) *Client {
+	observed := *c
+	observed.observe = observe
+	return &observed
+}
+
+// resultOf classifies the error of a compare-and-swap. status is that of the response, 0 if none arrived.
+func resultOf(err error, status int) Result {
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return ResultCommitted
+	case errors.As(err, &conflict):
+		return ResultConflict
+	case errors.Is(err, ErrOutcomeUnknown):
+		return ResultUnknown
+	case status == http.StatusTooManyRequests:
+		return ResultStoreBusy
+	case errors.Is(err, ErrTransactionTooLarge):
+		return ResultTooLarge
+	case errors.Is(err, ErrRateLimited):
+		return ResultLimiterTimeout
+	case errors.Is(err, ErrRefused):
+		return ResultUnavailable
+	}
+	return ResultInvalid
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -40,6 +40,7 @@
 	leaderChanges         prometheus.Counter
 	refusals              *prometheus.CounterVec
 	priorityInversions    *prometheus.CounterVec
+	transactions          transactionMetrics
 }
 
 // New makes the metrics of a node.
@@ -66,6 +67,7 @@
 	s.priorityInversions = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umberdeal_order_departures_total",
 		Help: "Tasks placed on room that a waiting job of a higher tier could have had, by that tier and reason."}, []string{"tier", "why"})
 	labelled.MustRegister(s.leaseLeftSeconds, s.passSeconds, s.preemptionHeldSeconds, s.leaderChanges, s.refusals, s.priorityInversions)
+	s.transactions = newTransactionMetrics(labelled)
 	return s
 }
 
