--- a/peerrpc/stream_test.go
+++ b/peerrpc/stream_test.go
@@ -16,7 +16,8 @@
 
 // fakePeer is a node that answers heartbeats as a test says.
 type fakePeer struct {
-	answer func(r Request) Answer
+	answer     func(r Request) Answer
+	answerUser func(r Request) Answer
 	*memnet.Listener
 	dials  atomic.Int32
 	writes atomic.Int32 // of the stream
@@ -24,11 +25,16 @@
 }
 
 func (f *fakePeer) HandleHeartbeat(_ context.Context, r Request) Answer { return f.answer(r) }
-func (f *fakePeer) HandleUserRequest(context.Context, Request) Answer   { return Answer{} }
-func (f *fakePeer) Status(Request) Status                               { return Status{} }
-func (f *fakePeer) RecoverRecord(context.Context, Request) Answer       { return Answer{} }
-func (f *fakePeer) Overview() []byte                                    { return nil }
-func (f *fakePeer) Machines() []byte                                    { return nil }
+func (f *fakePeer) HandleUserRequest(_ context.Context, r Request) Answer {
+	if f.answerUser == nil {
+		return Answer{}
+	}
+	return f.answerUser(r)
+}
+func (f *fakePeer) Status(Request) Status                         { return Status{} }
+func (f *fakePeer) RecoverRecord(context.Context, Request) Answer { return Answer{} }
+func (f *fakePeer) Overview() []byte                              { return nil }
+func (f *fakePeer) Machines() []byte                              { return nil }
 
 type counted struct {
 	net.Conn
