--- a/peerrpc/peer.go
+++ b/peerrpc/peer.go
@@ -38,6 +38,7 @@
 	rpcClient *rpc.Client
 	redialAt  time.Time // earliest time of the next dial
 	failedAt  time.Time // set by a call that got no answer, cleared by one that did
+	answered  time.Time // when a call last got an answer
 }
 
 // NewPeer returns a Peer for the node at addr. It does not dial.
@@ -159,6 +160,7 @@
 		return fmt.Errorf("peerrpc: wait to send %s to %s: %w", method, p.Name, ctx.Err())
 	}
 	done := make(chan *rpc.Call, 1)
+	began := time.Now()
 	go func() { // ends when the connection is dropped, at the latest
 		defer func() { <-p.sending }()
 		c.Go(serviceName+"."+method, in, out, done)
@@ -174,9 +176,13 @@
 		return nil
 	}
 	var answered rpc.ServerError
-	if errors.As(err, &answered) {
+	switch {
+	case errors.As(err, &answered):
 		p.recordOutcome(nil)
-	} else {
+	case ctx.Err() != nil && p.answeredSince(began):
+		// The node works, and only this call takes longer than its caller waits: others' calls on the
+		// connection must not fail for that.
+	default:
 		p.recordOutcome(err)
 		p.drop(c) // after a timeout as well: a dead connection need not report an error
 	}
@@ -187,10 +193,18 @@
 func (p *Peer) recordOutcome(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failedAt = time.Time{}
 	if err != nil {
 		p.failedAt = time.Now()
+		return
 	}
+	p.failedAt, p.answered = time.Time{}, time.Now()
+}
+
+// answeredSince reports whether the node has answered a call after a time.
+func (p *Peer) answeredSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered.After(t)
 }
 
 // drop closes a connection on which a call failed, so that a later call dials a new one.
