--- a/jobstore/fakestore_test.go
+++ b/jobstore/fakestore_test.go
@@ -31,7 +31,8 @@
 	afterChange func() // called after each change
 	wg          sync.WaitGroup
 
-	beforeAnswer func(ops []wire.Op) // called before a transaction's response is returned
+	refuse       func(ops []wire.Op) error // if not nil, returns the error of transactions that are not executed
+	beforeAnswer func(ops []wire.Op)       // called before a transaction's response is returned
 }
 
 func newFakeStore(seed uint64) *fakeStore {
@@ -112,6 +113,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
+	if s.refuse != nil {
+		if err := s.refuse(ops); err != nil {
+			return 0, err
+		}
+	}
 	s.changes += len(ops)
 	switch p := s.rnd.Float64(); {
 	case p < s.lateShare:
@@ -132,6 +138,8 @@
 
 func (s *fakeStore) HasWriteCapacity(int) bool { return true }
 
+func (s *fakeStore) WriteBurst() int { return 60 }
+
 // apply executes a transaction. The caller holds s.mu.
 func (s *fakeStore) apply(guards []wire.Guard, ops []wire.Op) (uint64, error) {
 	var failed []string
@@ -163,6 +171,13 @@
 	return s.rev, nil
 }
 
+// setRefuse sets refuse while the store is in use.
+func (s *fakeStore) setRefuse(refuse func(ops []wire.Op) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = refuse
+}
+
 // keysOf lists the keys that hold a record of a job. The caller holds s.mu.
 func (s *fakeStore) keysOf(id string) []string {
 	var out []string
