--- a/controller/forwarding.go
+++ b/controller/forwarding.go
@@ -20,7 +20,10 @@
 	// forwardedWriteTimeout how long the owner works on a forwarded write. The latter is
 	// shorter, so that an overloaded owner can still respond that it is.
 	bucketOwnerTimeout    = 1600 * time.Millisecond
-	forwardedWriteTimeout = 1200 * time.Millisecond
+	forwardedWriteTimeout = 1000 * time.Millisecond
+	// minForwardTime is what a write must have left to be forwarded again: the time in which
+	// the owner answers.
+	minForwardTime = forwardedWriteTimeout + 100*time.Millisecond
 	// unresponsivePeerBackoff is how long a peer owns no bucket after it last failed to
 	// answer.
 	unresponsivePeerBackoff = 3 * time.Second
@@ -48,18 +51,41 @@
 	if owner == nil {
 		return peerrpc.Answer{}, false
 	}
-	octx, cancel := context.WithTimeout(ctx, bucketOwnerTimeout)
-	defer cancel()
 	r.From = n.cfg.Node
-	a, err := owner.ForwardUserRequest(octx, r)
-	switch {
-	case err != nil:
-		n.log.Debug("write not forwarded", "op", r.Op, "peer", owner.Name, "err", err)
-		return peerrpc.Answer{}, false
-	case a.Status == http.StatusServiceUnavailable && a.RetryAfter != busyRetryAfterS:
-		return peerrpc.Answer{}, false // the owner's store connection fails, ours may not
+	return n.forwardWhileBusy(ctx, owner, r)
+}
+
+// forwardWhileBusy forwards a write to the owner of its bucket, again and again while the owner answers
+// that the key-value store is busy: each answer shows that the owner works on it, and a user who was sent
+// away instead would come back to it later. It returns false if the write is to be served here.
+func (n *Node) forwardWhileBusy(ctx context.Context, owner *peerrpc.Peer, r peerrpc.Request) (peerrpc.Answer, bool) {
+	for {
+		a, err := forwardOnce(ctx, owner, r)
+		switch {
+		case err != nil:
+			n.log.Debug("write not forwarded", "op", r.Op, "peer", owner.Name, "err", err)
+			return peerrpc.Answer{}, false
+		case a.Status != http.StatusServiceUnavailable:
+			return a, true
+		case a.RetryAfter != busyRetryAfterS:
+			return peerrpc.Answer{}, false // the owner's store connection fails, ours may not
+		case !kvstore.PauseBeforeRetry(ctx) || !hasTimeLeft(ctx, minForwardTime):
+			return a, true
+		}
 	}
-	return a, true
+}
+
+// hasTimeLeft reports whether a context's deadline is at least so far away.
+func hasTimeLeft(ctx context.Context, least time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) >= least
+}
+
+// forwardOnce forwards a write and waits for the answer, at most for bucketOwnerTimeout.
+func forwardOnce(ctx context.Context, owner *peerrpc.Peer, r peerrpc.Request) (peerrpc.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, bucketOwnerTimeout)
+	defer cancel()
+	return owner.ForwardUserRequest(ctx, r)
 }
 
 // bucketOwner returns the node that should write to a bucket, or nil for this node. All
--- a/controller/node.go
+++ b/controller/node.go
@@ -184,10 +184,11 @@
 		BarrierInterval: func() time.Duration {
 			return config.Seconds(min(barrierRateShare/max(n.userKV.RequestRate(), 1), 0.6))
 		},
-		SubmissionTier:     func(team, class string) int { return n.priorities().TierOf(team, class) },
-		FinalReadOrder:     func(id string) float64 { return admission.PollSchedule{Period: pollRound}.Priority(id, time.Now()) },
-		ObserveQueuedWrite: n.observeQueuedWrite,
-		Log:                n.log,
+		SubmissionTier:        func(team, class string) int { return n.priorities().TierOf(team, class) },
+		FinalReadOrder:        func(id string) float64 { return admission.PollSchedule{Period: pollRound}.Priority(id, time.Now()) },
+		ObserveQueuedWrite:    n.observeQueuedWrite,
+		CountQueuedWriteRetry: func(kind jobstore.WriteKind) { n.metrics.CountQueuedWriteRetry(string(kind)) },
+		Log:                   n.log,
 	})
 	n.pollTurns.Tier = n.pollTier
 }
--- a/jobstore/batch.go
+++ b/jobstore/batch.go
@@ -11,8 +11,7 @@
 )
 
 // This file commits concurrent submissions in shared transactions, which add them to the job pages of
-// their bucket. Each controller has at most one writer goroutine for a bucket, so that its own
-// transactions do not conflict.
+// their bucket. The bucket's writer calls it (see writer.go).
 
 const (
 	// closePageAfter is how long submissions must have come without contention, in batches of up to
@@ -26,26 +25,6 @@
 	batchTimeout        = 3 * time.Second
 )
 
-// bucketQueue holds what waits for a bucket's next transaction. A Store's lock guards it.
-type bucketQueue struct {
-	bucket        int
-	submissions   []*submission
-	cancellations []*cancellation
-	writing       bool      // a writer goroutine is running
-	individual    int       // transactions in flight for jobs with keys of their own
-	lastShared    time.Time // when submissions last were concurrent
-}
-
-// bucketQueue returns a bucket's queue. The caller holds s.mu.
-func (s *Store) bucketQueue(bucket int) *bucketQueue {
-	q := s.writeQueues[bucket]
-	if q == nil {
-		q = &bucketQueue{bucket: bucket}
-		s.writeQueues[bucket] = q
-	}
-	return q
-}
-
 // ShouldRouteToOwner reports whether submissions of a bucket should currently all be sent to one controller: the
 // bucket's head page is open or about to be, and controllers that add to it concurrently make each
 // other's transactions fail. It is a matter of throughput only.
@@ -74,16 +53,6 @@
 	return nil
 }
 
-// startWriter starts a bucket's writer unless it is running. The caller holds s.mu.
-func (s *Store) startWriter(q *bucketQueue) {
-	if q.writing {
-		return
-	}
-	q.writing = true
-	ctx := s.runContext
-	s.writers.Go(func() { s.runWriter(ctx, q) })
-}
-
 // awaitAcceptance waits for the result of a queued submission.
 func (s *Store) awaitAcceptance(ctx context.Context, q *bucketQueue, sub *submission) (duplicate bool, err error) {
 	select {
@@ -97,47 +66,14 @@
 	case <-ctx.Done():
 		s.mu.Lock()
 		q.submissions = slices.DeleteFunc(q.submissions, func(o *submission) bool { return o == sub })
+		err := sub.ticket.abandon(ctx)
 		ticket := sub.ticket
 		s.mu.Unlock()
 		s.observeQueuedWrite(WriteSubmission, sub.entry.ID, ticket, WriteAbandoned)
-		return false, unknownError(ctx)
-	}
-}
-
-// runWriter commits what waits for a bucket until the queue is empty. It alternates between
-// cancellations and submissions so that neither starves the other.
-func (s *Store) runWriter(ctx context.Context, q *bucketQueue) {
-	for {
-		if batch := s.takeCancellations(q); len(batch) > 0 {
-			batchCtx, cancel := context.WithTimeout(ctx, batchTimeout)
-			s.commitCancellations(batchCtx, batch)
-			cancel()
-		}
-		subs, idle := s.takeSubmissions(q)
-		if idle {
-			return
-		}
-		if len(subs) > 0 {
-			batchCtx, cancel := context.WithTimeout(ctx, batchTimeout)
-			s.commitBatch(batchCtx, q, &batch{subs})
-			cancel()
-		}
+		return false, err
 	}
 }
 
-// takeSubmissions takes a batch off a queue. idle means that the queue is empty: the writer must stop,
-// and the next request starts a new one.
-func (s *Store) takeSubmissions(q *bucketQueue) (subs []*submission, idle bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	subs = s.fillBatch(q)
-	if len(subs) == 0 && len(q.cancellations) == 0 {
-		q.writing = false
-		return nil, true
-	}
-	return subs, false
-}
-
 // fillBatch takes the submissions that fit into a transaction off a queue. Each id is taken once: a
 // repeated submission stays for the next batch, where it is found to be a duplicate. The caller holds
 // s.mu.
@@ -153,6 +89,7 @@
 		}
 		ids[sub.entry.ID], taken[sub] = true, true
 		bytes += size
+		sub.ticket.inFlight = true
 		subs = append(subs, sub)
 	}
 	q.submissions = slices.DeleteFunc(q.submissions, func(sub *submission) bool { return taken[sub] })
@@ -201,17 +138,18 @@
 	b.answer(func(*submission) bool { return true }, result)
 }
 
-// commitBatch commits submissions of a bucket, and sends each its result.
-func (s *Store) commitBatch(ctx context.Context, q *bucketQueue, b *batch) {
+// commitBatch commits submissions of a bucket, and sends each its result. If a rate limit refused them,
+// refused is true, and they are queued again.
+func (s *Store) commitBatch(ctx context.Context, q *bucketQueue, b *batch) (refused bool) {
 	var err error
 	for try := 0; try < maxAcceptAttempts && ctx.Err() == nil; try++ {
 		guards, ops, prepareErr := s.prepareBatch(q, b)
 		if prepareErr != nil {
 			b.answerAll(acceptResult{err: prepareErr})
-			return
+			return false
 		}
 		if len(b.submissions) == 0 {
-			return
+			return false
 		}
 		var rev uint64
 		rev, err = s.kv.CompareAndSwap(ctx, guards, ops)
@@ -219,7 +157,7 @@
 			s.applyOwnPages(ops, rev)
 			b.answerAll(acceptResult{})
 			s.refreshIfBehind(ctx, q)
-			return
+			return false
 		}
 		var conflict *kvstore.ConflictError
 		switch {
@@ -230,9 +168,16 @@
 			}
 		case errors.Is(err, kvstore.ErrOutcomeUnknown):
 			// It may have been committed. If so, the barrier shows the jobs, and they count as duplicates.
+			s.markUncertain(b)
+		case kvstore.IsRateLimited(err):
+			s.countRetry(WriteSubmission)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			q.requeueSubmissions(b.submissions)
+			return true
 		default:
 			b.answerAll(acceptResult{err: err})
-			return
+			return false
 		}
 		if barrierErr := s.readBarrier(ctx); barrierErr != nil {
 			err = barrierErr
@@ -243,6 +188,16 @@
 		err = errTooManyConflicts
 	}
 	b.answerAll(acceptResult{err: err})
+	return false
+}
+
+// markUncertain records that a transaction of a batch may yet be executed.
+func (s *Store) markUncertain(b *batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sub := range b.submissions {
+		sub.ticket.uncertain = true
+	}
 }
 
 // prepareBatch answers submissions whose ids have become known since they were queued, and returns the
@@ -259,7 +214,7 @@
 	}
 	if most := s.config.Limits.maxJobs(s.guardsPerJob(HeadPageKey(q.bucket))); len(b.submissions) > most {
 		// The head page has been closed since the batch was filled, so that each job needs more guards.
-		q.submissions = append(slices.Clone(b.submissions[most:]), q.submissions...)
+		q.requeueSubmissions(b.submissions[most:])
 		b.submissions = b.submissions[:most]
 	}
 	for _, sub := range b.submissions {
--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -16,8 +16,13 @@
 // Cancel ends a job unless it is over already, and returns its final state, which is wire.JobDone if it
 // completed first. found is false if the id was never accepted.
 func (s *Store) Cancel(ctx context.Context, id string) (final string, found bool, err error) {
+	askedAt := s.cancellationAsked(id)
+	var unknown error // of a try that may yet be executed
 	for range maxCancelAttempts {
 		status, found, err := s.Lookup(ctx, id)
+		if err != nil && unknown != nil {
+			return "", found, unknown
+		}
 		if err != nil || !found {
 			return "", found, err
 		}
@@ -26,22 +31,27 @@
 		}
 		record := status.Record
 		record.State = wire.JobCancelled
-		err = s.commitCancellation(ctx, id, status, record)
+		err = s.commitCancellation(ctx, status, &cancellation{id: id, askedAt: askedAt, pageKey: status.pageKey, final: record})
 		if err == nil {
 			s.cacheFinal(id, record)
+			s.cancellationOver(id)
 			return record.State, true, nil
 		}
 		var conflict *kvstore.ConflictError
 		if !errors.As(err, &conflict) && !errors.Is(err, kvstore.ErrOutcomeUnknown) {
 			return "", true, err
 		}
+		if errors.Is(err, kvstore.ErrOutcomeUnknown) && !errors.Is(err, errJobMoved) {
+			unknown = err
+		}
 	}
 	return "", true, errTooManyConflicts
 }
 
 // commitCancellation replaces a job's active record, whose place status gives, by its final record. It
 // fails with a conflict if the job has changed since the lookup.
-func (s *Store) commitCancellation(ctx context.Context, id string, status JobStatus, record JobRecord) error {
+func (s *Store) commitCancellation(ctx context.Context, status JobStatus, c *cancellation) error {
+	id, record := c.id, c.final
 	guards := []wire.Guard{{Key: JobKey(id), Version: status.Version}, {Key: FinalKey(id)}}
 	ops := []wire.Op{{Delete: JobKey(id)}, {Put: FinalKey(id), Value: record}}
 	if version, quarantined := s.unreadableVersion(status.pageKey); version != 0 {
@@ -55,9 +65,13 @@
 		guards = []wire.Guard{{Key: status.pageKey, Version: version}, {Key: JobKey(id)}, {Key: FinalKey(id)}}
 		ops = ops[1:]
 	} else if status.pageKey != "" {
-		return s.cancelOnPage(ctx, id, status.pageKey, record)
+		return s.cancelQueued(ctx, c)
 	}
 	_, err := s.kv.CompareAndSwap(ctx, guards, ops)
+	if kvstore.IsRateLimited(err) {
+		c.guards, c.ops = guards, ops
+		return s.cancelQueued(ctx, c)
+	}
 	return err
 }
 
@@ -70,38 +84,45 @@
 	return u.version, u.quarantined
 }
 
-// The rest of this file cancels jobs whose records are on job pages. A cancellation changes its page on
-// condition that the page's version is unchanged. With a transaction for each, concurrent submissions
-// to the same page made some cancellations conflict for most of a minute. So the cancellations that
-// wait for a page share a transaction, and the bucket's writer alternates them with submissions.
+// The rest of this file cancels jobs by way of their buckets' writers. A cancellation of a job on a page
+// changes the page on condition that its version is unchanged. With a transaction for each, concurrent
+// submissions to the same page made some cancellations conflict for most of a minute. So those that wait
+// for a page share transactions. A job with a key of its own has one for itself, and is queued only once
+// a rate limit has refused it.
 
-// cancellation is a queued request to cancel a job on a job page.
+// cancellation is a request to cancel a job.
 type cancellation struct {
 	id      string
-	pageKey string // the job's page at the time of the lookup
+	askedAt time.Time // when its requester, or one before, first asked for it
+	pageKey string    // the job's page as last seen; "": a key of its own
 	final   JobRecord
 	ticket  queueTicket
 	done    chan error
+
+	// The transaction of a job with a key of its own, or on a quarantined page; else nil.
+	guards []wire.Guard
+	ops    []wire.Op
 }
 
-// cancelOnPage cancels a job whose record is on a job page.
-func (s *Store) cancelOnPage(ctx context.Context, id, pageKey string, final JobRecord) error {
-	c := &cancellation{id: id, pageKey: pageKey, final: final, ticket: queueTicket{queuedAt: time.Now()}, done: make(chan error, 1)}
+// cancelQueued has a job cancelled by its bucket's writer.
+func (s *Store) cancelQueued(ctx context.Context, c *cancellation) error {
+	c.done = make(chan error, 1)
 	q, err := s.enqueueCancellation(c)
 	if err != nil {
 		return err
 	}
 	select {
 	case err := <-c.done:
-		s.observeQueuedWrite(WriteCancellation, id, c.ticket, writeResultOf(err))
+		s.observeQueuedWrite(WriteCancellation, c.id, c.ticket, writeResultOf(err))
 		return err
 	case <-ctx.Done():
 		s.mu.Lock()
 		q.cancellations = slices.DeleteFunc(q.cancellations, func(o *cancellation) bool { return o == c })
+		err := c.ticket.abandon(ctx)
 		ticket := c.ticket
 		s.mu.Unlock()
-		s.observeQueuedWrite(WriteCancellation, id, ticket, WriteAbandoned)
-		return unknownError(ctx) // its transaction may be in flight
+		s.observeQueuedWrite(WriteCancellation, c.id, ticket, WriteAbandoned)
+		return err
 	}
 }
 
@@ -113,23 +134,28 @@
 		return nil, errStopped
 	}
 	q := s.bucketQueue(s.schema.Bucket(c.id))
-	q.cancellations = append(q.cancellations, c)
+	c.ticket = queueTicket{queuedAt: time.Now()}
+	q.insertCancellation(c)
 	s.startWriter(q)
 	return q, nil
 }
 
-// takeCancellations takes the cancellations that fit into a transaction off a queue: those of the same
-// page as the first.
-func (s *Store) takeCancellations(q *bucketQueue) (taken []*cancellation) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(q.cancellations) == 0 {
-		return nil
-	}
+// takeCancellations takes cancellations that fit into a transaction off a queue, at most a number of
+// them: those of the same page as the first, or only the first if it has a transaction of its own. A repeated one stays for a later transaction, by which time
+// the job has left the page. The caller holds s.mu.
+func (s *Store) takeCancellations(q *bucketQueue, most int) (taken []*cancellation) {
 	const opOverhead = 64 // size of a put without its value
-	pageKey, most, bytes := q.cancellations[0].pageKey, s.config.Limits.txnOps()-1, 0
+	first := q.cancellations[0]
+	if first.ops != nil {
+		q.cancellations = slices.Delete(q.cancellations, 0, 1)
+		first.ticket.inFlight = true
+		return []*cancellation{first}
+	}
+	s.locateOnPages(q.cancellations)
+	bytes := 0
+	ids := map[string]bool{}
 	q.cancellations = slices.DeleteFunc(q.cancellations, func(c *cancellation) bool {
-		if c.pageKey != pageKey || len(taken) >= most {
+		if c.ops != nil || c.pageKey != first.pageKey || len(taken) >= most || ids[c.id] {
 			return false
 		}
 		raw, err := wire.Marshal(c.final)
@@ -137,22 +163,63 @@
 		if len(taken) > 0 && (err != nil || bytes+size > maxBatchPages*s.config.Limits.pageBytes()) {
 			return false
 		}
+		ids[c.id] = true
 		bytes += size
+		c.ticket.inFlight = true
 		taken = append(taken, c)
 		return true
 	})
 	return taken
 }
 
+// locateOnPages updates the pages of cancellations whose jobs have been moved by the sealing of a head
+// page. What has left all pages keeps its page, and is found to have moved once it is taken. The caller
+// holds s.mu.
+func (s *Store) locateOnPages(cancellations []*cancellation) {
+	for _, c := range cancellations {
+		if j := s.jobs[c.id]; j != nil && j.pageKey != "" && c.ops == nil {
+			c.pageKey = j.pageKey
+		}
+	}
+}
+
 // commitCancellations cancels jobs of one page, and sends each its result. If the transaction failed or
-// its outcome is unknown, Cancel looks the job up again.
-func (s *Store) commitCancellations(ctx context.Context, batch []*cancellation) {
-	pageKey := batch[0].pageKey
-	page, version, present := s.withoutCancelled(pageKey, batch)
+// its outcome is unknown, Cancel looks the job up again. If a rate limit refused it, refused is true, and
+// the cancellations are queued again.
+func (s *Store) commitCancellations(ctx context.Context, q *bucketQueue, batch []*cancellation) (refused bool) {
+	guards, ops, present := s.cancellationTransaction(batch)
 	if len(present) == 0 {
-		return
+		return false
+	}
+	rev, err := s.kv.CompareAndSwap(ctx, guards, ops)
+	q.cancellationSize.Record(len(ops), err)
+	if kvstore.IsRateLimited(err) {
+		s.countRetry(WriteCancellation)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		q.requeueCancellations(present)
+		return true
+	}
+	if err == nil {
+		s.applyOwnPages(ops, rev)
+	}
+	for _, c := range present {
+		c.done <- err
 	}
-	guards, ops := []wire.Guard{{Key: pageKey, Version: version}}, []wire.Op{{Put: pageKey, Value: page}}
+	return false
+}
+
+// cancellationTransaction returns the transaction of cancellations that were taken together, and which of
+// them are part of it. The others are sent errJobMoved so that Cancel looks the job up again.
+func (s *Store) cancellationTransaction(batch []*cancellation) (guards []wire.Guard, ops []wire.Op, present []*cancellation) {
+	if c := batch[0]; c.ops != nil {
+		s.joinTransaction(batch)
+		return c.guards, c.ops, batch
+	}
+	pageKey := batch[0].pageKey
+	page, version, present := s.withoutCancelled(pageKey, batch)
+	s.joinTransaction(present)
+	guards, ops = []wire.Guard{{Key: pageKey, Version: version}}, []wire.Op{{Put: pageKey, Value: page}}
 	if len(page.Entries) == 0 && !IsHeadPageKey(pageKey) {
 		ops[0] = wire.Op{Delete: pageKey}
 	}
@@ -160,25 +227,27 @@
 		guards = append(guards, wire.Guard{Key: FinalKey(c.id)})
 		ops = append(ops, wire.Op{Put: FinalKey(c.id), Value: c.final})
 	}
-	rev, err := s.kv.CompareAndSwap(ctx, guards, ops)
-	if err == nil {
-		s.applyOwnPages(ops, rev)
-	}
-	for _, c := range present {
-		c.done <- err
+	return guards, ops, present
+}
+
+// joinTransaction records that cancellations share a transaction.
+func (s *Store) joinTransaction(cancellations []*cancellation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range cancellations {
+		c.ticket.joined(len(cancellations))
 	}
 }
 
 // withoutCancelled returns a job page without the jobs to be cancelled, and the cancellations whose jobs
-// are on it. The other cancellations, and repeated ones, are sent ErrOutcomeUnknown so that Cancel looks
-// the job up again.
+// are on it. The others are sent errJobMoved so that Cancel looks the job up again.
 func (s *Store) withoutCancelled(pageKey string, batch []*cancellation) (page JobPage, version uint64, present []*cancellation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ids := map[string]bool{}
 	p := s.jobPages[pageKey]
 	for _, c := range batch {
-		if p == nil || !p.page.has(c.id) || ids[c.id] {
+		if p == nil || !p.page.has(c.id) {
 			c.done <- errJobMoved
 			continue
 		}
@@ -188,8 +257,5 @@
 	if len(present) == 0 {
 		return JobPage{}, 0, nil
 	}
-	for _, c := range present {
-		c.ticket.joined(len(present))
-	}
 	return p.page.Without(ids), p.version, present
 }
--- /dev/null
+++ b/jobstore/cancellationtimes.go
@@ -0,0 +1,42 @@
+package jobstore
+
+import "time"
+
+// maxCancellationTimes bounds how many cancellations are remembered.
+const maxCancellationTimes = 4096
+
+// cancellationTimes remembers since when cancellations that are not over have been asked for, so that a
+// requester who is sent away and comes back is served before those who asked later. While away, it delays
+// nobody. When there are too many, the oldest is forgotten. A Store's lock guards it.
+type cancellationTimes struct {
+	times map[string]time.Time
+	order []string // ids in order of insertion, including some that are over
+}
+
+// first returns when a cancellation was first asked for, which is now unless it is remembered.
+func (c *cancellationTimes) first(id string, now time.Time) time.Time {
+	if at, ok := c.times[id]; ok {
+		return at
+	}
+	if len(c.order) >= maxCancellationTimes {
+		delete(c.times, c.order[0])
+		c.order = c.order[1:]
+	}
+	c.times[id] = now
+	c.order = append(c.order, id)
+	return now
+}
+
+// cancellationAsked returns when a cancellation was first asked for at this controller.
+func (s *Store) cancellationAsked(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked.first(id, time.Now())
+}
+
+// cancellationOver forgets a cancellation that was committed.
+func (s *Store) cancellationOver(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asked.times, id)
+}
--- a/jobstore/queuedwrite.go
+++ b/jobstore/queuedwrite.go
@@ -1,7 +1,9 @@
 package jobstore
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/umberdeal/umberdeal/kvstore"
@@ -25,9 +27,9 @@
 	WriteDuplicate WriteResult = "duplicate" // a submission that had been accepted before
 	WriteMoved     WriteResult = "moved"     // a cancellation whose job is no longer on the page: to be looked up again
 	WriteConflict  WriteResult = "conflict"
-	WriteRefused   WriteResult = "refused" // not executed
-	WriteUnknown   WriteResult = "unknown" // may have been executed
-	WriteAbandoned WriteResult = "abandoned"
+	WriteRefused   WriteResult = "refused"   // not executed
+	WriteUnknown   WriteResult = "unknown"   // may have been executed
+	WriteAbandoned WriteResult = "abandoned" // its requester stopped waiting
 	WriteFailed    WriteResult = "failed"
 )
 
@@ -47,6 +49,9 @@
 	queuedAt     time.Time
 	transactions int
 	shared       int
+	inFlight     bool // taken off the queue: its transaction may be executed at any moment
+	uncertain    bool // an earlier transaction with it has an unknown outcome
+	abandoned    bool // its requester no longer waits
 }
 
 // joined records that the write is part of a transaction with a number of writes.
@@ -55,6 +60,22 @@
 	t.shared = writes
 }
 
+// requeue records that the write's transaction was refused, and reports whether it is to be queued again.
+func (t *queueTicket) requeue() bool {
+	t.inFlight = false
+	return !t.abandoned
+}
+
+// abandon records that the write's requester no longer waits, and returns the error for it: only a write
+// that was never part of a transaction that may be executed is known not to be.
+func (t *queueTicket) abandon(ctx context.Context) error {
+	t.abandoned = true
+	if t.inFlight || t.uncertain {
+		return unknownError(ctx)
+	}
+	return fmt.Errorf("%w: still queued: %w", kvstore.ErrRateLimited, ctx.Err())
+}
+
 // writeResultOf classifies the error of a queued write.
 func writeResultOf(err error) WriteResult {
 	var conflict *kvstore.ConflictError
@@ -80,3 +101,10 @@
 			Transactions: ticket.transactions, Shared: ticket.shared})
 	}
 }
+
+// countRetry counts a refused transaction of a bucket's writer.
+func (s *Store) countRetry(kind WriteKind) {
+	if s.config.CountQueuedWriteRetry != nil {
+		s.config.CountQueuedWriteRetry(kind)
+	}
+}
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -17,6 +17,8 @@
 	CompareAndSwap(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error)
 	// HasWriteCapacity reports whether n keys can be changed now without waiting for the write limiter.
 	HasWriteCapacity(n int) bool
+	// WriteBurst returns how many keys the write limiter grants at once at present.
+	WriteBurst() int
 	Watch(ctx context.Context, prefix string, after uint64, block time.Duration) (wire.Events, error)
 }
 
@@ -42,6 +44,9 @@
 	// ObserveQueuedWrite is called for each write that has left its bucket's queue, and must not block.
 	// Nil: not called.
 	ObserveQueuedWrite func(QueuedWrite)
+	// CountQueuedWriteRetry is called for each transaction that a rate limit refused and whose writes
+	// stay in their bucket's queue, and must not block. Nil: not called.
+	CountQueuedWriteRetry func(WriteKind)
 	// Log receives an error for each record that can't be decoded. Nil: nothing is logged.
 	Log *slog.Logger
 }
@@ -66,6 +71,7 @@
 	finals      finalCache
 	finalReads  finalReadQueue // except for its channel, which needs no lock
 	writeQueues map[int]*bucketQueue
+	asked       cancellationTimes
 }
 
 // New returns a store. Run must be running for methods that need a read barrier, such as Accept, Lookup
@@ -81,6 +87,7 @@
 		finals:          finalCache{records: map[string]JobRecord{}},
 		finalReads:      finalReadQueue{wake: make(chan struct{}, finalReaders)},
 		writeQueues:     map[int]*bucketQueue{},
+		asked:           cancellationTimes{times: map[string]time.Time{}},
 	}
 }
 
--- /dev/null
+++ b/jobstore/writer.go
@@ -0,0 +1,150 @@
+package jobstore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/umberdeal/umberdeal/kvstore"
+)
+
+// This file has the queue of a bucket's submissions and cancellations, and the goroutine that commits
+// them. Each controller has at most one such writer for a bucket, so that its own transactions do not
+// conflict.
+//
+// A transaction that a rate limit refused was not executed. Its writes go back to the front of the queue
+// and wait there until their requesters' deadlines: requesters that are sent away all come back at once,
+// and share a transaction as large as the one before. The next transaction of cancellations is smaller
+// (see kvstore.BatchSize). Writes whose outcome is unknown never go back.
+
+const (
+	// maxCancellationTurns is how many transactions of cancellations there may be between two of
+	// submissions, while both wait. Cancellations go first because each takes a change of its own,
+	// whereas all submissions that wait share a few.
+	maxCancellationTurns = 2
+	// minCancellationChanges is the size of a transaction that cancels one job: its page and its final
+	// record.
+	minCancellationChanges = 2
+)
+
+// bucketQueue holds what waits for a bucket's next transaction. A Store's lock guards it.
+type bucketQueue struct {
+	bucket            int
+	submissions       []*submission
+	cancellations     []*cancellation // those that were asked for first come first
+	cancellationTurns int             // transactions of cancellations since the last one of submissions
+	writing           bool            // a writer goroutine is running
+	individual        int             // transactions in flight for jobs with keys of their own
+	lastShared        time.Time       // when submissions last were concurrent
+
+	cancellationSize *kvstore.BatchSize // used by the writer goroutine only
+}
+
+// bucketQueue returns a bucket's queue. The caller holds s.mu.
+func (s *Store) bucketQueue(bucket int) *bucketQueue {
+	q := s.writeQueues[bucket]
+	if q == nil {
+		q = &bucketQueue{bucket: bucket, cancellationSize: kvstore.NewBatchSize(minCancellationChanges, s.config.Limits.txnOps())}
+		s.writeQueues[bucket] = q
+	}
+	return q
+}
+
+// startWriter starts a bucket's writer unless it is running. The caller holds s.mu.
+func (s *Store) startWriter(q *bucketQueue) {
+	if q.writing {
+		return
+	}
+	q.writing = true
+	ctx := s.runContext
+	s.writers.Go(func() { s.runWriter(ctx, q) })
+}
+
+// runWriter commits what waits for a bucket until the queue is empty.
+func (s *Store) runWriter(ctx context.Context, q *bucketQueue) {
+	for {
+		turn, ok := s.nextTurn(q)
+		if !ok {
+			return
+		}
+		if refused := s.commitTurn(ctx, q, turn); refused && !kvstore.PauseBeforeRetry(ctx) {
+			s.failQueue(q)
+		}
+	}
+}
+
+// writerTurn is what a writer commits in one transaction: writes of one kind.
+type writerTurn struct {
+	submissions   []*submission
+	cancellations []*cancellation
+}
+
+// nextTurn takes the writes of the next transaction off a queue. If the queue is empty, ok is false: the
+// writer must stop, and the next request starts a new one.
+func (s *Store) nextTurn(q *bucketQueue) (turn writerTurn, ok bool) {
+	maxChanges := max(minCancellationChanges, min(q.cancellationSize.Limit(), s.kv.WriteBurst()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(q.cancellations) > 0 && (len(q.submissions) == 0 || q.cancellationTurns < maxCancellationTurns) {
+		q.cancellationTurns++
+		turn.cancellations = s.takeCancellations(q, maxChanges-1)
+		return turn, true
+	}
+	q.cancellationTurns = 0
+	turn.submissions = s.fillBatch(q)
+	q.writing = len(turn.submissions) > 0
+	return turn, q.writing
+}
+
+// commitTurn commits writes, and reports whether a rate limit refused them, so that they are back in the
+// queue.
+func (s *Store) commitTurn(ctx context.Context, q *bucketQueue, turn writerTurn) (refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
+	if len(turn.cancellations) > 0 {
+		return s.commitCancellations(ctx, q, turn.cancellations)
+	}
+	return s.commitBatch(ctx, q, &batch{turn.submissions})
+}
+
+// requeueSubmissions returns submissions that were not committed to the front of the queue, except those
+// whose requesters no longer wait. The caller holds the Store's lock.
+func (q *bucketQueue) requeueSubmissions(submissions []*submission) {
+	waiting := slices.DeleteFunc(slices.Clone(submissions), func(sub *submission) bool { return !sub.ticket.requeue() })
+	q.submissions = append(waiting, q.submissions...)
+}
+
+// requeueCancellations returns cancellations that were not committed to the queue, except those whose
+// requesters no longer wait. The caller holds the Store's lock.
+func (q *bucketQueue) requeueCancellations(cancellations []*cancellation) {
+	for _, c := range cancellations {
+		if c.ticket.requeue() {
+			q.insertCancellation(c)
+		}
+	}
+}
+
+// insertCancellation queues a cancellation behind all that were asked for before it, whether its
+// requester has waited here or has been sent away and come back. The caller holds the Store's lock.
+func (q *bucketQueue) insertCancellation(c *cancellation) {
+	at, _ := slices.BinarySearchFunc(q.cancellations, c, func(queued, c *cancellation) int {
+		if queued.askedAt.After(c.askedAt) {
+			return 1
+		}
+		return -1
+	})
+	q.cancellations = slices.Insert(q.cancellations, at, c)
+}
+
+// failQueue answers everything in a queue once Run is ending.
+func (s *Store) failQueue(q *bucketQueue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sub := range q.submissions {
+		sub.done <- acceptResult{err: errStopped}
+	}
+	for _, c := range q.cancellations {
+		c.done <- errStopped
+	}
+	q.submissions, q.cancellations = nil, nil
+}
--- a/kvstore/client.go
+++ b/kvstore/client.go
@@ -82,6 +82,10 @@
 // HasWriteCapacity reports whether this client may change n keys now without waiting.
 func (c *Client) HasWriteCapacity(n int) bool { return c.writes.available(n) }
 
+// WriteBurst returns how many changes this client's rate limit grants at once at present. Larger
+// transactions wait longer, and the store is more likely to refuse them.
+func (c *Client) WriteBurst() int { return c.writes.burst() }
+
 // LastOutcomes returns when the store last answered a request, with any status but 503,
 // and when a request last failed because the store did not answer or answered 503. It
 // returns the Unix epoch for what has never happened.
@@ -182,22 +186,21 @@
 	if err == nil {
 		revision, err = decodeCommit(resp)
 	} else if resp.status == http.StatusTooManyRequests && t.Changes > 0 {
-		c.writes.rateLimited()
+		c.writes.rateLimited(t.Changes)
 	}
 	t.LimiterWait, t.ResponseTime, t.Result = sent.Sub(began), time.Since(sent), resultOf(err, resp.status)
 	return revision, err
 }
 
-// awaitWrites waits until this client's rate limit allows a number of changes.
+// awaitWrites waits until this client's rate limit allows a number of changes. More than it grants at
+// once are granted in parts, since what the caller can't divide would never be sent otherwise.
 func (c *Client) awaitWrites(ctx context.Context, changes int) error {
-	if changes == 0 {
-		return nil
-	}
-	if most := c.writes.burst(); changes > most {
-		return fmt.Errorf("%w: %d changes, at most %d", ErrTransactionTooLarge, changes, most)
-	}
-	if err := c.writes.WaitN(ctx, changes); err != nil {
-		return fmt.Errorf("%w: %w", ErrRateLimited, err)
+	for changes > 0 {
+		part := min(changes, c.writes.burst())
+		if err := c.writes.WaitN(ctx, part); err != nil {
+			return fmt.Errorf("%w: %w", ErrRateLimited, err)
+		}
+		changes -= part
 	}
 	return nil
 }
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -14,10 +14,6 @@
 	// ErrRateLimited is the ErrRefused of a rate limit, the store's or this client's.
 	// Other nodes use the same store, so retrying through another node only adds load.
 	ErrRateLimited = fmt.Errorf("%w: too many requests", ErrRefused)
-	// ErrTransactionTooLarge is the ErrRateLimited of a transaction with more changes than this
-	// client's rate limit ever grants at once at its present rate: waiting does not help, fewer
-	// changes do.
-	ErrTransactionTooLarge = fmt.Errorf("%w: more changes than the limit's burst", ErrRateLimited)
 	// ErrOutcomeUnknown means that no usable response arrived: the request may have been
 	// executed, or may still be.
 	ErrOutcomeUnknown = errors.New("no answer from the key-value store")
@@ -30,6 +26,10 @@
 	ErrInvalidRequest = errors.New("key-value store called the request invalid")
 )
 
+// IsRateLimited reports whether a request was not executed because of a rate limit: it can be repeated,
+// and may succeed once there is capacity.
+func IsRateLimited(err error) bool { return errors.Is(err, ErrRateLimited) }
+
 // ConflictError reports that a compare-and-swap was not applied because guards failed,
 // on which keys, and the store's revision at that time.
 type ConflictError struct {
--- a/kvstore/ratelimit.go
+++ b/kvstore/ratelimit.go
@@ -18,8 +18,8 @@
 	burst() int
 	// currentRate returns how many may be sent per second at present.
 	currentRate() float64
-	// rateLimited records that the store refused a request with status 429.
-	rateLimited()
+	// rateLimited records that the store refused n, which had been granted, with status 429.
+	rateLimited(n int)
 }
 
 // fixedLimiter is a limiter whose rate does not change.
@@ -35,17 +35,17 @@
 
 func (f fixedLimiter) currentRate() float64 { return float64(f.Limit()) }
 
-func (fixedLimiter) rateLimited() {}
+func (fixedLimiter) rateLimited(int) {}
 
 const (
-	decreaseFactor   = 0.5                    // multiplies the rate after a refusal
+	decreaseShare    = 0.5                    // by which the rate is reduced after a refusal of one
 	decreaseInterval = 250 * time.Millisecond // minimum time between decreases: refusals come in bursts
 	rampUpTime       = 30 * time.Second       // to rise from zero to the maximum rate
 	// increaseInterval is the minimum time between increases. One increase covers at most
 	// maxIncreaseStep of elapsed time, so that the rate does not jump after an idle period.
 	increaseInterval = 100 * time.Millisecond
 	maxIncreaseStep  = time.Second
-	// minBurst is the minimum burst size, however low the rate.
+	// minBurst is the minimum burst size, however low the rate, unless the maximum rate is lower.
 	minBurst = 4
 )
 
@@ -62,6 +62,7 @@
 	rate    float64
 	updated time.Time // last decrease or increase
 	lastCut time.Time // last decrease
+	unused  int       // granted, but refused by the store: to be granted again without waiting
 }
 
 func newAdaptiveLimiter(maxRate, minRate float64) *adaptiveLimiter {
@@ -86,22 +87,48 @@
 func (a *adaptiveLimiter) setRate(perSecond float64, now time.Time) {
 	a.rate, a.updated = max(a.minRate, min(a.maxRate, perSecond)), now
 	a.bucket.SetLimitAt(now, rate.Limit(a.rate))
-	a.bucket.SetBurstAt(now, max(minBurst, int(a.rate)))
+	a.bucket.SetBurstAt(now, max(1, min(minBurst, int(a.maxRate)), int(a.rate)))
 }
 
-func (a *adaptiveLimiter) rateLimited() {
+// rateLimited reduces the rate. The more changes a transaction has, the less its refusal says about the
+// load, since the store refuses it while it still takes smaller ones: without that, whoever writes the
+// large transactions gets the lowest rate. All but one of what was refused need not be waited for a second
+// time, since it did not use the store's capacity; one is the price of an attempt.
+func (a *adaptiveLimiter) rateLimited(n int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.unused = min(a.unused+n-1, a.bucket.Burst())
 	if now := time.Now(); now.Sub(a.lastCut) > decreaseInterval {
 		a.lastCut = now
-		a.setRate(a.rate*decreaseFactor, now)
+		a.setRate(a.rate*(1-decreaseShare/float64(n)), now)
 	}
 }
 
 // WaitN blocks until n may be sent at the current rate.
 func (a *adaptiveLimiter) WaitN(ctx context.Context, n int) error {
 	a.currentRate()
-	return a.bucket.WaitN(ctx, n)
+	again := a.takeUnused(n)
+	err := a.bucket.WaitN(ctx, n-again)
+	if err != nil {
+		a.returnUnused(again)
+	}
+	return err
+}
+
+// takeUnused takes up to n of what was granted before and refused.
+func (a *adaptiveLimiter) takeUnused(n int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	again := min(a.unused, n)
+	a.unused -= again
+	return again
+}
+
+// returnUnused returns what takeUnused has taken.
+func (a *adaptiveLimiter) returnUnused(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unused = min(a.unused+n, a.bucket.Burst())
 }
 
 func (a *adaptiveLimiter) available(n int) bool {
--- a/kvstore/transaction.go
+++ b/kvstore/transaction.go
@@ -14,7 +14,6 @@
 const (
 	ResultCommitted      Result = iota
 	ResultConflict              // a guard did not hold
-	ResultTooLarge              // more changes than this client's rate limit grants at once
 	ResultLimiterTimeout        // the context ended, or would have, before this client's rate limit allowed it
 	ResultStoreBusy             // the store answered 429
 	ResultUnavailable           // the store answered 503
@@ -23,7 +22,7 @@
 	resultCount
 )
 
-var resultNames = [resultCount]string{"committed", "conflict", "too large", "limiter timeout", "store busy", "unavailable", "unknown", "invalid"}
+var resultNames = [resultCount]string{"committed", "conflict", "limiter timeout", "store busy", "unavailable", "unknown", "invalid"}
 
 // String returns the result as logs and metrics show it.
 func (r Result) String() string { return resultNames[r] }
@@ -58,8 +57,6 @@
 		return ResultUnknown
 	case status == http.StatusTooManyRequests:
 		return ResultStoreBusy
-	case errors.Is(err, ErrTransactionTooLarge):
-		return ResultTooLarge
 	case errors.Is(err, ErrRateLimited):
 		return ResultLimiterTimeout
 	case errors.Is(err, ErrRefused):
--- a/peerrpc/peer_test.go
+++ b/peerrpc/peer_test.go
@@ -45,6 +45,7 @@
 // A call that times out while the node answers others must fail alone.
 func TestSlowCallFailsAloneWhileThePeerAnswersOthers(t *testing.T) {
 	withPeer(t, func(t *testing.T, p *Peer, f *fakePeer) {
+		t.Helper()
 		var wg sync.WaitGroup
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -75,6 +76,7 @@
 // A node that answers nobody counts as failed as soon as a call times out.
 func TestSilentPeerCountsAsFailed(t *testing.T) {
 	withPeer(t, func(t *testing.T, p *Peer, _ *fakePeer) {
+		t.Helper()
 		if _, err := p.ForwardUserRequest(t.Context(), Request{ID: "quick"}); err != nil {
 			t.Fatal(err)
 		}
