--- a/controller/committer.go
+++ b/controller/committer.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/election"
-	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/wire"
@@ -57,15 +55,20 @@
 // begins with, before bookkeepingRate is known.
 const committerRateShare = 0.7
 
+// minBatchChanges is the least size of a batch, however often larger ones were refused: enough for the end
+// of a job and a page of placements, so that neither holds up the other.
+const minBatchChanges = 3
+
 // runCommitter writes changed records to the store until ctx ends. It waits for the rate
 // limit before it collects a batch, so that the batch includes what changed during the
 // wait.
 func (l *leadership) runCommitter(ctx context.Context) {
 	store := l.node.cfg.Cluster.State
-	burst := max(3, min(store.TxnOps, int(store.WriteRPS*committerRateShare)))
+	burst := max(minBatchChanges, min(store.TxnOps, int(store.WriteRPS*committerRateShare)))
 	limiter := rate.NewLimiter(rate.Limit(store.WriteRPS*committerRateShare), burst)
+	size := kvstore.NewBatchSize(minBatchChanges, burst)
 	for {
-		want := min(l.pendingWrites(), burst)
+		want := min(l.pendingWrites(), size.Limit())
 		if want == 0 {
 			select {
 			case <-ctx.Done():
@@ -82,8 +85,10 @@
 		if batch == nil {
 			continue
 		}
-		if !l.commitBatch(ctx, batch) {
-			if !pauseAfterFailedCommit(ctx) {
+		err := l.commitBatch(ctx, batch)
+		size.Record(len(batch.Ops), err)
+		if err != nil {
+			if !kvstore.PauseBeforeRetry(ctx) {
 				return
 			}
 			continue
@@ -121,22 +126,16 @@
 
 // commitBatch commits a batch under the fencing token and tells the model the
 // result, one way or the other.
-func (l *leadership) commitBatch(ctx context.Context, batch *cluster.WriteBatch) (committed bool) {
+func (l *leadership) commitBatch(ctx context.Context, batch *cluster.WriteBatch) error {
 	rev, err := l.node.kv.CompareAndSwap(ctx, append([]wire.Guard{l.leaderGuard()}, batch.Guards...), batch.Ops)
 	if err != nil {
 		l.handleCommitFailure(ctx, batch, err)
-		return false
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	batch.OnCommit(rev, time.Now())
-	return true
-}
-
-// pauseAfterFailedCommit waits for a random 50 to 200 ms, so that the same writers do not
-// conflict again. It returns false if ctx has ended.
-func pauseAfterFailedCommit(ctx context.Context) bool {
-	return call.Pause(ctx, time.Duration(50+rand.IntN(150))*time.Millisecond)
+	return nil
 }
 
 // userChangeWindowS is over how many seconds users' changes are averaged.
--- a/controller/operator_plan.go
+++ b/controller/operator_plan.go
@@ -207,6 +207,6 @@
 		if b == nil {
 			continue
 		}
-		l.commitBatch(ctx, b) // a batch that failed is collected again
+		_ = l.commitBatch(ctx, b) // a batch that failed is collected again
 	}
 }
--- a/controller/plan_check.go
+++ b/controller/plan_check.go
@@ -49,7 +49,7 @@
 			}
 			continue
 		}
-		if !l.confirmPlan(ctx) && !pauseAfterFailedCommit(ctx) {
+		if !l.confirmPlan(ctx) && !kvstore.PauseBeforeRetry(ctx) {
 			return
 		}
 	}
@@ -72,7 +72,7 @@
 	if b == nil {
 		return true // a commit has released them in the meantime
 	}
-	if !l.commitBatch(ctx, b) {
+	if l.commitBatch(ctx, b) != nil {
 		return false
 	}
 	l.sendDirectStops(ctx)
