--- a/config/config_test.go
+++ b/config/config_test.go
@@ -78,6 +78,69 @@
 	}
 }
 
+// What happened: neither file's check bounded durations. `inf`, and in the operators' file any number,
+// passed, and config.Seconds made a negative time.Duration of what is too large for one: a cooldown of
+// `inf`, meant as "never", was over before it began. No log line told; reading the code found it.
+//
+// Such durations, and those that are no number or negative, are refused by the field's name.
+func TestUnusableDurationsAreRefused(t *testing.T) {
+	durations := map[string]string{ // in the settings: field, and its line
+		"cluster.skew_ms":             "skew_ms = 5.0",
+		"cluster.workers.report_s":    "report_s = 1.5",
+		"cluster.workers.lease_s":     "lease_s = 12.0",
+		"cluster.workers.gang_wait_s": "gang_wait_s = 50.0",
+		"cluster.workers.gang_peer_s": "gang_peer_s = 8.0",
+		"cluster.workers.cancel_s":    "cancel_s = 32.0",
+		"cluster.cloud.list_lag_s":    "list_lag_s = 8.0",
+	}
+	tuned := []string{"rebalance.every_s", "rebalance.cooldown_s", "rebalance.rest_s", "rebalance.quarantine_s",
+		"rebalance.long_running_s", "renting.idle_s", "serving.begin_within_s"}
+	for _, value := range []string{"inf", "-inf", "nan", "-1.0", "1e10", "1e300"} {
+		for field, line := range durations {
+			name, _, _ := strings.Cut(line, " ")
+			if _, err := Parse(strings.Replace(good, line, name+" = "+value, 1)); err == nil || !strings.Contains(err.Error(), field) {
+				t.Errorf("%s = %s: error %v does not name it", field, value, err)
+			}
+		}
+		for _, within := range []string{"within_s", "times"} {
+			text := good + "[[cluster.objectives]]\nkind = \"wait\"\nclass = \"c\"\n" + within + " = " + value + "\n"
+			if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), "cluster.objectives[0]."+within) {
+				t.Errorf("%s = %s: error %v does not name it", within, value, err)
+			}
+		}
+		for _, field := range tuned {
+			table, name, _ := strings.Cut(field, ".")
+			if _, err := ParseTuning("[" + table + "]\n" + name + " = " + value + "\n"); err == nil || !strings.Contains(err.Error(), field) {
+				t.Errorf("%s = %s: error %v does not name it", field, value, err)
+			}
+		}
+	}
+}
+
+// The largest transactions that can't be divided have three changes. A store that takes fewer in a
+// second, or in a transaction, refuses them for ever: jobs are accepted and never end.
+func TestLimitsOfTheStoreThatCanNotWorkAreRefused(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{"write_rps = 25.0", "write_rps = 1.0", "cluster.state.write_rps"},
+		{"write_rps = 25.0", "write_rps = 2.9", "cluster.state.write_rps"},
+		{"write_rps = 25.0", "write_rps = inf", "cluster.state.write_rps"},
+		{"rps = 70.0", "rps = inf", "cluster.state.rps"},
+		{"txn_ops = 12", "txn_ops = 1", "cluster.state.txn_ops"},
+		{"txn_ops = 12", "txn_ops = 2", "cluster.state.txn_ops"},
+	} {
+		if _, err := Parse(strings.Replace(good, c.from, c.to, 1)); err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: error %v does not name %s", c.to, err, c.field)
+		}
+	}
+	for _, to := range []string{"write_rps = 3.0", "txn_ops = 3"} {
+		name, _, _ := strings.Cut(to, " ")
+		from := map[string]string{"write_rps": "write_rps = 25.0", "txn_ops": "txn_ops = 12"}[name]
+		if _, err := Parse(strings.Replace(good, from, to, 1)); err != nil {
+			t.Errorf("%s: %v", to, err)
+		}
+	}
+}
+
 // The example file for operators in deploy/ is valid.
 func TestExampleTuningIsValid(t *testing.T) {
 	got, err := LoadTuning("../deploy/operations.toml")
