--- a/config/check.go
+++ b/config/check.go
@@ -64,6 +64,26 @@
 	return check{field: field}
 }
 
+// maxDuration is the longest duration that a file may ask for, in the unit of its field: three years in
+// seconds, so that a time.Duration holds multiples of it.
+const maxDuration = 1e8
+
+// duration checks that a number can be a duration above 0.
+func duration(field string, v float64) check {
+	if !(v > 0 && v <= maxDuration) {
+		return check{field, fmt.Errorf("must be above 0 and at most %g", maxDuration)}
+	}
+	return check{field: field}
+}
+
+// rate checks that a number is a rate per second of at least so much.
+func rate(field string, v, least float64) check {
+	if !(v >= least && !math.IsInf(v, 0)) {
+		return check{field, fmt.Errorf("must be at least %g", least)}
+	}
+	return check{field: field}
+}
+
 func atLeast(field string, v, least int) check {
 	if v < least {
 		return check{field, fmt.Errorf("must be at least %d", least)}
--- a/config/config.go
+++ b/config/config.go
@@ -75,6 +75,15 @@
 	ObjectiveCost      ObjectiveKind = "cost"      // another name for price in settings
 )
 
+// Known reports whether a kind is listed here.
+func (k ObjectiveKind) Known() bool {
+	switch k {
+	case ObjectiveWait, ObjectiveGuarantee, ObjectiveFinished, ObjectiveDeadline, ObjectivePrice, ObjectiveCost:
+		return true
+	}
+	return false
+}
+
 // Objective is one service-level objective of the deployment, for the jobs of a
 // class, or for all jobs where the class is empty.
 type Objective struct {
@@ -131,6 +140,8 @@
 
 // Limits below which a node can't work.
 const (
+	// minTxnOps is the size of the largest transactions that can't be divided; the store must take as
+	// many changes within a second.
 	minTxnOps  = 3
 	minSockets = 32
 )
@@ -149,7 +160,7 @@
 			required[i].problem = ErrMissing
 		}
 	}
-	checks := slices.Concat(required, checkTeams(s.Cluster.Teams), s.checkPeers())
+	checks := slices.Concat(required, checkTeams(s.Cluster.Teams), checkObjectives(s.Cluster.Objectives), s.checkPeers())
 	if errs := problems("settings", checks); len(errs) > 0 {
 		return nil, errors.Join(errs...)
 	}
@@ -172,18 +183,18 @@
 		notEmpty("services.state", s.Services.State),
 		atLeast("cluster.size", s.Cluster.Size, 1),
 		zones,
-		notNegative("cluster.skew_ms", s.Cluster.SkewMs),
-		positive("cluster.workers.report_s", workers.HeartbeatS),
-		positive("cluster.workers.lease_s", workers.LeaseS),
-		positive("cluster.workers.gang_wait_s", workers.GangWaitS),
-		positive("cluster.workers.gang_peer_s", workers.GangPeerS),
+		within("cluster.skew_ms", s.Cluster.SkewMs, 0, maxDuration),
+		duration("cluster.workers.report_s", workers.HeartbeatS),
+		duration("cluster.workers.lease_s", workers.LeaseS),
+		duration("cluster.workers.gang_wait_s", workers.GangWaitS),
+		duration("cluster.workers.gang_peer_s", workers.GangPeerS),
 		{"cluster.workers.cancel_s", workers.checkCancelTime()},
 		positive("cluster.state.rps", store.RPS),
-		positive("cluster.state.write_rps", store.WriteRPS),
+		rate("cluster.state.write_rps", store.WriteRPS, minTxnOps),
 		positive("cluster.state.value_kb", store.ValueKB),
 		atLeast("cluster.state.txn_ops", store.TxnOps, minTxnOps),
 		positive("cluster.cloud.rps", s.Cluster.Cloud.RPS),
-		notNegative("cluster.cloud.list_lag_s", s.Cluster.Cloud.ListLagS),
+		within("cluster.cloud.list_lag_s", s.Cluster.Cloud.ListLagS, 0, maxDuration),
 		positive("cluster.limits.cpu", s.Cluster.Limits.CPU),
 		positive("cluster.limits.mem_mb", s.Cluster.Limits.MemMB),
 		atLeast("cluster.limits.sockets", s.Cluster.Limits.Sockets, minSockets),
@@ -208,6 +219,21 @@
 	return checks
 }
 
+// checkObjectives checks the times of objectives of known kinds; the others have no effect.
+func checkObjectives(objectives []Objective) []check {
+	var checks []check
+	for i, o := range objectives {
+		if !o.Kind.Known() {
+			continue
+		}
+		field := fmt.Sprintf("cluster.objectives[%d]", i)
+		checks = append(checks,
+			within(field+".within_s", o.WithinS, 0, maxDuration),
+			within(field+".times", o.Times, 0, maxDuration))
+	}
+	return checks
+}
+
 func (s *Settings) checkPeers() []check {
 	var checks []check
 	for i, p := range s.Peers {
--- a/config/leases.go
+++ b/config/leases.go
@@ -57,6 +57,9 @@
 	if !(w.CancelS > w.LeaseS) {
 		return errors.New("must be above lease_s")
 	}
+	if w.CancelS > maxDuration {
+		return fmt.Errorf("must be at most %g", maxDuration)
+	}
 	if w.LeaderLeaseS() < minLeaderLeaseS {
 		return fmt.Errorf("must be %g s above lease_s at least: half of what lies between is the leader's lease, and it can't keep one of %g s",
 			2*minLeaderLeaseS, w.LeaderLeaseS())
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -149,7 +149,7 @@
 // check checks all but the rebalancer's fields.
 func (t *Tuning) check() []check {
 	checks := []check{
-		above0("renting.idle_s", t.ScaleOut.IdleS),
+		duration("renting.idle_s", t.ScaleOut.IdleS),
 		within("renting.headroom", t.ScaleOut.Headroom, 0, maxHeadroom),
 	}
 	if bound := t.Serving.StarvationBoundS; bound != 0 && !(bound >= minStarvationBound && bound <= maxStarvationBound) {
@@ -165,11 +165,11 @@
 
 func (r *Rebalance) check() []check {
 	checks := []check{
-		above0("rebalance.every_s", r.EveryS),
-		above0("rebalance.cooldown_s", r.CooldownS),
-		above0("rebalance.rest_s", r.TaskCooldownS),
-		above0("rebalance.quarantine_s", r.QuarantineS),
-		above0("rebalance.long_running_s", r.LongRunningS),
+		duration("rebalance.every_s", r.EveryS),
+		duration("rebalance.cooldown_s", r.CooldownS),
+		duration("rebalance.rest_s", r.TaskCooldownS),
+		duration("rebalance.quarantine_s", r.QuarantineS),
+		duration("rebalance.long_running_s", r.LongRunningS),
 		within("rebalance.budget", float64(r.Budget), 1, maxRebalanceBudget),
 	}
 	sum := 0.0
@@ -203,11 +203,3 @@
 	}
 	return checks
 }
-
-// above0 checks that a number is above 0. Infinity is accepted.
-func above0(field string, v float64) check {
-	if !(v > 0) {
-		return check{field, errors.New("must be above 0")}
-	}
-	return check{field: field}
-}
--- a/controller/node.go
+++ b/controller/node.go
@@ -164,10 +164,7 @@
 // effect. Settings may be newer than the program, which serves what it knows.
 func (n *Node) logUnknownObjectives() {
 	for _, o := range n.cfg.Cluster.Objectives {
-		switch o.Kind {
-		case config.ObjectiveWait, config.ObjectiveFinished, config.ObjectiveDeadline, config.ObjectiveGuarantee,
-			config.ObjectivePrice, config.ObjectiveCost:
-		default:
+		if !o.Kind.Known() {
 			n.log.Info("unknown kind of service-level objective ignored", "kind", o.Kind, "class", o.Class)
 		}
 	}
