--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -20,14 +21,12 @@
 	var unknown error // of a try that may yet be executed
 	for range maxCancelAttempts {
 		status, found, err := s.Lookup(ctx, id)
-		if err != nil && unknown != nil {
-			return "", found, unknown
+		if err != nil {
+			return "", found, cmp.Or(unknown, err)
 		}
-		if err != nil || !found {
-			return "", found, err
-		}
-		if status.Version == 0 {
-			return status.Record.State, true, nil
+		if !found || status.Version == 0 {
+			s.cancellationOver(id)
+			return status.Record.State, found, nil
 		}
 		record := status.Record
 		record.State = wire.JobCancelled
@@ -38,11 +37,12 @@
 			return record.State, true, nil
 		}
 		var conflict *kvstore.ConflictError
-		if !errors.As(err, &conflict) && !errors.Is(err, kvstore.ErrOutcomeUnknown) {
-			return "", true, err
-		}
-		if errors.Is(err, kvstore.ErrOutcomeUnknown) && !errors.Is(err, errJobMoved) {
+		switch {
+		case errors.As(err, &conflict), errors.Is(err, errJobMoved):
+		case errors.Is(err, kvstore.ErrOutcomeUnknown):
 			unknown = err
+		default:
+			return "", true, cmp.Or(unknown, err)
 		}
 	}
 	return "", true, errTooManyConflicts
--- a/kvstore/ratelimit_test.go
+++ b/kvstore/ratelimit_test.go
@@ -21,11 +21,12 @@
 		{2, ErrRateLimited, 2},
 		{2, ErrRefused, 2}, // an outage says nothing about the size
 		{2, &ConflictError{}, 2},
-		{1, nil, 2}, // smaller than it might have been: says nothing either
+		{1, nil, 2}, // half of what it might have been: says nothing either
 		{2, nil, 4},
 		{4, nil, 8},
 		{8, ErrOutcomeUnknown, 8},
-		{8, nil, 12},
+		{4, nil, 8},
+		{5, nil, 12}, // the rest of the limit was too little for what can't be divided
 		{12, nil, 12},
 		{5, ErrRateLimited, 2}, // half of what was refused, not of the limit
 	} {
--- a/kvstore/retry.go
+++ b/kvstore/retry.go
@@ -14,7 +14,8 @@
 // capacity as it comes back, and there is never enough at once for many changes.
 
 // BatchSize limits the changes of a writer's next transaction: to half as many after a refusal, and to
-// twice as many after a transaction of that size was committed. It is not safe for concurrent use.
+// twice as many once a transaction was committed that had use for more than half of the limit. What a
+// writer can't divide may leave a part of it unused. It is not safe for concurrent use.
 type BatchSize struct {
 	least, most int
 	current     int
@@ -35,7 +36,7 @@
 	switch {
 	case IsRateLimited(err):
 		b.current = max(b.least, min(b.current, changes)/2)
-	case err == nil && changes >= b.current:
+	case err == nil && 2*changes > b.current:
 		b.current = min(b.most, 2*b.current)
 	}
 }
