--- a/jobstore/planapply.go
+++ b/jobstore/planapply.go
@@ -238,12 +238,8 @@
 
 // requestPlans asks the leader to raise the schema.
 func requestPlans(ctx context.Context, kv Client) error {
-	_, err := kv.CompareAndSwap(ctx, []wire.Guard{{Key: PlanRequestedKey}}, []wire.Op{{Put: PlanRequestedKey, Value: true}})
-	var conflict *kvstore.ConflictError
-	if errors.As(err, &conflict) {
-		return nil // requested before
-	}
-	return err
+	requestedBefore := func() bool { return true } // what a conflict means
+	return commitOnce(ctx, kv, []wire.Guard{{Key: PlanRequestedKey}}, []wire.Op{{Put: PlanRequestedKey, Value: true}}, requestedBefore)
 }
 
 // deleteOrphanedTexts deletes the texts that no version refers to. A draft can only be committed as the
