--- a/controller/forwarding.go
+++ b/controller/forwarding.go
@@ -25,7 +25,7 @@
 	// the owner answers.
 	minForwardTime = forwardedWriteTimeout + 100*time.Millisecond
 	// unresponsivePeerBackoff is how long a peer owns no bucket after it last failed to
-	// answer.
+	// answer, or answered that the key-value store does not serve it.
 	unresponsivePeerBackoff = 3 * time.Second
 	// peerRequestTimeout is how long to wait for one peer. A paused process still accepts
 	// connections but never responds, and the other peers must be tried before the user's
@@ -52,7 +52,13 @@
 		return peerrpc.Answer{}, false
 	}
 	r.From = n.cfg.Node
-	return n.forwardWhileBusy(ctx, owner, r)
+	if a, ok := n.forwardWhileBusy(ctx, owner, r); ok || ctx.Err() != nil {
+		return a, ok
+	}
+	if next := n.bucketOwner(bucket); next != nil && next != owner {
+		return n.forwardWhileBusy(ctx, next, r)
+	}
+	return peerrpc.Answer{}, false
 }
 
 // forwardWhileBusy forwards a write to the owner of its bucket, again and again while the owner answers
@@ -68,7 +74,10 @@
 		case a.Status != http.StatusServiceUnavailable:
 			return a, true
 		case a.RetryAfter != busyRetryAfterS:
-			return peerrpc.Answer{}, false // the owner's store connection fails, ours may not
+			// The owner's store connection fails, ours may not. Until it works again, all other nodes
+			// agree on the next owner, instead of each writing to the bucket itself.
+			n.noteUnservedPeer(owner.Name)
+			return peerrpc.Answer{}, false
 		case !kvstore.PauseBeforeRetry(ctx) || !hasTimeLeft(ctx, minForwardTime):
 			return a, true
 		}
@@ -102,13 +111,28 @@
 		if name == n.cfg.Node {
 			return nil
 		}
-		if p := n.peerNamed(name); p != nil && time.Since(p.FailedAt()) > unresponsivePeerBackoff {
+		if p := n.peerNamed(name); p != nil && time.Since(p.FailedAt()) > unresponsivePeerBackoff && !n.isUnservedPeer(name) {
 			return p
 		}
 	}
 	return nil
 }
 
+// noteUnservedPeer records that the key-value store does not serve a peer at present.
+func (n *Node) noteUnservedPeer(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unservedPeers[name] = time.Now()
+}
+
+// isUnservedPeer reports whether a peer has recently said that the key-value store does not serve it.
+func (n *Node) isUnservedPeer(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := n.unservedPeers[name]
+	return ok && time.Since(at) <= unresponsivePeerBackoff
+}
+
 // serveForwardedWrite serves a write that a peer has forwarded because this node owns
 // its bucket. The response distinguishes an overloaded owner from one that can't reach
 // the store: only in the latter case does the peer serve the write itself.
--- a/controller/node.go
+++ b/controller/node.go
@@ -109,9 +109,10 @@
 	relayCandidates map[string]relayCandidate // nodes that have asked this one for its status
 	forwarding      forwardingCounts
 	lastSeenLeader  string
-	lastPeerContact time.Time     // when another node last answered
-	everConnected   bool          // the key-value store or another node has answered once
-	leaderChanged   chan struct{} // closed and replaced whenever the leader may have changed
+	lastPeerContact time.Time            // when another node last answered
+	everConnected   bool                 // the key-value store or another node has answered once
+	unservedPeers   map[string]time.Time // when a peer last said that the key-value store does not serve it
+	leaderChanged   chan struct{}        // closed and replaced whenever the leader may have changed
 	repairs         repairMemory
 }
 
@@ -145,6 +146,7 @@
 		lastAnswered:     admission.NewReplyTimes(maxTrackedWorkers),
 		moveLimiter:      newMoveLimiter(),
 		redirects:        map[string]redirectRecord{},
+		unservedPeers:    map[string]time.Time{},
 		relayCandidates:  map[string]relayCandidate{},
 		leaderChanged:    make(chan struct{}),
 	}
--- a/controller/write_limit_test.go
+++ b/controller/write_limit_test.go
@@ -62,40 +62,44 @@
 		if load.change != nil {
 			load.change(&j)
 		}
-		cancels, after := rnd.IntN(load.cancelOneIn) == 0, time.Duration(rnd.Int64N(int64(load.cancelledAfter)))
-		wg.Go(func() { r.submitAndCancel(w, j, cancels, after) })
+		cancelled, after := rnd.IntN(load.cancelOneIn) == 0, time.Duration(rnd.Int64N(int64(load.cancelledAfter)))
+		wg.Go(func() {
+			switch {
+			case !w.Submit(j):
+				r.countRejected()
+			case cancelled:
+				time.Sleep(after)
+				r.cancel(w, j.ID)
+			}
+		})
 		time.Sleep(time.Duration(rnd.Int64N(int64(2 * load.interval))))
 	}
 	wg.Wait()
 	return r
 }
 
-// submitAndCancel submits a job and, if it is accepted and to be cancelled, cancels it.
-func (r *writeLoadResult) submitAndCancel(w *fake.Cluster, j wire.Job, cancels bool, after time.Duration) {
-	accepted := w.Submit(j)
-	if accepted && cancels {
-		time.Sleep(after)
-	}
-	page := pageOf(w, j.ID)
+// countRejected counts a job that was not accepted.
+func (r *writeLoadResult) countRejected() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notAccepted++
+}
+
+// cancel cancels a job, and records how long that took.
+func (r *writeLoadResult) cancel(w *fake.Cluster, id string) {
+	page := pageOf(w, id)
 	at := time.Now()
-	got := ""
-	if accepted && cancels {
-		got = w.Cancel(j.ID)
-	}
+	got := w.Cancel(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case !accepted:
-		r.notAccepted++
-	case cancels:
-		r.slowestCancellation = max(r.slowestCancellation, time.Since(at))
+	r.slowestCancellation = max(r.slowestCancellation, time.Since(at))
+	if got != wire.JobCancelled {
+		return
 	}
-	if got == wire.JobCancelled {
-		r.cancelled = append(r.cancelled, j.ID)
-		if page != "" {
-			r.onPages++
-			r.pages[page] = true
-		}
+	r.cancelled = append(r.cancelled, id)
+	if page != "" {
+		r.onPages++
+		r.pages[page] = true
 	}
 }
 
@@ -214,7 +218,10 @@
 	})
 }
 
-// The store refuses one controller alone, for half of the time.
+// The store refuses one controller alone, for half of the time. In 3 of 80 plays a cancellation took 10.7 s
+// to 13.5 s: `queued write ended` with result=conflict several times for one id, at different nodes.
+// While the refused node owned a bucket, every other node was told so by it, and then wrote to the
+// bucket itself, so that their transactions conflicted.
 func TestStoreRefusesOneNodeAtTheWriteLimit(t *testing.T) {
 	runInteraction(t, 2, atWriteLimit, func(t *testing.T, w *fake.Cluster, rnd *rand.Rand) int {
 		refused := w.Nodes()[rnd.IntN(3)]
