--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -141,8 +141,9 @@
 }
 
 // takeCancellations takes cancellations that fit into a transaction off a queue, at most a number of
-// them: those of the same page as the first, or only the first if it has a transaction of its own. A repeated one stays for a later transaction, by which time
-// the job has left the page. The caller holds s.mu.
+// them: those of the same page as the first, or only the first if it has a transaction of its own. A
+// repeated one stays for a later transaction, by which time the job has left the page. The caller holds
+// s.mu.
 func (s *Store) takeCancellations(q *bucketQueue, most int) (taken []*cancellation) {
 	const opOverhead = 64 // size of a put without its value
 	first := q.cancellations[0]
