--- a/controller/health.go
+++ b/controller/health.go
@@ -10,6 +10,7 @@
 	"github.com/umberdeal/umberdeal/election"
 	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/kvstore"
+	"github.com/umberdeal/umberdeal/peerrpc"
 )
 
 // kvReachable reports whether the key-value store serves this node: its last response was
@@ -25,6 +26,11 @@
 	kvProbeRateShare = 0.05
 	// kvRetryInterval is the probe interval while the store does not answer.
 	kvRetryInterval = time.Second
+	// failedPeerProbeInterval is the probe interval of a node that has not answered, and
+	// failedPeerProbeTimeout how long to wait for it. Together they are how long the other nodes write
+	// to its buckets after it answers again, beside the node itself.
+	failedPeerProbeInterval = 300 * time.Millisecond
+	failedPeerProbeTimeout  = 500 * time.Millisecond
 )
 
 // monitorKV probes the key-value store, and the other nodes while the store fails. It logs
@@ -85,6 +91,29 @@
 	wg.Wait()
 }
 
+// monitorFailedPeers asks each node that did not answer the last call again and again, until ctx ends or
+// the node answers, so that users' writes need not find out.
+func (n *Node) monitorFailedPeers(ctx context.Context) {
+	for call.Pause(ctx, failedPeerProbeInterval) {
+		var probes sync.WaitGroup
+		for _, p := range n.peers {
+			if !p.FailedAt().IsZero() {
+				probes.Go(func() { n.probeFailedPeer(ctx, p) })
+			}
+		}
+		probes.Wait()
+	}
+}
+
+// probeFailedPeer asks a node once. The peer itself records whether it answered.
+func (n *Node) probeFailedPeer(ctx context.Context, p *peerrpc.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, failedPeerProbeTimeout)
+	defer cancel()
+	if _, err := p.Status(ctx, n.statusRequest()); err == nil {
+		n.log.Debug("peer answers again", "peer", p.Name)
+	}
+}
+
 // ready says whether this node can take requests: the key-value store serves it,
 // or another node can be asked. During an outage of the store all nodes stay ready: taking
 // them out of service would not help users, and would prolong the outage for them.
--- a/controller/server.go
+++ b/controller/server.go
@@ -123,6 +123,7 @@
 	all.run(ctx, n.monitorKV)
 	all.run(ctx, n.monitorStalls)
 	all.run(ctx, n.monitorLeader)
+	all.run(ctx, n.monitorFailedPeers)
 	all.run(ctx, n.publishRoutingPlan)
 	all.run(ctx, n.refreshMachineTypes)
 	all.run(ctx, n.watchOperatorPlan)
