--- a/cluster/rebalancing.go
+++ b/cluster/rebalancing.go
@@ -156,21 +156,21 @@
 	return groups
 }
 
-// wantedIn returns what the requests that the machines of a group can serve need.
-func wantedIn(group []*Machine, wanted []placement.Request) []placement.Resources {
-	var needs []placement.Resources
+// wantedIn returns the requests that the machines of a group can serve, as tasks that wait for room.
+func wantedIn(group []*Machine, wanted []placement.Request) []rebalance.Waiting {
+	var waiting []rebalance.Waiting
 	for i := range wanted {
 		r := &wanted[i]
 		if r.Types[group[0].typeIndex] && (r.Zone < 0 || r.Zone == group[0].Zone) {
-			needs = append(needs, r.Need)
+			waiting = append(waiting, rebalance.Waiting{Need: r.Need, Spot: r.Spot})
 		}
 	}
-	return needs
+	return waiting
 }
 
 // planCycle plans the cycle after the last one of a group of machines. The cycle has no
 // moves if moving tasks makes no room for what is wanted.
-func (m *Model) planCycle(machines []*Machine, wanted []placement.Resources, last jobstore.RebalanceCycle, now time.Time) jobstore.RebalanceCycle {
+func (m *Model) planCycle(machines []*Machine, wanted []rebalance.Waiting, last jobstore.RebalanceCycle, now time.Time) jobstore.RebalanceCycle {
 	if len(wanted) == 0 {
 		return jobstore.RebalanceCycle{}
 	}
--- a/rebalance/rebalance.go
+++ b/rebalance/rebalance.go
@@ -40,9 +40,18 @@
 	Policies []config.Policy
 	Hosts    []Host
 	MaxMoves int
-	Unplaced []placement.Resources // needs of waiting tasks that fit nowhere
+	Unplaced []Waiting // tasks that fit nowhere
 }
 
+// Waiting is a task that waits for room.
+type Waiting struct {
+	Need placement.Resources
+	Spot bool // may run on spot instances
+}
+
+// mayUse reports whether the task would have room on the host if that were empty.
+func (w Waiting) mayUse(h *Host) bool { return w.Need.Fits(h.Capacity) }
+
 // Move moves a task from one host to another; From and To are indices in Group.Hosts.
 type Move struct {
 	Task     placement.Task
@@ -139,7 +148,7 @@
 	used      []placement.Resources // by host, after the moves so far
 	drained   []bool                // hosts that tasks are moved from
 	receiving []bool                // hosts that tasks are moved to
-	unplaced  []placement.Resources // needs for which no host is drained yet
+	unplaced  []Waiting             // for which no host is drained yet
 	moves     []Move
 }
 
@@ -154,7 +163,7 @@
 	return p
 }
 
-// tryDrain drains a host if that makes room for a need that is still unplaced, takes no more
+// tryDrain drains a host if that makes room for a task that is still unplaced, takes no more
 // moves than are left, and there is a host for each of its tasks. A host to which tasks are
 // moved is not drained.
 func (p *planner) tryDrain(host int) {
@@ -162,7 +171,7 @@
 	if len(h.Tasks) == 0 || p.receiving[host] || len(h.Tasks) > p.group.MaxMoves-len(p.moves) {
 		return
 	}
-	fitting := slices.IndexFunc(p.unplaced, func(need placement.Resources) bool { return need.Fits(h.Capacity) })
+	fitting := slices.IndexFunc(p.unplaced, func(w Waiting) bool { return w.mayUse(h) })
 	if fitting < 0 {
 		return
 	}
--- a/rebalance/rebalance_test.go
+++ b/rebalance/rebalance_test.go
@@ -26,7 +26,7 @@
 	return Group{
 		Policies: []config.Policy{{Resource: "cpus", Weight: 0.4, Threshold: 0.2, CapacityThreshold: 1}, {Resource: "gpus", Weight: 0.4, Threshold: 0.2, CapacityThreshold: 1},
 			{Resource: "memory", Weight: 0.2, Threshold: 0.2, CapacityThreshold: 1}},
-		Hosts: hosts, MaxMoves: 2, Unplaced: []placement.Resources{{CPU: 15, Mem: 26}},
+		Hosts: hosts, MaxMoves: 2, Unplaced: []Waiting{{Need: placement.Resources{CPU: 15, Mem: 26}}},
 	}
 }
 
@@ -72,3 +72,19 @@
 		t.Errorf("filled a host above its capacity threshold: %v", moves)
 	}
 }
+
+// Room on a spot machine does not help a task that may not run there: tasks were stopped and restarted for
+// it, and it waited on.
+func TestSpotHostIsNotDrainedForATaskThatMayNotUseIt(t *testing.T) {
+	spotHost := host(2, Task{Need: placement.Resources{CPU: 2, Mem: 8}, Movable: true, Spot: true})
+	spotHost.Spot = true
+	g := group(host(0, small(true)), host(1, small(true), small(true)), spotHost)
+	g.Hosts[0].Tasks[0].Movable = false
+	if moves := Plan(g); len(moves) > 0 {
+		t.Errorf("moves %v for a task that needs an on-demand machine", moves)
+	}
+	g.Unplaced = append(g.Unplaced, Waiting{Need: g.Unplaced[0].Need, Spot: true})
+	if moves := Plan(g); len(moves) != 1 || moves[0].From != 2 {
+		t.Errorf("moves %v: the spot machine should be drained for the task that may use it", moves)
+	}
+}
