--- a/yarn/application_store.go
+++ b/yarn/application_store.go
@@ -91,8 +91,9 @@
 	return nil
 }
 
-// finalize cancels the jobs of an application whose EndState is set, and moves its record to
-// finalPrefix. Any controller may call it, and repeat it.
+// finalize cancels the jobs of an application whose EndState is set, deletes their launch contexts, and
+// moves its record to finalPrefix. The record moves last, since whatever is left to be done is looked for
+// by it. Any controller may call finalize, and repeat it.
 func (f *Frontend) finalize(ctx context.Context, id *pb.ApplicationIdProto) error {
 	s, err := f.readApplication(ctx, id)
 	if err != nil || s.final || s.app.EndState == "" {
@@ -102,8 +103,12 @@
 		return err
 	}
 	// No job is missed: a job is reserved only if the record's version has not changed since
-	// it was read, so all were reserved before EndState was set, and were read here.
+	// it was read, so all were reserved before EndState was set, and were read here. Nor is a launch
+	// context: each is written on condition that its job is unfinished.
 	app := s.app
+	if err := f.deleteContexts(ctx, app); err != nil {
+		return err
+	}
 	app.State = app.EndState
 	_, err = f.store.CompareAndSwap(ctx, []nwire.Guard{{Key: s.record.Key, Version: s.record.Version}},
 		[]nwire.Op{{Delete: s.record.Key}, {Put: finalPrefix + app.name(), Value: *app}})
@@ -114,7 +119,7 @@
 	delete(f.sessions, app.name())
 	f.mu.Unlock()
 	f.log.Info("yarn: application over", "app", app.name(), "state", app.State, "why", app.Diagnostics)
-	return f.deleteContexts(ctx, app)
+	return nil
 }
 
 func (f *Frontend) cancelJobs(ctx context.Context, jobs []jobstore.ReservedJob) error {
@@ -126,7 +131,7 @@
 	return nil
 }
 
-// deleteContexts deletes the launch contexts of an application that has ended.
+// deleteContexts deletes the launch contexts of an application whose jobs are all over.
 func (f *Frontend) deleteContexts(ctx context.Context, a *application) error {
 	entries, _, err := f.store.List(ctx, contextPrefix+a.name()+"/")
 	if err != nil {
--- a/yarn/leader.go
+++ b/yarn/leader.go
@@ -160,13 +160,14 @@
 	return nil
 }
 
-// lateTasks returns the placed tasks of a job that were not started in time. It adds all placed
-// tasks that wait to be started to idleSince.
+// lateTasks returns the placed tasks of a job that were not started in time and are not released yet. It
+// adds all placed tasks that wait to be started to idleSince.
 func (f *Frontend) lateTasks(j *jobstore.ReservedJob, o *observation, idleSince map[string]time.Time, now time.Time) []int {
 	launched := j.Record.Reservation.LaunchRanges.BitSet(j.Record.Job.Tasks)
+	released := j.Record.Reservation.ReleaseRanges.BitSet(j.Record.Job.Tasks)
 	var late []int
 	for task := range j.Placements {
-		if launched.Test(uint(task)) {
+		if launched.Test(uint(task)) || released.Test(uint(task)) {
 			continue
 		}
 		name := nwire.TaskName(j.ID, task)
--- a/yarn/managed_master.go
+++ b/yarn/managed_master.go
@@ -36,8 +36,8 @@
 	return f.beginNextAttempt(ctx, a, diagnostics)
 }
 
-// beginNextAttempt begins an application's next attempt and cancels the jobs of the previous one,
-// whose tokens are refused from then on.
+// beginNextAttempt begins an application's next attempt. The tokens of the previous one are refused from
+// then on.
 func (f *Frontend) beginNextAttempt(ctx context.Context, previous *application, diagnostics string) error {
 	s, err := f.readApplication(ctx, previous.protoID())
 	if err != nil || s.ended() || s.app.Attempt != previous.Attempt {
@@ -48,20 +48,21 @@
 	if err := f.writeApplication(ctx, s); err != nil {
 		return err
 	}
-	if err := f.cancelJobs(ctx, s.jobs); err != nil {
-		return err
-	}
 	return f.launchMaster(ctx, s.app.protoID())
 }
 
 // launchMaster reserves the job of a managed application's master, which is launched as soon
-// as it is placed.
+// as it is placed. Before that it cancels the jobs of the previous attempt: as long as there is no
+// master, all jobs are of that, also if the controller that began this attempt has ended since.
 func (f *Frontend) launchMaster(ctx context.Context, id *pb.ApplicationIdProto) error {
 	return retry(ctx, func() error {
 		s, err := f.readApplication(ctx, id)
 		if err != nil || s.ended() || s.app.MasterJob != "" {
 			return err
 		}
+		if err := f.cancelJobs(ctx, s.jobs); err != nil {
+			return err
+		}
 		s.app.MasterJob = jobID(s.app.ID, s.app.NextJobSeq)
 		request := s.app.MasterRequest
 		request.ResourceName = masterResourceName
