--- a/cluster/job.go
+++ b/cluster/job.go
@@ -159,10 +159,12 @@
 	j.cursor = min(j.cursor, int(task))
 }
 
-// changeZone counts a placed task for the zone of its machine, which has become known (from
-// is -1) or has changed.
+// changeZone counts a placed task for the zone of its machine, which has changed; -1 is a zone that
+// is not known.
 func (j *Job) changeZone(from, to int) {
-	j.placedByZone[to]++
+	if to >= 0 {
+		j.placedByZone[to]++
+	}
 	if from >= 0 {
 		j.placedByZone[from]--
 	}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -61,14 +61,13 @@
 	mc.TypeName, mc.typeIndex, mc.Spot = typ, m.machineTypeIndex(typ), spot
 	z, ok := m.names.zones[zone]
 	if !ok {
-		mc.Zone = -1
-		return
+		z = -1
 	}
 	if mc.Zone == z {
 		return
 	}
 	// Tasks recorded here by an earlier leader count for their zone as soon as
-	// the machine's zone is known.
+	// the machine's zone is known, and for none while it is not.
 	old := mc.Zone
 	mc.Zone = z
 	for ref := range mc.Tasks {
