--- a/placement/failed_search.go
+++ b/placement/failed_search.go
@@ -37,13 +37,17 @@
 }
 
 // findsAllMachinesOf reports whether a search for one task of the request succeeds on each machine on
-// which one for the other request does. Zones are compared by the caller. Images are not
-// compared, although BorrowAccess depends on them.
+// which one for the other request does. Zones are compared by the caller. Images matter where a pool
+// lends its machines: only that depends on them.
 func (r *Request) findsAllMachinesOf(other *Request) bool {
 	if other.Spot && !r.Spot || !r.Need.Fits(other.Need) {
 		return false
 	}
-	return slices.Equal(r.Types, other.Types) && slices.Equal(r.PoolAccess, other.PoolAccess)
+	if !slices.Equal(r.Types, other.Types) || !slices.Equal(r.PoolAccess, other.PoolAccess) {
+		return false
+	}
+	sameImage := r.Image == other.Image && r.ImageGB <= other.ImageGB
+	return sameImage || !slices.Contains(r.PoolAccess, BorrowAccess)
 }
 
 // mayPreemptAllThat reports whether each task that may be preempted for the other request may be
