--- a/rebalance/rebalance.go
+++ b/rebalance/rebalance.go
@@ -50,7 +50,7 @@
 }
 
 // mayUse reports whether the task would have room on the host if that were empty.
-func (w Waiting) mayUse(h *Host) bool { return w.Need.Fits(h.Capacity) }
+func (w Waiting) mayUse(h *Host) bool { return w.Need.Fits(h.Capacity) && (w.Spot || !h.Spot) }
 
 // Move moves a task from one host to another; From and To are indices in Group.Hosts.
 type Move struct {
