--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/config"
-	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/plan"
@@ -32,10 +31,6 @@
 	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
 }
 
-// operatorRateShare is the share of the key-value store's request rate that these commands
-// use: the rest is the controllers'. The rate of changes is not divided.
-const operatorRateShare = 0.1
-
 // commandTimeout bounds how long one of these commands runs.
 const commandTimeout = time.Minute
 
@@ -45,8 +40,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	limits := s.Cluster.State
-	return s, kvstore.New(call.Dialer(), s.Services.State, limits.RPS*operatorRateShare, limits.WriteRPS), nil
+	return s, operatorClient(s), nil
 }
 
 // commandContext ends when the command is interrupted, or has taken too long.
--- a/cmd/umberdeal/why.go
+++ b/cmd/umberdeal/why.go
@@ -12,8 +12,6 @@
 	"github.com/umberdeal/umberdeal/cluster"
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/controller"
-	"github.com/umberdeal/umberdeal/internal/call"
-	"github.com/umberdeal/umberdeal/kvstore"
 )
 
 type whyCmd struct {
@@ -28,8 +26,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	store := kvstore.New(call.Dialer(), s.Services.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS)
-	why, over, err := controller.WhyWaiting(ctx, s, store, c.ID, time.Now())
+	why, over, err := controller.WhyWaiting(ctx, s, operatorClient(s), c.ID, time.Now())
 	switch {
 	case err != nil:
 		return err
--- a/kvstore/transaction.go
+++ b/kvstore/transaction.go
@@ -31,8 +31,8 @@
 type Transaction struct {
 	Key          string // the first key that it changes
 	Changes      int
-	LimiterWait  time.Duration // how long this client's rate limits delayed it
-	ResponseTime time.Duration // from its sending to the store's response; 0 if it was not sent
+	LimiterWait  time.Duration // how long the limit on changes delayed it
+	ResponseTime time.Duration // from then to the store's response, the limit on requests included; 0 if it was not sent
 	Result       Result
 	WriteRate    float64 // changes per second that this client may make afterwards
 }
