--- a/internal/cmd/yarntrial/main.go
+++ b/internal/cmd/yarntrial/main.go
@@ -101,16 +101,13 @@
 	types.CPUs, types.MemoryGB = 64, 256
 	t.w = fake.New(fake.Options{Nodes: nodes, Machines: c.Machines, Capacity: c.Machines, ExternalNodes: true, Sockets: 2600, HeartbeatIntervalS: 4, LeaseS: 22,
 		Types: []wire.MachineType{types}})
-	state, cloud := t.addr(9, 0), t.addr(9, 1)
 	for i := range nodes {
+		// Addresses of its own, since the checks know a node by the connection that its requests come from.
+		state, cloud := t.addr(i, 5), t.addr(i, 6)
 		if err := t.settings(i, state, cloud); err != nil {
 			return err
 		}
-		s, cl := "", ""
-		if i == 0 {
-			s, cl = state, cloud
-		}
-		if err := t.w.AttachProcess(ctx, fmt.Sprintf("n-%d", i), t.addr(i, 0), s, cl); err != nil {
+		if err := t.w.AttachProcess(ctx, fmt.Sprintf("n-%d", i), t.addr(i, 0), state, cloud); err != nil {
 			return err
 		}
 		t.cfg.Addrs = append(t.cfg.Addrs, t.addr(i, 2))
@@ -313,6 +310,9 @@
 	t.ids.Range(func(_, _ any) bool { apps++; return true })
 	fmt.Printf("kills %d, masters gone without a word %d, applications %d, containers started %d, run more than once %d, still on machines %d, records left %d, rules broken %d, masters failed %d, heartbeats %v\n",
 		t.Kills, t.gone.Load(), apps, t.w.Started(), t.w.RanMoreThanOnce(), t.w.Running(), left, len(t.w.Violations()), failed, &t.beats)
+	for _, violation := range t.w.Violations() {
+		fmt.Println("rule broken:", violation)
+	}
 	if t.w.RanMoreThanOnce()+t.w.Running()+left+len(t.w.Violations())+failed > 0 {
 		return errors.New("something is left, ran twice or failed")
 	}
