--- a/cmd/umberdeal/why.go
+++ b/cmd/umberdeal/why.go
@@ -10,23 +10,23 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/cluster"
-	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/controller"
 )
 
 type whyCmd struct {
-	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
-	ID     string `arg:"" help:"The job's id."`
+	stateFlags
+
+	ID string `arg:"" help:"The job's id."`
 }
 
 func (c *whyCmd) Run() error {
-	s, err := config.Load(c.Config)
+	s, store, err := c.open()
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	why, over, err := controller.WhyWaiting(ctx, s, operatorClient(s), c.ID, time.Now())
+	why, over, err := controller.WhyWaiting(ctx, s, store, c.ID, time.Now())
 	switch {
 	case err != nil:
 		return err
--- a/jobstore/fakestore_test.go
+++ b/jobstore/fakestore_test.go
@@ -31,9 +31,8 @@
 	afterChange func() // called after each change
 	wg          sync.WaitGroup
 
-	capacityAt    time.Time // when the write limiter grants changes again
-	waitingWrites []int     // as reported to the write limiter
-	conflicts     int       // transactions whose guards failed
+	capacityAt time.Time // when the write limiter grants changes again
+	conflicts  int       // transactions whose guards failed
 
 	refuse       func(ops []wire.Op) error // if not nil, returns the error of transactions that are not executed
 	beforeAnswer func(ops []wire.Op)       // called before a transaction's response is returned
@@ -148,11 +147,7 @@
 	return nil
 }
 
-func (s *fakeStore) SetWaitingWrites(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waitingWrites = append(s.waitingWrites, n)
-}
+func (s *fakeStore) SetWaitingWrites(int) {}
 
 // awaitCapacity waits as long as the write limiter grants nothing.
 func (s *fakeStore) awaitCapacity() {
