--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -40,6 +40,8 @@
 	cancel context.CancelFunc
 	run    []string // program and arguments of the run command
 	nodes  []*node
+	jobs   sync.Map // wire.Job by id: what users have uploaded for the workers of StartWorker
+	gangs  gangs
 
 	mu sync.Mutex // guards record and the nodes' processes
 }
--- a/review/testdata/lab/steps.go
+++ b/review/testdata/lab/steps.go
@@ -23,6 +23,7 @@
 // workers. It reports whether the job was accepted within ten attempts.
 func (l *Lab) Accept(j wire.Job) bool {
 	l.Cluster.RegisterJob(j) // the user uploads its description
+	l.jobs.Store(j.ID, j)
 	for try := range 10 {
 		r := Submit(l.Addr(try%len(l.nodes)), j)
 		l.Log("submit %s (%s, %d tasks, %g CPUs, %g GPUs, %d types): %d %s", j.ID, j.Class, j.Tasks, j.CPUs, j.GPUs, len(j.Types), r.Status, r.Job.State)
