Review: case 2, a job within its guarantee and a more urgent one beyond take turns for ever and neither runs; the gang is case 3, the GPUs leave the cases

The queue serves work within a guarantee first, whatever its priority, while preemption lets any higher priority stop it.

--- a/review/testdata/case2/main.go
+++ b/review/testdata/case2/main.go
@@ -1,5 +1,5 @@
-// Command case2 starts a gang on a machine that has its image and on one that has to fetch it, while
-// other tasks with other images come.
+// Command case2 submits a job that is within its team's guarantee, and a more urgent one of a team
+// without a guarantee, while there is room for one of them.
 package main
 
 import (
@@ -16,33 +16,33 @@
 const (
 	controllers = 3
 	startBound  = 90 * time.Second // LATER.md of the hunt: no job is left waiting for longer
+	runTime     = 20 * time.Second // of each job
 	zone        = "a"
-	// Of the site.
-	gangWaitS   = 30.0
-	gangImageGB = 20.0 // the class's largest
-	indexGB     = 4.0  // 95% of the class's images are not larger
-	indexImages = 18   // of the class
-	indexEvery  = 5500 * time.Millisecond
-	nominalGBPS = 1.0
-	fetchGBPS   = 0.8 // the rate is given "give or take a third"
 )
 
-var (
-	vlieger = wire.MachineType{Name: "vlieger", CPUs: 12, GPUs: 2, MemoryGB: 96, CacheGB: 100, FetchGBPS: nominalGBPS, Price: 4.47, SpotPrice: 1.96, BootS: 45, Zones: fake.Zones}
-	zwaluw  = wire.MachineType{Name: "zwaluw", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 120, FetchGBPS: nominalGBPS, Price: 10.2, SpotPrice: 4.58, BootS: 60, Zones: fake.Zones}
-)
+// poste is one of the site's machine types. The cloud has no further machines.
+var poste = wire.MachineType{Name: "poste", CPUs: 4, MemoryGB: 32, CacheGB: 50, FetchGBPS: 1, Price: 0.32, SpotPrice: 0.13, BootS: 40, Zones: fake.Zones}
+
+// teams are two of the site's.
+var teams = []config.Team{{Name: "atelier-ecoles", CPUs: 72, CPUsMax: 224}, {Name: "enis-materiaux"}}
 
-var gang = wire.Job{ID: "wk-000001", Class: "ortho-stitch", Team: "luchtploeg", Kind: wire.KindGang, Priority: wire.PriorityNormal,
-	Tasks: 2, CPUs: 10, GPUs: 2, MemoryGB: 77, Image: "ortho-07", ImageGB: gangImageGB, OneZone: true, EstimateS: 150, CheckpointS: 15, SaveS: 3}
+// objectives are those of the site that are in the settings.
+var objectives = []config.Objective{
+	{Kind: config.ObjectiveWait, Class: "hall-plan", WithinS: 15, Share: 0.85},
+	{Kind: config.ObjectiveFinished, Class: "hall-plan", WithinS: 250, Share: 0.85},
+	{Kind: config.ObjectiveFinished, Class: "layer-preview", WithinS: 250, Share: 0.88},
+	{Kind: config.ObjectiveFinished, Class: "layer-preview", WithinS: 350, Share: 0.88},
+	{Kind: config.ObjectiveGuarantee, WithinS: 20, Share: 0.88},
+}
 
 func main() {
 	if len(os.Args) != 2 {
 		fmt.Println("usage: case2 RECORD")
 		os.Exit(lab.NotRun)
 	}
-	l, err := lab.Open(os.Args[1], fake.Options{Nodes: controllers, Machines: 0, Capacity: -1, Types: []wire.MachineType{vlieger, zwaluw},
-		StateRPS: 120, StateWPS: 30, HeartbeatIntervalS: 3, LeaseS: 19, Teams: []config.Team{{Name: gang.Team, GPUs: 20, GPUsMax: 60}}},
-		func(s *config.Settings) { s.Cluster.Workers.GangWaitS = gangWaitS })
+	l, err := lab.Open(os.Args[1], fake.Options{Nodes: controllers, Machines: 0, Capacity: -1, Types: []wire.MachineType{poste},
+		StateRPS: 70, StateWPS: 25, HeartbeatIntervalS: 1.5, LeaseS: 12, Teams: teams},
+		func(s *config.Settings) { s.Cluster.Objectives = objectives })
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(lab.NotRun)
@@ -51,14 +51,14 @@
 }
 
 func play(l *lab.Lab) int {
-	outcome := func(string, uint64) (time.Duration, string) { return 35 * time.Second, wire.ExitDone }
-	machines := []lab.Machine{
-		{Name: "host-000231", Type: vlieger.Name, Zone: zone, FetchGBPS: fetchGBPS, Images: []string{gang.Image}},
-		{Name: "host-000232", Type: zwaluw.Name, Zone: zone, FetchGBPS: fetchGBPS},
+	outcome := func(string, uint64) (time.Duration, string) { return runTime, wire.ExitDone }
+	names := []string{"host-000231"}
+	if !lab.Trouble() {
+		names = append(names, "host-000232") // room for both jobs
 	}
 	var workers []*lab.Worker
-	for _, m := range machines {
-		w, err := l.StartWorker(m, outcome)
+	for _, name := range names {
+		w, err := l.StartWorker(lab.Machine{Name: name, Type: poste.Name, Zone: zone, FetchGBPS: poste.FetchGBPS, Images: []string{"img-01"}}, outcome)
 		if err != nil {
 			l.Log("no worker: %v", err)
 			return lab.NotRun
@@ -69,44 +69,49 @@
 		l.Log("not started: %v", err)
 		return lab.NotRun
 	}
-	time.Sleep(4 * time.Second) // both machines have reported
-	if !l.Accept(gang) {
+	time.Sleep(4 * time.Second) // the machines have reported
+	guaranteed := wire.Job{ID: "wk-000001", Class: "controle-piece", Team: "atelier-ecoles", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: 1, CPUs: 4, MemoryGB: 8, Image: "img-01", ImageGB: 1, EstimateS: runTime.Seconds()}
+	urgent := guaranteed
+	urgent.ID, urgent.Team, urgent.Class, urgent.Priority = "wk-000002", "enis-materiaux", "cotes-unitaires", wire.PriorityHigh
+	if !l.Accept(guaranteed) {
+		return lab.NotRun
+	}
+	if !lab.Await(20*time.Second, func() bool { return state(l, guaranteed.ID) == wire.JobRunning }) {
+		l.Log("%s does not run", guaranteed.ID)
 		return lab.NotRun
 	}
-	accepted := time.Now()
-	next, sent := accepted, 0
-	lastLog := time.Time{}
+	if !l.Accept(urgent) {
+		return lab.NotRun
+	}
+	accepted, lastLog := time.Now(), time.Time{}
+	samples, empty := 0, 0 // of the machines, and those in which one was empty
 	for time.Since(accepted) < startBound {
-		if l.GangRan(gang.ID) {
-			l.Log("the gang runs, %.1f s after its acceptance", time.Since(accepted).Seconds())
+		if s := state(l, urgent.ID); s == wire.JobRunning || s == wire.JobDone {
+			l.Log("%s has started, %.1f s after its acceptance; %s: %s", urgent.ID, time.Since(accepted).Seconds(), guaranteed.ID, l.States(guaranteed.ID))
 			return lab.Held
 		}
-		// Others leave the gang's place on each machine free.
-		vliegerUsed, zwaluwUsed := workers[0].UsedByOthers(gang.ID), workers[1].UsedByOthers(gang.ID)
-		if vliegerUsed > vlieger.CPUs-gang.CPUs || zwaluwUsed > zwaluw.CPUs-gang.CPUs {
-			l.Log("others use %g and %g CPUs: no room for the gang", vliegerUsed, zwaluwUsed)
-			return lab.NotRun
+		if state(l, guaranteed.ID) == wire.JobDone {
+			l.Log("%s is done, so that nothing keeps %s from its place", guaranteed.ID, urgent.ID)
+			return lab.Held
 		}
-		if lab.Trouble() && sent < indexImages && !time.Now().Before(next) {
-			next = next.Add(indexEvery)
-			if !l.Accept(index(sent)) {
-				return lab.NotRun
+		samples++
+		for _, w := range workers {
+			if w.UsedByOthers("") == 0 {
+				empty++
+				break
 			}
-			sent++
 		}
 		if time.Since(lastLog) > 10*time.Second {
 			lastLog = time.Now()
-			l.Log("%s: %s; others use %g of 12 CPUs of vlieger, %g of 32 of zwaluw", gang.ID, l.States(gang.ID), vliegerUsed, zwaluwUsed)
+			l.Log("%s: %s; %s: %s", guaranteed.ID, l.States(guaranteed.ID), urgent.ID, l.States(urgent.ID))
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
-	l.Log("RULE BROKEN: the gang %s has not begun %.0f s after its acceptance; its places were free of other tasks all the time", gang.ID, time.Since(accepted).Seconds())
+	l.Log("RULE BROKEN: %s waits for %.0f s; a machine that fits was empty in %d of %d samples, its team has no limit; %s was launched and stopped all the time and is not done either",
+		urgent.ID, time.Since(accepted).Seconds(), empty, samples, guaranteed.ID)
 	return lab.Broken
 }
 
-// index returns a small job of another class, with another image than the ones before. It asks for the
-// machine type on which it takes no place from the gang.
-func index(n int) wire.Job {
-	return wire.Job{ID: fmt.Sprintf("wk-0002%02d", n), Class: "vlucht-index", Team: gang.Team, Kind: wire.KindArray, Priority: wire.PriorityNormal,
-		Tasks: 1, CPUs: 1, MemoryGB: 1.9, Image: fmt.Sprintf("vlucht-%02d", n), ImageGB: indexGB, Types: []string{zwaluw.Name}, Spot: true, EstimateS: 35}
-}
+// state returns what the first controller answers about a job.
+func state(l *lab.Lab, id string) string { return lab.Show(l.Addr(0), id).Job.State }
--- a/review/testdata/case3/main.go
+++ b/review/testdata/case3/main.go
@@ -1,5 +1,5 @@
-// Command case3 lets tasks that need GPUs wait, and submits a job that needs none and fits beside
-// the running ones.
+// Command case3 starts a gang on a machine that has its image and on one that has to fetch it, while
+// other tasks with other images come.
 package main
 
 import (
@@ -16,32 +16,33 @@
 const (
 	controllers = 3
 	startBound  = 90 * time.Second // LATER.md of the hunt: no job is left waiting for longer
-	guestTeam   = "enis-materiaux"
+	zone        = "a"
+	// Of the site.
+	gangWaitS   = 30.0
+	gangImageGB = 20.0 // the class's largest
+	indexGB     = 4.0  // 95% of the class's images are not larger
+	indexImages = 18   // of the class
+	indexEvery  = 5500 * time.Millisecond
+	nominalGBPS = 1.0
+	fetchGBPS   = 0.8 // the rate is given "give or take a third"
 )
 
-// types are two of the site's machine types.
-var types = []wire.MachineType{
-	{Name: "poste", CPUs: 4, MemoryGB: 32, CacheGB: 50, FetchGBPS: 1, Price: 0.32, SpotPrice: 0.13, BootS: 40, Zones: fake.Zones},
-	{Name: "vitrine", CPUs: 16, GPUs: 2, MemoryGB: 128, CacheGB: 50, FetchGBPS: 1, Price: 4.39, SpotPrice: 1.74, BootS: 60, Zones: fake.Zones},
-}
+var (
+	vlieger = wire.MachineType{Name: "vlieger", CPUs: 12, GPUs: 2, MemoryGB: 96, CacheGB: 100, FetchGBPS: nominalGBPS, Price: 4.47, SpotPrice: 1.96, BootS: 45, Zones: fake.Zones}
+	zwaluw  = wire.MachineType{Name: "zwaluw", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 120, FetchGBPS: nominalGBPS, Price: 10.2, SpotPrice: 4.58, BootS: 60, Zones: fake.Zones}
+)
 
-// objectives are those of the site that are in the settings.
-var objectives = []config.Objective{
-	{Kind: config.ObjectiveWait, Class: "hall-plan", WithinS: 15, Share: 0.85},
-	{Kind: config.ObjectiveFinished, Class: "hall-plan", WithinS: 250, Share: 0.85},
-	{Kind: config.ObjectiveFinished, Class: "layer-preview", WithinS: 250, Share: 0.88},
-	{Kind: config.ObjectiveFinished, Class: "layer-preview", WithinS: 350, Share: 0.88},
-	{Kind: config.ObjectiveGuarantee, WithinS: 20, Share: 0.88},
-}
+var gang = wire.Job{ID: "wk-000001", Class: "ortho-stitch", Team: "luchtploeg", Kind: wire.KindGang, Priority: wire.PriorityNormal,
+	Tasks: 2, CPUs: 10, GPUs: 2, MemoryGB: 77, Image: "ortho-07", ImageGB: gangImageGB, OneZone: true, EstimateS: 150, CheckpointS: 15, SaveS: 3}
 
 func main() {
 	if len(os.Args) != 2 {
 		fmt.Println("usage: case3 RECORD")
 		os.Exit(lab.NotRun)
 	}
-	l, err := lab.Open(os.Args[1], fake.Options{Nodes: controllers, Machines: len(types), Capacity: len(types), Types: types, StateRPS: 70, StateWPS: 25,
-		Teams: []config.Team{{Name: "atelier-ecoles", CPUs: 72, CPUsMax: 224}, {Name: guestTeam}}},
-		func(s *config.Settings) { s.Cluster.Objectives = objectives })
+	l, err := lab.Open(os.Args[1], fake.Options{Nodes: controllers, Machines: 0, Capacity: -1, Types: []wire.MachineType{vlieger, zwaluw},
+		StateRPS: 120, StateWPS: 30, HeartbeatIntervalS: 3, LeaseS: 19, Teams: []config.Team{{Name: gang.Team, GPUs: 20, GPUsMax: 60}}},
+		func(s *config.Settings) { s.Cluster.Workers.GangWaitS = gangWaitS })
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(lab.NotRun)
@@ -50,50 +51,62 @@
 }
 
 func play(l *lab.Lab) int {
-	if err := l.StartAll(); err != nil {
-		l.Log("not started: %v", err)
-		return lab.NotRun
+	outcome := func(string, uint64) (time.Duration, string) { return 35 * time.Second, wire.ExitDone }
+	machines := []lab.Machine{
+		{Name: "host-000231", Type: vlieger.Name, Zone: zone, FetchGBPS: fetchGBPS, Images: []string{gang.Image}},
+		{Name: "host-000232", Type: zwaluw.Name, Zone: zone, FetchGBPS: fetchGBPS},
 	}
-	// The machine without GPUs is in use.
-	alloys := wire.Job{ID: "wk-000001", Class: "essais-alliage", Team: guestTeam, Kind: wire.KindArray, Priority: wire.PriorityLow,
-		Tasks: 1, CPUs: 4, MemoryGB: 4, Image: "img-01", ImageGB: 0.1, Types: []string{"poste"}, EstimateS: 300}
-	// As many previews as there are GPUs run, with trouble two more wait.
-	previews := wire.Job{ID: "wk-000002", Class: "layer-preview", Team: "atelier-ecoles", Kind: wire.KindArray, Priority: wire.PriorityNormal,
-		Tasks: 2, CPUs: 6, GPUs: 1, MemoryGB: 48, Image: "img-02", ImageGB: 0.1, Spot: true, EstimateS: 150, CheckpointS: 10, SaveS: 2}
-	if lab.Trouble() {
-		previews.Tasks = 4
-	}
-	for _, j := range []wire.Job{alloys, previews} {
-		if !l.Accept(j) {
+	var workers []*lab.Worker
+	for _, m := range machines {
+		w, err := l.StartWorker(m, outcome)
+		if err != nil {
+			l.Log("no worker: %v", err)
 			return lab.NotRun
 		}
+		workers = append(workers, w)
 	}
-	if !lab.Await(25*time.Second, func() bool { return l.Running(alloys) == 1 && l.Running(previews) == 2 }) {
-		l.Log("the machines are not in use: %d and %d tasks", l.Running(alloys), l.Running(previews))
+	if err := l.StartAll(); err != nil {
+		l.Log("not started: %v", err)
 		return lab.NotRun
 	}
-	l.Log("both machines run: poste uses 4 of 4 CPUs; vitrine 12 of 16 CPUs, 2 of 2 GPUs, 96 of 128 GB")
-	guest := wire.Job{ID: "wk-000003", Class: "cotes-unitaires", Team: guestTeam, Kind: wire.KindArray, Priority: wire.PriorityLow,
-		Tasks: 1, CPUs: 1, MemoryGB: 2, Image: "img-03", ImageGB: 0.1, Spot: true, EstimateS: 3}
-	if !l.Accept(guest) {
+	time.Sleep(4 * time.Second) // both machines have reported
+	if !l.Accept(gang) {
 		return lab.NotRun
 	}
-	accepted, lastLog := time.Now(), time.Time{}
+	accepted := time.Now()
+	next, sent := accepted, 0
+	lastLog := time.Time{}
 	for time.Since(accepted) < startBound {
-		if l.Running(guest) > 0 || l.Cluster.FinishedTasks(guest.ID) > 0 {
-			l.Log("the guest's job has started, %.1f s after its acceptance", time.Since(accepted).Seconds())
+		if l.GangRan(gang.ID) {
+			l.Log("the gang runs, %.1f s after its acceptance", time.Since(accepted).Seconds())
 			return lab.Held
 		}
-		if l.Running(previews) != 2 {
-			l.Log("the previews have ended too early")
+		// Others leave the gang's place on each machine free.
+		vliegerUsed, zwaluwUsed := workers[0].UsedByOthers(gang.ID), workers[1].UsedByOthers(gang.ID)
+		if vliegerUsed > vlieger.CPUs-gang.CPUs || zwaluwUsed > zwaluw.CPUs-gang.CPUs {
+			l.Log("others use %g and %g CPUs: no room for the gang", vliegerUsed, zwaluwUsed)
 			return lab.NotRun
 		}
+		if lab.Trouble() && sent < indexImages && !time.Now().Before(next) {
+			next = next.Add(indexEvery)
+			if !l.Accept(index(sent)) {
+				return lab.NotRun
+			}
+			sent++
+		}
 		if time.Since(lastLog) > 10*time.Second {
 			lastLog = time.Now()
-			l.Log("%s: %s; previews on vitrine: %d", guest.ID, l.States(guest.ID), l.Running(previews))
+			l.Log("%s: %s; others use %g of 12 CPUs of vlieger, %g of 32 of zwaluw", gang.ID, l.States(gang.ID), vliegerUsed, zwaluwUsed)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
-	l.Log("RULE BROKEN: %s (1 CPU, 2 GB) waits for %.0f s; vitrine had 4 CPUs and 32 GB free all the time, its team has no limit", guest.ID, time.Since(accepted).Seconds())
+	l.Log("RULE BROKEN: the gang %s has not begun %.0f s after its acceptance; its places were free of other tasks all the time", gang.ID, time.Since(accepted).Seconds())
 	return lab.Broken
 }
+
+// index returns a small job of another class, with another image than the ones before. It asks for the
+// machine type on which it takes no place from the gang.
+func index(n int) wire.Job {
+	return wire.Job{ID: fmt.Sprintf("wk-0002%02d", n), Class: "vlucht-index", Team: gang.Team, Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: 1, CPUs: 1, MemoryGB: 1.9, Image: fmt.Sprintf("vlucht-%02d", n), ImageGB: indexGB, Types: []string{zwaluw.Name}, Spot: true, EstimateS: 35}
+}
