Limits of the key-value store: one definition for the job store, the model and repair

The defaults of txn_ops and value_kb stood in cluster and in jobstore, and the number of guards for each change in jobstore and in controller, which multiplied the raw setting, so that a limit of 0 gave a negative batch size where the job store takes the default. jobstore.Limits has all of them now (TxnOps, Guards, ValueBytes, LimitsOf); the model's writeLimits keeps its margins only. No behavior changes with the settings that config.Parse accepts.

--- a/cluster/model.go
+++ b/cluster/model.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/config"
+	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/placement"
 )
 
@@ -94,7 +95,7 @@
 func New(cfg *config.Settings, token uint64, now time.Time, log *slog.Logger) *Model {
 	m := &Model{
 		FencingToken: token, ElectedAt: now, Zones: cfg.Cluster.Zones, settings: cfg, log: log, clockDrift: config.ClockDrift,
-		names: newNameIndex(), images: newImageCatalog(), writes: newWriteBehind(writeLimits{&cfg.Cluster.State}),
+		names: newNameIndex(), images: newImageCatalog(), writes: newWriteBehind(writeLimits{jobstore.LimitsOf(cfg.Cluster.State)}),
 		refusedOffers: newOfferRefusals(), RebalanceCycles: map[string]*RebalanceCycle{}, classes: newClassRegistry(),
 		Observer: noObserver{},
 	}
--- a/cluster/writebehind.go
+++ b/cluster/writebehind.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -71,33 +70,21 @@
 }
 
 // writeLimits are the limits of transactions and values in the key-value store.
-type writeLimits struct{ state *config.StateLimits }
+type writeLimits struct{ jobstore.Limits }
 
-// Values that apply where the settings have none, and the margin below the limit of a value.
 const (
-	defaultTxnOps    = 12
-	defaultValueKiB  = 16
+	// outerGuards is the number of conditions of a transaction on the leader key and the plan head.
+	outerGuards = 2
+	// valueMarginBytes is the margin below the limit of a value.
 	valueMarginBytes = 256
 )
 
 // maxGuards returns the most conditions that a transaction may have, in addition to those on the
 // leader key and the plan head.
-func (l writeLimits) maxGuards() int {
-	ops := l.state.TxnOps
-	if ops <= 0 {
-		ops = defaultTxnOps
-	}
-	return 4*ops - 2
-}
+func (l writeLimits) maxGuards() int { return l.Guards() - outerGuards }
 
 // maxValueBytes returns the maximal size of a value, less a safety margin.
-func (l writeLimits) maxValueBytes() int {
-	kib := l.state.ValueKB
-	if kib <= 0 {
-		kib = defaultValueKiB
-	}
-	return int(kib*1024) - valueMarginBytes
-}
+func (l writeLimits) maxValueBytes() int { return l.ValueBytes() - valueMarginBytes }
 
 // PendingWrites returns the number of puts and deletes that are needed to write all changes. If
 // there is nothing to write and jobs are queued, which may have to be removed from the model, it
--- a/cmd/umberdeal/plan.go
+++ b/cmd/umberdeal/plan.go
@@ -124,8 +124,7 @@
 			by = u.Username
 		}
 	}
-	limits := s.Cluster.State
-	v, err := jobstore.ApplyPlan(ctx, store, jobstore.Limits{MaxTxnOps: limits.TxnOps, MaxValueKiB: limits.ValueKB},
+	v, err := jobstore.ApplyPlan(ctx, store, jobstore.LimitsOf(s.Cluster.State),
 		jobstore.PlanChange{Base: c.Base, Text: text, By: by, Note: p.Note, At: time.Now()})
 	if err != nil {
 		return err
--- a/controller/node.go
+++ b/controller/node.go
@@ -212,7 +212,7 @@
 	n.userKV = n.kv.WithAdaptiveLimits(limits.RPS*userRequestRateShare, limits.WriteRPS, userRateShare/float64(max(1, n.cfg.Cluster.Size))).
 		WithObserver(n.transactionObserver("users"))
 	n.jobs = jobstore.New(n.userKV, jobstore.Config{
-		Limits: jobstore.Limits{MaxTxnOps: limits.TxnOps, MaxValueKiB: limits.ValueKB},
+		Limits: jobstore.LimitsOf(limits),
 		BarrierInterval: func() time.Duration {
 			return config.Seconds(min(requestsPerBarrier/max(n.userKV.RequestRate(), 1), maxBarrierIntervalS))
 		},
--- a/controller/repair.go
+++ b/controller/repair.go
@@ -293,8 +293,6 @@
 }
 
 const (
-	// guardsPerTxnOp is how many guards a transaction may have for each change it may have.
-	guardsPerTxnOp = 4
 	// guardsPerRestore is the number of guards of a restoring transaction that don't depend
 	// on its jobs: on the leader key, the quarantined page and the head page.
 	guardsPerRestore = 3
@@ -309,7 +307,7 @@
 // because a concurrent cancellation of one of its jobs must conflict with the restore. A
 // cancellation is conditional on the version of the quarantined page.
 func (r *repairer) restoreJobs(ctx context.Context, key string, quarantined jobstore.QuarantinedPage, jobs []jobstore.JobPageEntry) error {
-	batchSize := (guardsPerTxnOp*r.limits.MaxTxnOps - guardsPerRestore) / guardsPerRestoredJob
+	batchSize := (r.limits.Guards() - guardsPerRestore) / guardsPerRestoredJob
 	var rest []jobstore.JobPageEntry
 	for _, job := range jobs {
 		if !r.hasReadableRecord(job.ID) {
--- a/jobstore/limits.go
+++ b/jobstore/limits.go
@@ -2,6 +2,8 @@
 
 package jobstore
 
+import "github.com/umberdeal/umberdeal/config"
+
 const (
 	defaultTxnOps   = 12
 	defaultValueKiB = 16
@@ -15,20 +17,28 @@
 
 // Limits are the key-value store's limits on a transaction. A value of 0 or less means the default.
 type Limits struct {
-	MaxTxnOps   int     // puts and deletes of a transaction; it may have guardsPerOp times as many guards
+	MaxTxnOps   int     // puts and deletes of a transaction
 	MaxValueKiB float64 // largest value, in KiB
 }
 
-// txnOps returns how many puts and deletes a transaction may have.
-func (l Limits) txnOps() int {
+// LimitsOf returns the limits that the settings give.
+func LimitsOf(settings config.StateLimits) Limits {
+	return Limits{MaxTxnOps: settings.TxnOps, MaxValueKiB: settings.ValueKB}
+}
+
+// TxnOps returns how many puts and deletes a transaction may have.
+func (l Limits) TxnOps() int {
 	if l.MaxTxnOps <= 0 {
 		return defaultTxnOps
 	}
 	return l.MaxTxnOps
 }
 
-// valueBytes returns how large a value may be.
-func (l Limits) valueBytes() int {
+// Guards returns how many guards a transaction may have.
+func (l Limits) Guards() int { return guardsPerOp * l.TxnOps() }
+
+// ValueBytes returns how large a value may be, in bytes as the key-value store counts them.
+func (l Limits) ValueBytes() int {
 	kib := l.MaxValueKiB
 	if kib <= 0 {
 		kib = defaultValueKiB
@@ -39,10 +49,10 @@
 // maxJobs returns how many jobs a transaction can add with guardsPerJob guards for each. The head page
 // and the schema need one further guard each.
 func (l Limits) maxJobs(guardsPerJob int) int {
-	return (guardsPerOp*l.txnOps() - 2) / guardsPerJob
+	return (l.Guards() - 2) / guardsPerJob
 }
 
 // pageBytes returns how large a page may be.
 func (l Limits) pageBytes() int {
-	return min(l.valueBytes(), maxPageBytes) - pageReserve
+	return min(l.ValueBytes(), maxPageBytes) - pageReserve
 }
--- a/jobstore/quarantine.go
+++ b/jobstore/quarantine.go
@@ -35,7 +35,7 @@
 func NewQuarantinedPage(key string, version uint64, atMs int64, raw wire.Raw, limits Limits) QuarantinedPage {
 	q := QuarantinedPage{Mark: quarantineMark, OriginalKey: key, OriginalVersion: version, QuarantinedAtMs: atMs, Raw: raw}
 	size := wire.JSONSize(raw)
-	if size < nonMsgpackByteSize*len(raw) && size+quarantineOverhead <= limits.valueBytes() {
+	if size < nonMsgpackByteSize*len(raw) && size+quarantineOverhead <= limits.ValueBytes() {
 		return q
 	}
 	q.Raw = nil
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -44,7 +44,7 @@
 func (s *Store) bucketQueue(bucket int) *bucketQueue {
 	q := s.writeQueues[bucket]
 	if q == nil {
-		q = &bucketQueue{bucket: bucket, cancellationSize: kvstore.NewBatchSize(minCancellationChanges, s.config.Limits.txnOps())}
+		q = &bucketQueue{bucket: bucket, cancellationSize: kvstore.NewBatchSize(minCancellationChanges, s.config.Limits.TxnOps())}
 		s.writeQueues[bucket] = q
 	}
 	return q
