The leader's batches count what they hold: no more than 64 KiB with large final records

No job was called done, and no new one began on empty machines.

Cause: a batch counted each final record with a constant of 1,000 bytes, and pages of placements by constants for each chunk and task. Five final records of 16 KB made a transaction of 80 KB, which the store rejects.

Change: a batch adds up its conditions and changes (wire.Guard.Size, wire.Op.Size), with final records as encoded (jobstore.JobRecord.Size) and pages of placements by their fields (jobstore.PlacementPage.Size). These are upper bounds of the size as JSON, which is what the store counts. What does not fit waits for the next batch. With new placements, final records leave room for a page of them.

--- a/cluster/admissionpages.go
+++ b/cluster/admissionpages.go
@@ -151,26 +151,29 @@
 	ids     map[string]bool
 }
 
-// removeFromAdmissionPage adds the removal of a job from its admission page to the batch. It
-// returns false, and adds nothing, if the page does not fit.
-func (b *WriteBatch) removeFromAdmissionPage(j *Job) bool {
+// admissionPageBytes returns how much larger the batch gets if it removes a job from its admission
+// page: nothing if the batch changes the page already.
+func (b *WriteBatch) admissionPageBytes(p *admissionPage) int {
+	if b.admissionRemovals[p] != nil {
+		return 0
+	}
+	return wire.Guard{Key: p.key}.Size() + wire.Op{Put: p.key}.Size(p.size)
+}
+
+// removeFromAdmissionPage adds the removal of a job from its admission page to the batch.
+func (b *WriteBatch) removeFromAdmissionPage(j *Job) {
 	p := j.admissionPage
 	removal := b.admissionRemovals[p]
 	if removal == nil {
-		if len(b.Ops) > 0 && b.bytes+p.size > maxBatchBytes {
-			return false
-		}
 		removal = &admissionRemoval{op: len(b.Ops), version: p.version, ids: map[string]bool{}}
 		if b.admissionRemovals == nil {
 			b.admissionRemovals = map[*admissionPage]*admissionRemoval{}
 		}
 		b.admissionRemovals[p] = removal
-		b.Guards = append(b.Guards, wire.Guard{Key: p.key, Version: p.version})
-		b.Ops = append(b.Ops, wire.Op{Put: p.key})
-		b.bytes += p.size
+		b.addGuard(wire.Guard{Key: p.key, Version: p.version})
+		b.addOp(wire.Op{Put: p.key}, p.size)
 	}
 	removal.ids[j.ID] = true
-	return true
 }
 
 // fillAdmissionRemovals sets the values of the batch's admission page writes. It must run after
--- a/cluster/placementpages.go
+++ b/cluster/placementpages.go
@@ -50,11 +50,9 @@
 
 // Sizes of parts of a chunk's record, in bytes as the key-value service counts them.
 const (
-	chunkRecordBytes       = 80 // without the job id and the tasks
-	taskRecordBytes        = 22 // of one task, without the machine name
-	minMachineNameBytes    = 12 // least length that a machine name counts with
-	unreadMachineNameBytes = 18 // the same in preserved chunks
-	doneRangeBytes         = 8  // of each number in the done ranges of a preserved chunk
+	chunkRecordBytes    = 80 // without the job id and the tasks
+	taskRecordBytes     = 22 // of one task, without the machine name
+	minMachineNameBytes = 12 // least length that a machine name counts with
 )
 
 // unreadablePageSize is the assumed size of a page that can't be read. It is so large that no
@@ -126,7 +124,7 @@
 // chunk's job can't be read.
 func (s *placementPages) preserve(p *placementPage, c *jobstore.PlacementChunk) {
 	p.unreadChunks = append(p.unreadChunks, *c)
-	p.size += s.unreadChunkSize(c)
+	p.size += c.Size()
 }
 
 // markUnreadable records that a page can't be read. The page is left unchanged in the store.
@@ -142,12 +140,6 @@
 	return chunkRecordBytes + len(j.ID) + tasks*(taskRecordBytes+max(s.longestMachineName, minMachineNameBytes))
 }
 
-// unreadChunkSize returns an approximate upper bound of the size of a preserved chunk's record,
-// in the same unit as chunkSize.
-func (s *placementPages) unreadChunkSize(c *jobstore.PlacementChunk) int {
-	return chunkRecordBytes + len(c.Job) + (taskRecordBytes+max(s.longestMachineName, unreadMachineNameBytes))*len(c.Placements) + doneRangeBytes*len(c.DoneRanges)
-}
-
 // pending returns the number of pages that are to be written.
 func (s *placementPages) pending() int {
 	n := 0
--- a/cluster/placementpagewrite.go
+++ b/cluster/placementpagewrite.go
@@ -9,20 +9,6 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-const (
-	// placementPageBytes is the estimated size of a page's write without its chunks.
-	placementPageBytes = 200
-	// estimatedChunkBytes is the estimated size of a chunk's record without job id, placements and
-	// done ranges.
-	estimatedChunkBytes = 60
-	// estimatedPlacementBytes is the estimated size of a placement without the machine name.
-	estimatedPlacementBytes = 20
-	// estimatedDoneRangeBytes is the estimated size of each number in the done ranges.
-	estimatedDoneRangeBytes = 5
-	// jobGuardBytes is the estimated size of the condition on a job's record.
-	jobGuardBytes = 60
-)
-
 // placementPageWrite is the write of a placement page: its record, as of the given generations,
 // and the conditions for it.
 type placementPageWrite struct {
@@ -33,7 +19,8 @@
 	jobs        map[string]*Job // jobs that guards refer to, by key of their active records
 	guards      []wire.Guard    // conditions that the jobs of new placements are still active
 	placesTasks bool            // the record has new placements
-	bytes       int             // estimated size
+	recordBytes int             // upper bound of the record's size as the store counts it
+	bytes       int             // the same of what the write adds to the batch
 }
 
 // chunkWrite is a chunk in a placementPageWrite and its generation there.
@@ -45,8 +32,9 @@
 // addTo adds the write of a page to a batch, if it fits. An empty page that is not in the store
 // is not written and counts as committed.
 func (s *placementPages) addTo(b *WriteBatch, p *placementPage) {
-	w := s.prepare(b, p)
-	if len(b.Ops) > 0 && (b.bytes+w.bytes > maxBatchBytes || len(b.Guards)+len(w.guards)+1 > s.limits.maxGuards()) {
+	w := prepareWrite(b, p)
+	tooManyGuards := len(b.Ops) > 0 && len(b.Guards)+len(w.guards)+1 > s.limits.maxGuards()
+	if tooManyGuards || !b.hasRoom(w.bytes, maxBatchBytes) {
 		return
 	}
 	if len(w.record.Chunks) == 0 && p.version == 0 {
@@ -56,24 +44,22 @@
 	b.addPlacementPage(w)
 }
 
-// prepare returns the write of a page, without conditions that the batch already has.
-func (s *placementPages) prepare(b *WriteBatch, p *placementPage) *placementPageWrite {
-	w := &placementPageWrite{page: p, generation: p.generation, jobs: map[string]*Job{}, bytes: placementPageBytes}
-	for i := range p.unreadChunks {
-		w.record.Chunks = append(w.record.Chunks, p.unreadChunks[i])
-		w.bytes += s.unreadChunkSize(&p.unreadChunks[i])
-	}
+// prepareWrite returns the write of a page, without conditions that the batch already has.
+func prepareWrite(b *WriteBatch, p *placementPage) *placementPageWrite {
+	w := &placementPageWrite{page: p, generation: p.generation, jobs: map[string]*Job{}}
+	w.record.Chunks = append(w.record.Chunks, p.unreadChunks...)
 	for _, r := range p.chunks {
 		c := r.get()
-		record := r.job.chunkRecord(r.chunk)
-		w.record.Chunks = append(w.record.Chunks, record)
+		w.record.Chunks = append(w.record.Chunks, r.job.chunkRecord(r.chunk))
 		w.chunks = append(w.chunks, chunkWrite{c, c.generation})
-		w.bytes += estimatedChunkBytes + len(r.job.ID) + (estimatedPlacementBytes+s.longestMachineName)*len(record.Placements) + estimatedDoneRangeBytes*len(record.DoneRanges)
 		if c.HasNewPlacements() {
 			w.placesTasks = true
 			w.guardJob(b, r.job)
 		}
 	}
+	key := jobstore.PlacementPageKey(p.number)
+	w.recordBytes = w.record.Size()
+	w.bytes += wire.Guard{Key: key}.Size() + wire.Op{Put: key}.Size(w.recordBytes)
 	return w
 }
 
@@ -91,7 +77,7 @@
 	}
 	w.guards = append(w.guards, guard)
 	w.jobs[key] = j
-	w.bytes += jobGuardBytes
+	w.bytes += guard.Size()
 }
 
 // addPlacementPage adds the write of a page to the batch, or its deletion if the page is empty.
@@ -101,14 +87,16 @@
 	if len(w.record.Chunks) == 0 {
 		op = wire.Op{Delete: key}
 	}
-	b.Guards = append(append(b.Guards, w.guards...), wire.Guard{Key: key, Version: w.page.version})
-	b.Ops = append(b.Ops, op)
+	for _, guard := range w.guards {
+		b.addGuard(guard)
+	}
+	b.addGuard(wire.Guard{Key: key, Version: w.page.version})
+	b.addOp(op, w.recordBytes)
 	b.placementPages[key] = w.page
 	for k, j := range w.jobs {
 		b.jobs[k] = j
 	}
 	b.placesTasks = b.placesTasks || w.placesTasks
-	b.bytes += w.bytes
 	b.commitHooks = append(b.commitHooks, w.applyCommit)
 }
 
--- a/cluster/plan_records.go
+++ b/cluster/plan_records.go
@@ -170,7 +170,8 @@
 // if there are none. Its conditions are PlanGuard and the versions of these records. A record
 // that can't be encoded or is too large is logged and not written.
 func (m *Model) PlanRecordBatch(maxOps int) *WriteBatch {
-	b := &WriteBatch{Guards: []wire.Guard{m.PlanGuard()}, planRecords: map[string]*planRecord{}}
+	b := &WriteBatch{planRecords: map[string]*planRecord{}}
+	b.addGuard(m.PlanGuard())
 	for _, name := range slices.Clone(m.planRecords.names) {
 		r := m.planRecords.byName[name]
 		if !r.isChanged() || len(b.Ops) >= maxOps {
@@ -186,15 +187,15 @@
 			r.committedGeneration = r.generation
 			continue
 		}
-		if len(b.Ops) > 0 && b.bytes+size > maxBatchBytes {
+		key, generation := jobstore.PlanStatePrefix+name, r.generation
+		guard, op := wire.Guard{Key: key, Version: r.version}, wire.Op{Put: key, Value: wire.Raw(raw)}
+		if !b.hasRoom(guard.Size()+op.Size(size), maxBatchBytes) {
 			break
 		}
 		m.planRecords.moveToEnd(name)
-		key, generation := jobstore.PlanStatePrefix+name, r.generation
-		b.Guards = append(b.Guards, wire.Guard{Key: key, Version: r.version})
-		b.Ops = append(b.Ops, wire.Op{Put: key, Value: wire.Raw(raw)})
+		b.addGuard(guard)
+		b.addOp(op, size)
 		b.planRecords[key] = r
-		b.bytes += size
 		b.commitHooks = append(b.commitHooks, func(rev uint64, _ time.Time) { r.commit(rev, generation, raw) })
 	}
 	if len(b.Ops) == 0 {
--- a/cluster/writebatch.go
+++ b/cluster/writebatch.go
@@ -24,7 +24,7 @@
 	placesTasks       bool                      // has new placements, so that it depends on the plan head
 	admissionRemovals map[*admissionPage]*admissionRemoval
 	commitHooks       []func(rev uint64, now time.Time)
-	bytes             int // estimated size
+	bytes             int // upper bound of the bytes that the store counts for Guards and Ops
 }
 
 const (
@@ -33,10 +33,26 @@
 	// maxFinalRecordsWithPlacements bounds the final records in a transaction that also places
 	// tasks, so that the conditions for both fit.
 	maxFinalRecordsWithPlacements = 4
-	// finalRecordBytes is the estimated size of a job's final record.
-	finalRecordBytes = 1000
 )
 
+// addGuard adds a condition.
+func (b *WriteBatch) addGuard(guard wire.Guard) {
+	b.Guards = append(b.Guards, guard)
+	b.bytes += guard.Size()
+}
+
+// addOp adds a change whose value takes valueBytes.
+func (b *WriteBatch) addOp(op wire.Op, valueBytes int) {
+	b.Ops = append(b.Ops, op)
+	b.bytes += op.Size(valueBytes)
+}
+
+// hasRoom reports whether the batch may grow by the given bytes to at most maxBytes. An empty batch has
+// room for anything, because what does not fit into an empty one can't be divided.
+func (b *WriteBatch) hasRoom(bytes, maxBytes int) bool {
+	return len(b.Ops) == 0 || b.bytes+bytes <= maxBytes
+}
+
 // runCommitHooks applies the commit of a batch to the model.
 func (b *WriteBatch) runCommitHooks(rev uint64, now time.Time) {
 	for _, hook := range b.commitHooks {
--- a/cluster/writebehind.go
+++ b/cluster/writebehind.go
@@ -118,11 +118,7 @@
 func (m *Model) NextBatch(maxOps int) *WriteBatch {
 	b := &WriteBatch{placementPages: map[string]*placementPage{}, jobs: map[string]*Job{}}
 	placing, others := m.writes.placementPages.changed()
-	maxFinals := maxOps
-	if len(placing) > 0 {
-		maxFinals = maxFinalRecordsWithPlacements
-	}
-	m.addFinalRecords(b, maxOps, maxFinals)
+	m.addFinalRecords(b, maxOps, m.finalRecordLimits(maxOps, placing))
 	for _, p := range append(placing, others...) {
 		if len(b.Ops) >= maxOps {
 			break
@@ -135,17 +131,32 @@
 		return nil
 	}
 	if b.placesTasks {
-		b.Guards = append(b.Guards, m.PlanGuard())
+		b.addGuard(m.PlanGuard())
 	}
 	m.addPlanCheck(b)
 	b.OnCommit = b.runCommitHooks
 	return b
 }
 
+// finalRecordLimits bound the final records in a batch.
+type finalRecordLimits struct {
+	count int
+	bytes int // of the batch with its final records
+}
+
+// finalRecordLimits returns the limits of a batch of at most maxOps operations. They leave room for one
+// of the pages with new placements, if there are any.
+func (m *Model) finalRecordLimits(maxOps int, placing []*placementPage) finalRecordLimits {
+	if len(placing) > 0 {
+		return finalRecordLimits{maxFinalRecordsWithPlacements, maxBatchBytes - m.writes.limits().ValueBytes()}
+	}
+	return finalRecordLimits{maxOps, maxBatchBytes}
+}
+
 // addFinalRecords processes the queued jobs. It removes jobs that are over from the model, and adds
-// at most maxFinals final records of jobs that are done to the batch. Jobs whose final records
-// don't fit stay queued.
-func (m *Model) addFinalRecords(b *WriteBatch, maxOps, maxFinals int) {
+// final records of jobs that are done to the batch. Jobs whose final records don't fit stay queued.
+func (m *Model) addFinalRecords(b *WriteBatch, maxOps int, limits finalRecordLimits) {
+	full := false
 	m.writes.filterJobs(func(index int32) (keep bool) {
 		j := m.Jobs[index]
 		switch {
@@ -155,41 +166,67 @@
 			m.dropJob(j)
 			return false
 		case j.awaitsFinalRecord():
-			if maxFinals == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.writes.limits().maxGuards() || !m.addFinalRecord(b, j) {
+			if full || limits.count == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.writes.limits().maxGuards() {
+				return true
+			}
+			if j.admissionPage != nil && !b.hasRoom(b.admissionPageBytes(j.admissionPage), limits.bytes) {
+				return true // others may be on pages that the batch changes already
+			}
+			w := m.prepareFinalRecord(b, j)
+			if full = !b.hasRoom(w.bytes, limits.bytes); full {
 				return true
 			}
-			maxFinals--
+			m.addFinalRecord(b, w)
+			limits.count--
 		}
 		j.dirty = false
 		return false
 	})
 }
 
-// addFinalRecord adds the final record of a job and the removal of its active record to the batch.
-// It returns false, and adds nothing, if the job's admission page does not fit into the batch.
-func (m *Model) addFinalRecord(b *WriteBatch, j *Job) bool {
+// finalRecordWrite is the write of a job's final record.
+type finalRecordWrite struct {
+	job         *Job
+	record      jobstore.JobRecord
+	recordBytes int
+	bytes       int // what it adds to the batch, including the removal of the active record
+}
+
+// prepareFinalRecord returns the write of a job's final record.
+func (m *Model) prepareFinalRecord(b *WriteBatch, j *Job) finalRecordWrite {
 	rec := jobstore.JobRecord{Job: j.Spec, AcceptedAtMs: j.AcceptedAt.UnixMilli(), State: wire.JobDone, Outcomes: j.endedTasks(0, len(j.Tasks)), FinishedAtMs: m.completionTimeMs(j)}
 	if j.reservation != nil {
 		rec.Reservation = &j.reservation.Reservation
 	}
+	w := finalRecordWrite{job: j, record: rec, recordBytes: rec.Size()}
+	key := jobstore.FinalKey(j.ID)
+	w.bytes = wire.Guard{Key: key}.Size() + wire.Op{Put: key}.Size(w.recordBytes)
 	if j.admissionPage != nil {
-		if !b.removeFromAdmissionPage(j) {
-			return false
-		}
+		w.bytes += b.admissionPageBytes(j.admissionPage)
+	} else {
+		active := jobstore.JobKey(j.ID)
+		w.bytes += wire.Guard{Key: active}.Size() + wire.Op{Delete: active}.Size(0)
+	}
+	return w
+}
+
+// addFinalRecord adds the final record of a job and the removal of its active record to the batch.
+func (m *Model) addFinalRecord(b *WriteBatch, w finalRecordWrite) {
+	j := w.job
+	if j.admissionPage != nil {
+		b.removeFromAdmissionPage(j)
 	} else {
-		b.Guards = append(b.Guards, wire.Guard{Key: jobstore.JobKey(j.ID), Version: j.version})
-		b.Ops = append(b.Ops, wire.Op{Delete: jobstore.JobKey(j.ID)})
+		b.addGuard(wire.Guard{Key: jobstore.JobKey(j.ID), Version: j.version})
+		b.addOp(wire.Op{Delete: jobstore.JobKey(j.ID)}, 0)
 	}
-	b.Guards = append(b.Guards, wire.Guard{Key: jobstore.FinalKey(j.ID)})
-	b.Ops = append(b.Ops, wire.Op{Put: jobstore.FinalKey(j.ID), Value: rec})
+	b.addGuard(wire.Guard{Key: jobstore.FinalKey(j.ID)})
+	b.addOp(wire.Op{Put: jobstore.FinalKey(j.ID), Value: w.record}, w.recordBytes)
 	b.jobs[jobstore.JobKey(j.ID)] = j
-	b.bytes += finalRecordBytes
 	b.commitHooks = append(b.commitHooks, func(_ uint64, now time.Time) {
 		j.markFinished()
 		m.log.Info("job completed", "id", j.ID, "sinceAccept", now.Sub(j.AcceptedAt).Round(time.Millisecond).Seconds())
 		m.dropJob(j)
 	})
-	return true
 }
 
 // RequeueBatch queues the jobs of a batch that was not committed again. Pages need no requeuing,
--- /dev/null
+++ b/controller/large_records_test.go
@@ -0,0 +1,93 @@
+// Scenarios of jobs whose records are almost as large as a value of the key-value store may be, or
+// larger, and of transactions that the store rejects as too large.
+//
+// The fault (docs/incidents/commits-stop-after-large-records.md): after an outage the leader put the
+// final records of several such jobs into one transaction. The store rejected it with status 400, the
+// leader repeated it unchanged, and committed nothing any more.
+
+package controller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/jobstore"
+	"github.com/umberdeal/umberdeal/wire"
+)
+
+// valueBytes is the largest size of a value in the simulated key-value store.
+const valueBytes = 16 << 10
+
+// largeJob returns a job of one task of 8 s on one CPU. Its list of allowed machine types, of which
+// only the first one exists, makes its record take the given number of bytes.
+func largeJob(t *testing.T, n, recordBytes int) wire.Job {
+	t.Helper()
+	j := job(n, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS, j.Types = 1, 1, 8, []string{fake.DefaultType.Name} })
+	const typeBytes = 40 // of each name but the last, with quotes and comma
+	for left := recordBytes - recordSize(t, j); left > 0; left = recordBytes - recordSize(t, j) {
+		if left >= 2*typeBytes {
+			left = typeBytes
+		}
+		name := fmt.Sprintf("type-%04d-", len(j.Types))
+		j.Types = append(j.Types, name+strings.Repeat("x", left-len(name)-len(`"",`)))
+	}
+	return j
+}
+
+// recordSize returns the size of an accepted job's record as JSON, which is how the store counts it.
+func recordSize(t *testing.T, j wire.Job) int {
+	t.Helper()
+	encoded, err := wire.Marshal(jobstore.JobRecord{Job: j, AcceptedAtMs: time.Now().UnixMilli()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plain any
+	if err := wire.Unmarshal(encoded, &plain); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(text)
+}
+
+// mustAllRun waits until the jobs run.
+func mustAllRun(t *testing.T, w *fake.Cluster, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		mustReach(t, w, id, wire.JobRunning, time.Minute)
+	}
+}
+
+// Eight jobs with large records end on one machine during an outage of the key-value store. Their final records do
+// not fit into one transaction. They must be done soon after the outage, and a job submitted then must
+// run.
+func TestCommitsContinueAfterLargeJobsEndDuringAnOutage(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 1}, func(t *testing.T, w *fake.Cluster) {
+		var ids []string
+		for n := range 8 {
+			j := largeJob(t, n+1, valueBytes-100)
+			mustSubmit(t, w, j)
+			ids = append(ids, j.ID)
+		}
+		mustAllRun(t, w, ids...)
+		w.Store.SetOutage(true)
+		time.Sleep(10 * time.Second)
+		for _, id := range ids {
+			if w.FinishedTasks(id) != 1 {
+				t.Fatalf("%s has not ended during the outage", id)
+			}
+		}
+		w.Store.SetOutage(false)
+		mustSubmit(t, w, job(100, nil))
+		mustReach(t, w, "wk-000100", wire.JobDone, time.Minute)
+		for _, id := range ids {
+			mustReach(t, w, id, wire.JobDone, 10*time.Second)
+		}
+	})
+}
--- a/wire/kvstore.go
+++ b/wire/kvstore.go
@@ -26,6 +26,11 @@
 	Version uint64 `msgpack:"mouture"`
 }
 
+// Size returns an upper bound of the bytes that the store counts for the condition.
+func (g Guard) Size() int {
+	return len(`{"path":"mouture":},`) + JSONTextSize(g.Key) + jsonLongest
+}
+
 // Op is one change of a transaction. Either Put or Delete is set. Put names a key that gets Value and is
 // bound to Lease, or to no lease if Lease is 0. Delete names a key to delete.
 type Op struct {
@@ -35,6 +40,12 @@
 	Delete string `msgpack:"remove,omitempty"`
 }
 
+// Size returns an upper bound of the bytes that the store counts for the change if its value takes
+// valueBytes. JSONSize returns the size of an encoded value.
+func (o Op) Size(valueBytes int) int {
+	return len(`{"set":"v":,"bail":"remove":},`) + JSONTextSize(o.Put) + JSONTextSize(o.Delete) + jsonLongest + valueBytes
+}
+
 // Txn is a compare-and-swap. The store applies all changes if all conditions hold, and none
 // otherwise.
 type Txn struct {
--- a/wire/scan.go
+++ b/wire/scan.go
@@ -42,6 +42,18 @@
 	return size
 }
 
+// JSONTextSize returns an upper bound of the size of a string as JSON, in bytes, including the
+// separator after it.
+func JSONTextSize(s string) int {
+	size := jsonQuotes + len(s)
+	for i := range len(s) {
+		if isEscaped(s[i]) {
+			size += jsonEscape
+		}
+	}
+	return size
+}
+
 // isComplete reports whether a message begins with a complete value: each list, map, string and
 // binary value has the announced length. The decoder allocates memory for the announced number of
 // elements of a list. Without this check, a message of five bytes could make it allocate 86 GB and
--- a/wire/scan_test.go
+++ b/wire/scan_test.go
@@ -59,3 +59,44 @@
 		}
 	})
 }
+
+// The sizes of a transaction's conditions and changes must add up to at least its size as JSON.
+func TestSizesOfGuardsAndOpsBoundTheTransaction(t *testing.T) {
+	value := map[string]any{"a": "x", "n": 1}
+	encoded, err := Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, txn := range map[string]Txn{
+		"guards":  {If: []Guard{{Key: "w/j/a"}, {Key: "é<\"", Version: 1<<64 - 1}}},
+		"puts":    {Then: []Op{{Put: "w/j/a", Value: value}, {Put: "b<", Value: value, Lease: 1<<64 - 1}}},
+		"deletes": {If: []Guard{{Key: "f/a"}}, Then: []Op{{Delete: "w/j/é"}}},
+	} {
+		bound := len(`{"guards":null,"apply":[]}`)
+		for _, g := range txn.If {
+			bound += g.Size()
+		}
+		for _, op := range txn.Then {
+			valueBytes := 0
+			if op.Put != "" {
+				valueBytes = JSONSize(encoded)
+			}
+			bound += op.Size(valueBytes)
+		}
+		raw, err := Marshal(txn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var plain any
+		if err := msgpack.Unmarshal(raw, &plain); err != nil {
+			t.Fatal(err)
+		}
+		text, err := json.Marshal(plain)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bound < len(text) {
+			t.Errorf("%s: the sizes add up to %d, less than the %d bytes of %s", name, bound, len(text), text)
+		}
+	}
+}
