The leader isolates a rejected record, instead of repeating its batch unchanged

Final records come first in a batch, so that no job began and none was done.

Cause: a rejection was handled like a failure that passes. Only refusals by a rate limit made the next batch smaller.

Change: after the rejection of a batch of several records, the next batches write one record each. The same for the records of the plan's parts. New chunks are not put on a rejected placement page. The log names the bytes and the keys of a rejected transaction.

Not mended: the rejected job itself is called done late.

--- a/cluster/job.go
+++ b/cluster/job.go
@@ -121,6 +121,7 @@
 	quarantined   bool           // its placement records can't be read
 	admissionPage *admissionPage // the page that holds its record; nil if the record has its own key
 	dirty         bool           // is in writeBehind.dirtyJobs
+	finalDeferred bool           // batches leave its final record out (see rejectedWrites)
 }
 
 // Gang reports whether the job is a gang, whose tasks run all at the same time or not at all.
--- a/cluster/placementpages.go
+++ b/cluster/placementpages.go
@@ -19,6 +19,7 @@
 	chunks              []chunkRef
 	unreadChunks        []jobstore.PlacementChunk // of jobs whose records can't be read; kept as they are
 	size                int                       // upper bound of the bytes that its records take
+	deferred            bool                      // batches leave it out (see rejectedWrites)
 }
 
 // setVersion sets the version that the page has in the store.
@@ -43,6 +44,9 @@
 // isChanged reports whether the page has uncommitted changes.
 func (p *placementPage) isChanged() bool { return p.generation != p.committedGeneration }
 
+// isPending reports whether the page is to be written with the next batches.
+func (p *placementPage) isPending() bool { return p.isChanged() && !p.deferred }
+
 // hasNewPlacements reports whether the page has placements that are not committed yet.
 func (p *placementPage) hasNewPlacements() bool {
 	return slices.ContainsFunc(p.chunks, func(r chunkRef) bool { return r.get().HasNewPlacements() })
@@ -87,11 +91,12 @@
 }
 
 // assign puts chunk n of a job on the first page that has room for the chunk's maximal size, so
-// that the chunk never has to move. It adds a page if none has room.
+// that the chunk never has to move. It adds a page if none has room. It does not use pages that the
+// store rejects.
 func (s *placementPages) assign(j *Job, n int) {
 	size := s.chunkSize(j, n)
 	for _, p := range s.pages {
-		if p.size+size <= s.limits.maxValueBytes() && len(p.chunks)+len(p.unreadChunks) < s.maxChunks() {
+		if !p.deferred && p.size+size <= s.limits.maxValueBytes() && len(p.chunks)+len(p.unreadChunks) < s.maxChunks() {
 			s.put(p, j, n)
 			return
 		}
@@ -144,7 +149,7 @@
 func (s *placementPages) pending() int {
 	n := 0
 	for _, p := range s.pages {
-		if p.isChanged() {
+		if p.isPending() {
 			n++
 		}
 	}
@@ -157,7 +162,7 @@
 	for i := range s.pages {
 		p := s.pages[(i+s.next)%len(s.pages)]
 		switch {
-		case !p.isChanged():
+		case !p.isPending():
 		case p.hasNewPlacements():
 			placing = append(placing, p)
 		default:
--- a/cluster/placementpagewrite.go
+++ b/cluster/placementpagewrite.go
@@ -93,6 +93,7 @@
 	b.addGuard(wire.Guard{Key: key, Version: w.page.version})
 	b.addOp(op, w.recordBytes)
 	b.placementPages[key] = w.page
+	b.units = append(b.units, w.page)
 	for k, j := range w.jobs {
 		b.jobs[k] = j
 	}
--- a/cluster/plan_records.go
+++ b/cluster/plan_records.go
@@ -78,8 +78,9 @@
 // pools) keep for the next leader and for operators. Each record has its own key, and only its
 // last value matters.
 type planRecords struct {
-	byName map[string]*planRecord
-	names  []string // in the order in which changed records are written next
+	byName   map[string]*planRecord
+	names    []string // in the order in which changed records are written next
+	rejected rejectedWrites
 }
 
 // planRecord is one of the planRecords.
@@ -89,11 +90,15 @@
 	committedGeneration uint64   // the last change that is in the store
 	version             uint64   // of the key
 	raw                 wire.Raw // last committed value; nil if there is none
+	deferred            bool     // batches leave it out (see rejectedWrites)
 }
 
 // isChanged reports whether the record has an uncommitted change.
 func (r *planRecord) isChanged() bool { return r.generation != r.committedGeneration }
 
+// isPending reports whether the record is to be written with the next batches.
+func (r *planRecord) isPending() bool { return r.isChanged() && !r.deferred }
+
 // commit applies the commit of the value that the record had in the given generation.
 func (r *planRecord) commit(version, generation uint64, raw wire.Raw) {
 	r.version, r.committedGeneration, r.raw = version, max(r.committedGeneration, generation), raw
@@ -157,7 +162,7 @@
 func (m *Model) PendingPlanRecords() int {
 	pending := 0
 	for _, r := range m.planRecords.byName {
-		if r.isChanged() {
+		if r.isPending() {
 			pending++
 		}
 	}
@@ -170,11 +175,14 @@
 // if there are none. Its conditions are PlanGuard and the versions of these records. A record
 // that can't be encoded or is too large is logged and not written.
 func (m *Model) PlanRecordBatch(maxOps int) *WriteBatch {
-	b := &WriteBatch{planRecords: map[string]*planRecord{}}
+	if m.planRecords.rejected.takeSingleUnitBatch() {
+		maxOps = min(maxOps, 1)
+	}
+	b := &WriteBatch{planRecords: map[string]*planRecord{}, rejected: &m.planRecords.rejected}
 	b.addGuard(m.PlanGuard())
 	for _, name := range slices.Clone(m.planRecords.names) {
 		r := m.planRecords.byName[name]
-		if !r.isChanged() || len(b.Ops) >= maxOps {
+		if !r.isPending() || len(b.Ops) >= maxOps {
 			continue
 		}
 		raw, err := wire.Marshal(r.value)
@@ -196,6 +204,7 @@
 		b.addGuard(guard)
 		b.addOp(op, size)
 		b.planRecords[key] = r
+		b.units = append(b.units, r)
 		b.commitHooks = append(b.commitHooks, func(rev uint64, _ time.Time) { r.commit(rev, generation, raw) })
 	}
 	if len(b.Ops) == 0 {
--- a/cluster/writebatch.go
+++ b/cluster/writebatch.go
@@ -10,7 +10,7 @@
 
 // WriteBatch is a compare-and-swap transaction that the leader is to commit. The controller adds
 // the guard on the leader key, and calls OnCommit or handles the failure (RequeueBatch,
-// ResolveConflict).
+// ResolveConflict, RejectBatch).
 type WriteBatch struct {
 	Guards []wire.Guard
 	Ops    []wire.Op
@@ -24,7 +24,9 @@
 	placesTasks       bool                      // has new placements, so that it depends on the plan head
 	admissionRemovals map[*admissionPage]*admissionRemoval
 	commitHooks       []func(rev uint64, now time.Time)
-	bytes             int // upper bound of the bytes that the store counts for Guards and Ops
+	units             []writeUnit     // what it writes
+	rejected          *rejectedWrites // isolates the units if the store rejects the batch
+	bytes             int             // upper bound of the bytes that the store counts for Guards and Ops
 }
 
 const (
@@ -47,6 +49,18 @@
 	b.bytes += op.Size(valueBytes)
 }
 
+// Size returns an upper bound of the bytes that the store counts for Guards and Ops.
+func (b *WriteBatch) Size() int { return b.bytes }
+
+// Keys returns the keys that the batch changes.
+func (b *WriteBatch) Keys() []string {
+	keys := make([]string, 0, len(b.Ops))
+	for _, op := range b.Ops {
+		keys = append(keys, op.Put+op.Delete)
+	}
+	return keys
+}
+
 // hasRoom reports whether the batch may grow by the given bytes to at most maxBytes. An empty batch has
 // room for anything, because what does not fit into an empty one can't be divided.
 func (b *WriteBatch) hasRoom(bytes, maxBytes int) bool {
--- a/cluster/writebehind.go
+++ b/cluster/writebehind.go
@@ -27,6 +27,7 @@
 	dirtyJobs      []int32 // indices of jobs that may have to be written or removed from the model
 	placementPages placementPages
 	admissionPages admissionPages
+	rejected       rejectedWrites
 }
 
 func newWriteBehind(limits writeLimits) writeBehind {
@@ -86,20 +87,31 @@
 // maxValueBytes returns the maximal size of a value, less a safety margin.
 func (l writeLimits) maxValueBytes() int { return l.ValueBytes() - valueMarginBytes }
 
-// PendingWrites returns the number of puts and deletes that are needed to write all changes. If
-// there is nothing to write and jobs are queued, which may have to be removed from the model, it
-// returns 1.
+// finalRecordOps is the number of changes that end a job: its final record, and the change of its
+// admission page or the deletion of its active record.
+const finalRecordOps = 2
+
+// PendingWrites returns the number of puts and deletes that are needed to write all changes, or the
+// next ones if a single record is to be written. If there is nothing to write and other jobs are
+// queued, which may have to be removed from the model, it returns 1.
 func (m *Model) PendingWrites() int {
-	pending := 0
+	pending, others := 0, false
 	for _, index := range m.writes.dirtyJobs {
-		if j := m.Jobs[index]; j != nil && j.awaitsFinalRecord() {
-			pending += 2
+		j := m.Jobs[index]
+		switch {
+		case j == nil || !j.awaitsFinalRecord():
+			others = true
+		case !j.finalDeferred:
+			pending += finalRecordOps
 		}
 	}
 	pending += m.writes.placementPages.pending()
-	if pending == 0 && len(m.writes.dirtyJobs) > 0 {
+	if pending == 0 && others {
 		return 1
 	}
+	if m.writes.rejected.singleUnitBatches > 0 {
+		return min(pending, finalRecordOps)
+	}
 	return pending
 }
 
@@ -116,11 +128,17 @@
 // nil if there is nothing to write. Final records and new placements come first, because users
 // wait for final records and idle machines wait for placements.
 func (m *Model) NextBatch(maxOps int) *WriteBatch {
-	b := &WriteBatch{placementPages: map[string]*placementPage{}, jobs: map[string]*Job{}}
+	b := &WriteBatch{placementPages: map[string]*placementPage{}, jobs: map[string]*Job{}, rejected: &m.writes.rejected}
+	maxUnits := maxOps
+	if m.writes.rejected.takeSingleUnitBatch() {
+		maxUnits = 1
+	}
 	placing, others := m.writes.placementPages.changed()
-	m.addFinalRecords(b, maxOps, m.finalRecordLimits(maxOps, placing))
+	limits := m.finalRecordLimits(maxOps, placing)
+	limits.count = min(limits.count, maxUnits)
+	m.addFinalRecords(b, maxOps, limits)
 	for _, p := range append(placing, others...) {
-		if len(b.Ops) >= maxOps {
+		if len(b.Ops) >= maxOps || len(b.units) >= maxUnits {
 			break
 		}
 		m.writes.placementPages.addTo(b, p)
@@ -166,7 +184,7 @@
 			m.dropJob(j)
 			return false
 		case j.awaitsFinalRecord():
-			if full || limits.count == 0 || len(b.Ops)+2 > maxOps || len(b.Guards)+2 > m.writes.limits().maxGuards() {
+			if j.finalDeferred || full || limits.count == 0 || len(b.Ops)+finalRecordOps > maxOps || len(b.Guards)+2 > m.writes.limits().maxGuards() {
 				return true
 			}
 			if j.admissionPage != nil && !b.hasRoom(b.admissionPageBytes(j.admissionPage), limits.bytes) {
@@ -222,6 +240,7 @@
 	b.addGuard(wire.Guard{Key: jobstore.FinalKey(j.ID)})
 	b.addOp(wire.Op{Put: jobstore.FinalKey(j.ID), Value: w.record}, w.recordBytes)
 	b.jobs[jobstore.JobKey(j.ID)] = j
+	b.units = append(b.units, j)
 	b.commitHooks = append(b.commitHooks, func(_ uint64, now time.Time) {
 		j.markFinished()
 		m.log.Info("job completed", "id", j.ID, "sinceAccept", now.Sub(j.AcceptedAt).Round(time.Millisecond).Seconds())
--- a/cluster/writebehind_test.go
+++ b/cluster/writebehind_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/wire"
@@ -120,3 +122,111 @@
 		t.Error("the first batch has no final record")
 	}
 }
+
+// commitUnless commits batches until there is nothing to write. The store rejects those that change
+// rejectedKey. It returns how many were rejected.
+func commitUnless(t *testing.T, m *Model, rejectedKey string, now time.Time) (rejections int) {
+	t.Helper()
+	batches := 0
+	for rev := uint64(100); m.PendingWrites() > 0; rev++ {
+		if batches++; batches > 40 {
+			t.Fatalf("writes are pending after %d batches, %d of them rejected", batches-1, rejections)
+		}
+		b := m.NextBatch(max(m.PendingWrites(), 3))
+		switch {
+		case b == nil:
+		case slices.Contains(b.Keys(), rejectedKey):
+			rejections++
+			m.RejectBatch(b, now)
+			m.RequeueBatch(b)
+		default:
+			b.OnCommit(rev, now)
+		}
+	}
+	return rejections
+}
+
+// The leader repeated a batch that the store had rejected without any change, for ever, so that one
+// record that the store does not take stopped all commits. All other records must be committed, and the
+// rejected one later, when the store takes it.
+func TestRejectedRecordStopsNoOtherCommit(t *testing.T) {
+	for _, perPage := range []int{0, 2} {
+		m := modelWithDoneLargeJobs(t, 600, perPage)
+		m.ApplyJobRecord("wk-000100", arrayJob("wk-000100", 1), 100, at(1))
+		m.Schedule(at(1), 0)
+		if n := commitUnless(t, m, jobstore.FinalKey("wk-000003"), at(2)); n < 1 || n > 3 {
+			t.Errorf("%d transactions were rejected, want 1 to 3", n)
+		}
+		for i := range 8 {
+			id := fmt.Sprintf("wk-%06d", i+1)
+			if finished := m.Job(id) == nil; finished != (id != "wk-000003") {
+				t.Errorf("the final record of %s is committed: %v", id, finished)
+			}
+		}
+		j := m.Job("wk-000100")
+		if p := j.Tasks[0].Placement; p == nil || !j.chunkOf(0).isCommitted(p.chunkGeneration) {
+			t.Error("the placement of wk-000100 is not committed")
+		}
+		m.RetryRejectedWrites(at(2).Add(RejectedWriteRetry - time.Second))
+		if n := m.PendingWrites(); n != 0 {
+			t.Errorf("%d changes are pending before the rejected record is due again, want 0", n)
+		}
+		m.RetryRejectedWrites(at(2).Add(RejectedWriteRetry))
+		if n := commitUnless(t, m, "", at(20)); n != 0 || m.Job("wk-000003") != nil {
+			t.Error("the final record of wk-000003 is not committed once the store takes it")
+		}
+	}
+}
+
+// A placement page that the store rejects must not stop other pages, and no further jobs are put on it.
+func TestRejectedPlacementPageStopsNoOtherPage(t *testing.T) {
+	m, _ := modelWithPlacedJobs(t, 60, 20)
+	for _, j := range m.Jobs {
+		m.markDone(j, 0, at(3))
+	}
+	if n := commitUnless(t, m, jobstore.PlacementPageKey(0), at(3)); n < 1 || n > 3 {
+		t.Errorf("%d transactions were rejected, want 1 to 3", n)
+	}
+	rejected := m.writes.placementPages.pages[0]
+	chunks := len(rejected.chunks)
+	for _, p := range m.writes.placementPages.pages[1:] {
+		if p.isChanged() {
+			t.Errorf("page %d is not committed", p.number)
+		}
+	}
+	m.ApplyJobRecord("wk-000100", arrayJob("wk-000100", 1), 100, at(4))
+	m.Schedule(at(4), 1000)
+	if p := m.Job("wk-000100").Chunks[0].page; p == nil || p == rejected || len(rejected.chunks) != chunks {
+		t.Error("wk-000100 is put on the rejected page, or on none")
+	}
+	m.RetryRejectedWrites(at(3).Add(RejectedWriteRetry))
+	if commitUnless(t, m, "", at(20)); rejected.isChanged() {
+		t.Error("the page is not committed once the store takes it")
+	}
+}
+
+// A plan record that the store rejects must not stop the others.
+func TestRejectedPlanRecordStopsNoOther(t *testing.T) {
+	m := newModel(5)
+	for _, name := range []string{"a", "b", "c"} {
+		m.queuePlanRecord(name, map[string]int{"x": 1})
+	}
+	rejections := 0
+	for rev := uint64(100); m.PendingPlanRecords() > 0 && rev < 120; rev++ {
+		b := m.PlanRecordBatch(12)
+		if slices.Contains(b.Keys(), jobstore.PlanStatePrefix+"b") {
+			rejections++
+			m.RejectBatch(b, at(1))
+			m.RequeueBatch(b)
+			continue
+		}
+		b.OnCommit(rev, at(1))
+	}
+	if m.planRecordPending("a") || m.planRecordPending("c") || !m.planRecordPending("b") || rejections > 3 {
+		t.Errorf("pending: a %v, b %v, c %v, after %d rejections", m.planRecordPending("a"), m.planRecordPending("b"), m.planRecordPending("c"), rejections)
+	}
+	m.RetryRejectedWrites(at(1).Add(RejectedWriteRetry))
+	if m.PendingPlanRecords() != 1 {
+		t.Error("the rejected record is not written again")
+	}
+}
--- a/controller/committer.go
+++ b/controller/committer.go
@@ -77,6 +77,7 @@
 			case <-ctx.Done():
 				return
 			case <-l.committerWake:
+			case <-time.After(cluster.RejectedWriteRetry):
 			}
 			continue
 		}
@@ -108,6 +109,7 @@
 func (l *leadership) pendingWrites() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.model.RetryRejectedWrites(time.Now())
 	pending := l.model.PendingWrites()
 	if pending == 0 {
 		l.committing = false
@@ -180,8 +182,11 @@
 	switch {
 	case errors.As(err, &conflict):
 		l.resolveConflicts(ctx, batch, conflict.FailedKeys)
-	case errors.Is(err, kvstore.ErrInvalidRequest):
-		l.log.Error("key-value store rejected a transaction as malformed", "err", err, "ops", len(batch.Ops))
+	case kvstore.IsRejected(err):
+		l.log.Error("key-value store rejected a transaction as malformed", "err", err, "ops", len(batch.Ops), "bytes", batch.Size(), "keys", batch.Keys())
+		l.mu.Lock()
+		l.model.RejectBatch(batch, time.Now())
+		l.mu.Unlock()
 	}
 	l.mu.Lock()
 	l.model.RequeueBatch(batch)
--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -91,3 +91,28 @@
 		}
 	})
 }
+
+// The key-value store rejects the final record of one job for a while. Other jobs must begin and end
+// meanwhile, and that job must be done once the store takes the record.
+func TestRejectedFinalRecordDelaysNoOtherJob(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 2}, func(t *testing.T, w *fake.Cluster) {
+		const rejected = "wk-000003"
+		w.Store.RejectChanges(jobstore.FinalKey(rejected))
+		for n := range 8 {
+			mustSubmit(t, w, job(n+1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 1, 8 }))
+		}
+		time.Sleep(time.Minute)
+		mustSubmit(t, w, job(100, nil))
+		mustReach(t, w, "wk-000100", wire.JobDone, time.Minute)
+		for n := range 8 {
+			if id := job(n+1, nil).ID; id != rejected {
+				mustReach(t, w, id, wire.JobDone, time.Second)
+			}
+		}
+		if state := w.PollState(w.NodeAddr(0), rejected); state == wire.JobDone {
+			t.Fatalf("%s is done although its final record was rejected", rejected)
+		}
+		w.Store.AcceptChanges()
+		mustReach(t, w, rejected, wire.JobDone, 30*time.Second)
+	})
+}
--- a/controller/operator_plan.go
+++ b/controller/operator_plan.go
@@ -196,6 +196,7 @@
 	limiter := rate.NewLimiter(rate.Limit(planRecordWriteShare*limits.WriteRPS), max(1, min(limits.TxnOps, int(2*planRecordWriteShare*limits.WriteRPS))))
 	for call.Pause(ctx, planRecordInterval) {
 		l.mu.Lock()
+		l.model.RetryRejectedWrites(time.Now())
 		count := min(l.model.PendingPlanRecords(), limiter.Burst())
 		l.mu.Unlock()
 		if count == 0 || !l.lease.Valid() {
--- a/internal/fake/kvstore.go
+++ b/internal/fake/kvstore.go
@@ -51,6 +51,7 @@
 	refusedNodes  map[string]bool          // controllers whose requests get status 503
 	silentWatches map[string]bool          // controllers whose watches get no events
 	latency       time.Duration            // added to usualLatency before a request is executed
+	rejectedKeys  string                   // prefix of keys whose changes are rejected; "" for none
 	replyDelay    time.Duration            // between the execution of a request and its answer
 	replyDelayTo  map[string]time.Duration // added to replyDelay, by sender
 	delayNext     nextTransactionDelay
--- a/internal/fake/kvstore_faults.go
+++ b/internal/fake/kvstore_faults.go
@@ -62,6 +62,21 @@
 	delete(s.refusedNodes, node)
 }
 
+// RejectChanges makes transactions that change a key with a prefix get status 400 until AcceptChanges,
+// as if the value was too large.
+func (s *KVStore) RejectChanges(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectedKeys = prefix
+}
+
+// AcceptChanges ends the fault of RejectChanges.
+func (s *KVStore) AcceptChanges() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectedKeys = ""
+}
+
 // SilenceWatches leaves the watches of a controller without an answer until ResumeWatches, like a
 // hanging connection. Other requests, and watches that don't block, are answered.
 func (s *KVStore) SilenceWatches(node string) {
--- a/internal/fake/kvstore_transactions.go
+++ b/internal/fake/kvstore_transactions.go
@@ -93,6 +93,9 @@
 			return nil, errValueTooLarge
 		}
 	}
+	if s.rejectedKeys != "" && t.changes(s.rejectedKeys) {
+		return nil, errValueTooLarge
+	}
 	return &t, nil
 }
 
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -34,6 +34,10 @@
 // be repeated, and may succeed once there is capacity.
 func IsRateLimited(err error) bool { return errors.Is(err, ErrRateLimited) }
 
+// IsRejected reports whether the store rejected a request as invalid, for example because a value or the
+// transaction is too large. The request was not executed. Repeated unchanged it is rejected again.
+func IsRejected(err error) bool { return errors.Is(err, ErrInvalidRequest) }
+
 // ConflictError means that a compare-and-swap was not applied because guards failed.
 type ConflictError struct {
 	FailedKeys []string // the keys of the failed guards
