Final records above a value lose their lists, so that every job can end

Cause: a final record is the active one with the state and more added, so that it exceeds the limit, and the store rejects it.

Change: a final record that is too large loses the fields that say where tasks may run (jobstore.Limits.FitFinal), at the leader's and at cancellations. Nothing reads these fields once a job is over. The stored form is the same.

--- a/cluster/writebehind.go
+++ b/cluster/writebehind.go
@@ -216,6 +216,7 @@
 	if j.reservation != nil {
 		rec.Reservation = &j.reservation.Reservation
 	}
+	rec = m.writes.limits().FitFinal(rec)
 	w := finalRecordWrite{job: j, record: rec, recordBytes: rec.Size()}
 	key := jobstore.FinalKey(j.ID)
 	w.bytes = wire.Guard{Key: key}.Size() + wire.Op{Put: key}.Size(w.recordBytes)
--- a/cluster/writebehind_test.go
+++ b/cluster/writebehind_test.go
@@ -230,3 +230,32 @@
 		t.Error("the rejected record is not written again")
 	}
 }
+
+// A final record is larger than the active one. If the active one was as large as a value may be, the
+// store rejected the final one, and the job was never done. It must fit, and still name the job.
+func TestFinalRecordOfTheLargestJobFitsIntoAValue(t *testing.T) {
+	const valueBytes = 16 << 10
+	m := newModel(5)
+	rec := largeArrayJob("wk-000001", 1, valueBytes-20)
+	rec.Job.Types[1] += strings.Repeat("x", max(0, valueBytes-jsonSize(t, rec)))
+	if size := jsonSize(t, rec); size != valueBytes {
+		t.Fatalf("the active record has %d bytes, want %d", size, valueBytes)
+	}
+	m.ApplyJobRecord("wk-000001", rec, 1, at(0))
+	m.markDone(m.Job("wk-000001"), 0, at(1))
+	b := m.NextBatch(12)
+	for _, op := range b.Ops {
+		final, ok := op.Value.(jobstore.JobRecord)
+		if !ok {
+			continue
+		}
+		if size := jsonSize(t, final); size > valueBytes {
+			t.Errorf("the final record has %d bytes, want at most %d", size, valueBytes)
+		}
+		if final.State != wire.JobDone || final.Job.ID != rec.Job.ID || final.Job.Tasks != rec.Job.Tasks || final.Job.Team != rec.Job.Team {
+			t.Errorf("the final record is that of %+v, %s", final.Job, final.State)
+		}
+		return
+	}
+	t.Error("the batch has no final record")
+}
--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -116,3 +116,24 @@
 		mustReach(t, w, rejected, wire.JobDone, 30*time.Second)
 	})
 }
+
+// Two jobs have records of exactly the largest size, so that their final records are larger. One must be
+// called done and the other be cancelled, also after all controllers have restarted.
+func TestJobsWithTheLargestRecordEnd(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 1}, func(t *testing.T, w *fake.Cluster) {
+		done, cancelled := largeJob(t, 1, valueBytes), largeJob(t, 2, valueBytes)
+		mustSubmit(t, w, cancelled)
+		mustReach(t, w, cancelled.ID, wire.JobRunning, time.Minute)
+		if state := w.Cancel(cancelled.ID); state != wire.JobCancelled {
+			t.Fatalf("cancellation returned %q", state)
+		}
+		mustSubmit(t, w, done)
+		mustReach(t, w, done.ID, wire.JobDone, time.Minute)
+		mustSubmit(t, w, job(100, nil))
+		mustReach(t, w, "wk-000100", wire.JobDone, time.Minute)
+		w.KillAll()
+		w.StartAll()
+		mustReach(t, w, done.ID, wire.JobDone, time.Minute)
+		mustReach(t, w, cancelled.ID, wire.JobCancelled, time.Minute)
+	})
+}
--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -39,6 +39,7 @@
 		}
 		record := status.Record
 		record.State = wire.JobCancelled
+		record = s.config.Limits.FitFinal(record)
 		err = s.commitCancellation(ctx, status, &cancellation{id: id, requestedAt: requestedAt, pageKey: status.pageKey, final: record})
 		if err == nil {
 			s.cacheFinal(id, record)
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 	"strings"
@@ -277,3 +278,63 @@
 		}
 	})
 }
+
+// rejectLargeValues rejects transactions like the key-value store: with a value above the limit, or too
+// large in total.
+func rejectLargeValues(t *testing.T) func(ops []wire.Op) error {
+	t.Helper()
+	return func(ops []wire.Op) error {
+		total := 0
+		for _, op := range ops {
+			size := jsonSizeOf(t, op.Value)
+			if total += size; size > limits.ValueBytes() || total > wire.MaxBody {
+				return kvstore.ErrInvalidRequest
+			}
+		}
+		return nil
+	}
+}
+
+// jsonSizeOf returns the size of a value as JSON.
+func jsonSizeOf(t *testing.T, v any) int {
+	t.Helper()
+	raw, err := wire.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plain any
+	if err := wire.Unmarshal(raw, &plain); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(text)
+}
+
+// The final record of a job is larger than its active one. A job whose active record is as large as a
+// value may be must be cancelled all the same, and stay cancelled for a controller that reads the record.
+func TestJobWithTheLargestRecordIsCancelled(t *testing.T) {
+	s := newFakeStore(1)
+	s.refuse = rejectLargeValues(t)
+	synctest.Test(t, func(t *testing.T) {
+		s.setSchema(1)
+		runStores(t, 2, s, func(stores []*jobstore.Store) {
+			large := job(0)
+			large.Types = []string{""}
+			empty := jsonSizeOf(t, jobstore.JobRecord{Job: large, AcceptedAtMs: time.Now().UnixMilli()})
+			large.Types[0] = strings.Repeat("x", limits.ValueBytes()-empty)
+			if _, ok := submit(t.Context(), stores[0], large); !ok {
+				t.Fatal("the job was not accepted")
+			}
+			if err := cancelWithin(t, stores[0], 0, userTimeout); err != nil {
+				t.Fatalf("cancel: %v", err)
+			}
+			status, found, err := stores[1].Lookup(t.Context(), large.ID)
+			if err != nil || !found || status.Record.State != wire.JobCancelled || status.Record.Job.Tasks != large.Tasks {
+				t.Errorf("got %q with %d tasks, found %v, error %v, want cancelled", status.Record.State, status.Record.Job.Tasks, found, err)
+			}
+		})
+	})
+}
