--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +138,45 @@
 		mustReach(t, w, cancelled.ID, wire.JobCancelled, time.Minute)
 	})
 }
+
+// A job's list of allowed machine types is larger than a value, in a body that is smaller than the limit
+// of 64 KiB. It was neither accepted nor refused. It must be accepted and run on an allowed type.
+func TestJobWithMoreTypesThanAValueHoldsRuns(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 1}, func(t *testing.T, w *fake.Cluster) {
+		large := largeJob(t, 1, 2*valueBytes)
+		w.RegisterJob(large)
+		if status := w.PostSubmission(0, large); status != http.StatusCreated {
+			t.Fatalf("submission returned %d, want 201", status)
+		}
+		if status := w.PostSubmission(1, large); status != http.StatusOK {
+			t.Errorf("repeated submission returned %d, want 200", status)
+		}
+		mustReach(t, w, large.ID, wire.JobDone, time.Minute)
+		if status := w.PostSubmission(2, large); status != http.StatusOK {
+			t.Errorf("submission repeated after the end returned %d, want 200", status)
+		}
+	})
+}
+
+// Many machine types exist, and a job allows all of them, so that its record can't be made to fit. It
+// must be refused at once, and not be answered 503 until its user gives up.
+func TestJobThatCanNotBeStoredIsRefused(t *testing.T) {
+	var types []wire.MachineType
+	var names []string
+	for n := range 400 {
+		machineType := fake.DefaultType
+		machineType.Name = fmt.Sprintf("type-%04d-%s", n, strings.Repeat("x", 40))
+		types = append(types, machineType)
+		names = append(names, machineType.Name)
+	}
+	runScenario(t, fake.Options{Machines: 1, Types: types}, func(t *testing.T, w *fake.Cluster) {
+		large := job(1, func(j *wire.Job) { j.Types = names })
+		for node := range 3 {
+			if status, reason := w.SubmitRefused(node, large); status != http.StatusUnprocessableEntity {
+				t.Errorf("node %d answered %d %q, want 422", node, status, reason)
+			}
+		}
+		mustSubmit(t, w, job(2, nil))
+		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
+	})
+}
--- a/jobstore/limits.go
+++ b/jobstore/limits.go
@@ -9,6 +9,8 @@
 	defaultValueKiB = 16
 	// maxPageBytes lets three pages fit into a transaction, whose limit is 64 KiB.
 	maxPageBytes = 18 << 10
+	// maxRecordBytes lets a job's record and a page fit into a transaction.
+	maxRecordBytes = 44 << 10
 	// pageReserve is left free in a value for the encoding around the entries.
 	pageReserve = 256
 	// guardsPerOp is how many guards the key-value store allows in a transaction for each op it allows.
@@ -46,6 +48,9 @@
 	return int(kib * 1024)
 }
 
+// recordBytes returns how large the record of a job may be.
+func (l Limits) recordBytes() int { return min(l.ValueBytes(), maxRecordBytes) }
+
 // maxJobs returns how many jobs a transaction can add with guardsPerJob guards for each. The head page
 // and the schema need one further guard each.
 func (l Limits) maxJobs(guardsPerJob int) int {
