A submission or cancellation that the store rejects fails alone

What callers would see: all submissions or cancellations that share a transaction with one that the store rejects (400) are answered 503, come back together a second later, and share the next transaction with it. Found by reading; not seen in a deployment.

Change: the bucket's writer commits each half of a rejected transaction separately, down to the one that is rejected alone. kvstore.BatchSize halves after a rejection as after a refusal by a rate limit.

Evidence: before, with one of twelve submissions rejected, the eleven others were rejected with it (TestRejectedSubmissionFailsAlone), and a cancellation that shared a transaction with a rejected one failed (TestRejectedCancellationFailsAlone).

--- a/jobstore/batch.go
+++ b/jobstore/batch.go
@@ -148,7 +148,8 @@
 }
 
 // commitBatch commits submissions of a bucket, and sends each its result. If a rate limit refused them,
-// refused is true and they are queued again.
+// refused is true and they are queued again. If the store rejected them as invalid, each half is committed
+// separately, so that a submission that can't be committed fails alone.
 func (s *Store) commitBatch(ctx context.Context, q *bucketQueue, b *batch) (refused bool) {
 	var err error
 	for try := 0; try < maxAcceptAttempts && ctx.Err() == nil; try++ {
@@ -185,6 +186,11 @@
 			defer s.mu.Unlock()
 			q.requeueSubmissions(b.submissions)
 			return true
+		case kvstore.IsRejected(err) && len(b.submissions) > 1:
+			half := len(b.submissions) / 2
+			first, second := &batch{slices.Clone(b.submissions[:half])}, &batch{b.submissions[half:]}
+			firstRefused := s.commitBatch(ctx, q, first)
+			return s.commitBatch(ctx, q, second) || firstRefused
 		default:
 			b.completeAll(acceptResult{err: err})
 			return false
--- a/jobstore/cancel.go
+++ b/jobstore/cancel.go
@@ -191,7 +191,8 @@
 
 // commitCancellations cancels jobs in one transaction, and sends each cancellation its result. After a
 // conflict or an unknown outcome, Cancel looks the job up again. If a rate limit refused the transaction,
-// refused is true and the cancellations are queued again.
+// refused is true and the cancellations are queued again. If the store rejected it as invalid, each half of
+// the cancellations is committed separately, so that one that can't be committed fails alone.
 func (s *Store) commitCancellations(ctx context.Context, q *bucketQueue, batch []*cancellation) (refused bool) {
 	guards, ops, present := s.cancellationTransaction(batch)
 	if len(present) == 0 {
@@ -206,6 +207,11 @@
 		q.requeueCancellations(present)
 		return true
 	}
+	if kvstore.IsRejected(err) && len(present) > 1 {
+		half := len(present) / 2
+		firstRefused := s.commitCancellations(ctx, q, present[:half])
+		return s.commitCancellations(ctx, q, present[half:]) || firstRefused
+	}
 	if err == nil {
 		s.applyOwnPages(ops, rev)
 	}
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -338,3 +338,60 @@
 		})
 	})
 }
+
+// The store rejects every transaction that cancels one of twelve jobs of a page. The cancellations arrive at
+// once and share a transaction. The others must be committed within their first requests.
+func TestRejectedCancellationFailsAlone(t *testing.T) {
+	const rejected = 5
+	s := newFakeStore(1)
+	runOnePage(t, s, 12, func(t *testing.T, r *jobstore.Store) {
+		t.Helper()
+		s.setRefuse(func(ops []wire.Op) error {
+			if slices.ContainsFunc(ops, func(op wire.Op) bool { return op.Put == jobstore.FinalKey(job(rejected).ID) }) {
+				return kvstore.ErrInvalidRequest
+			}
+			return nil
+		})
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() {
+				err := cancelWithin(t, r, n, userTimeout)
+				if n == rejected && !kvstore.IsRejected(err) || n != rejected && err != nil {
+					t.Errorf("job %d: %v", n, err)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// The store rejects every transaction that adds one of twelve jobs to a page. The submissions arrive at once
+// and share transactions. The others must be accepted at their first request.
+func TestRejectedSubmissionFailsAlone(t *testing.T) {
+	const rejected = 5
+	s := newFakeStore(1)
+	runOnePage(t, s, 0, func(t *testing.T, r *jobstore.Store) {
+		t.Helper()
+		s.setRefuse(func(ops []wire.Op) error {
+			for _, op := range ops {
+				page, ok := op.Value.(jobstore.JobPage)
+				if ok && slices.ContainsFunc(page.Entries, func(e jobstore.JobPageEntry) bool { return e.ID == job(rejected).ID }) {
+					return kvstore.ErrInvalidRequest
+				}
+			}
+			return nil
+		})
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), userTimeout)
+				defer cancel()
+				_, err := r.Accept(ctx, job(n), time.Now())
+				if n == rejected && !kvstore.IsRejected(err) || n != rejected && err != nil {
+					t.Errorf("job %d: %v", n, err)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
--- a/kvstore/ratelimit_test.go
+++ b/kvstore/ratelimit_test.go
@@ -36,6 +36,8 @@
 		{5, nil, 12}, // the rest of the limit was too small for a group that can't be divided
 		{12, nil, 12},
 		{5, ErrRateLimited, 2}, // half of the refused size, not of the limit
+		{2, nil, 4},
+		{4, ErrInvalidRequest, 2}, // a smaller transaction may not be too large
 	} {
 		size.Record(c.changes, c.err)
 		if size.Limit() != c.want {
--- a/kvstore/retry.go
+++ b/kvstore/retry.go
@@ -14,7 +14,7 @@
 )
 
 // BatchSize limits the number of changes of a writer's next transaction. A refusal by a rate limit halves
-// it. The commit of a transaction that used more than half of the limit doubles it. Half is enough,
+// it, and so does a rejection as invalid (see IsRejected), which a smaller transaction may escape. The commit of a transaction that used more than half of the limit doubles it. Half is enough,
 // because a group of changes that can't be divided may leave a part of the limit unused. It is not safe
 // for concurrent use.
 type BatchSize struct {
@@ -32,10 +32,11 @@
 // Limit returns how many changes the next transaction may have.
 func (b *BatchSize) Limit() int { return b.current }
 
-// Record adjusts the limit to the result of a transaction. Only rate limits and commits change it.
+// Record adjusts the limit to the result of a transaction. Other failures than refusals by rate limits and
+// rejections do not change it.
 func (b *BatchSize) Record(changes int, err error) {
 	switch {
-	case IsRateLimited(err):
+	case IsRateLimited(err), IsRejected(err):
 		b.current = max(b.minChanges, min(b.current, changes)/2)
 	case err == nil && 2*changes > b.current:
 		b.current = min(b.maxChanges, 2*b.current)
