The record of a rebalancing cycle is bounded by its bytes, not by its number of cooldowns

What callers would see: with value_kb 8, a group of machines with many cooldowns is not rebalanced, since the store rejects the cycle's record each time. Found by reading; not seen in a deployment.

Change: the lists are bounded by bytes (jobstore.RebalanceCycle.Size), and keep the cooldowns that end last where map order decided before. Then the last moves are dropped until the record fits.

--- a/cluster/rebalancing.go
+++ b/cluster/rebalancing.go
@@ -4,9 +4,11 @@
 package cluster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/umberdeal/umberdeal/config"
@@ -16,8 +18,14 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// maxCooldowns bounds the tasks in each list of a cycle's record, and with it the record's size.
-const maxCooldowns = 200
+const (
+	// maxCooldowns bounds the tasks in each list of cooldowns of a cycle's record.
+	maxCooldowns = 200
+	// cooldownShare is the share of a value that each of the two lists may take. The rest is for the moves.
+	cooldownShare = 0.45
+	// cooldownTimeBytes is the size of a time in a list, as wire.JSONSize counts it.
+	cooldownTimeBytes = 21
+)
 
 // RebalanceCycle is the last rebalance cycle of a group. A group consists of the machines of one
 // type in one zone.
@@ -182,11 +190,8 @@
 	if len(wanted) == 0 {
 		return jobstore.RebalanceCycle{}
 	}
-	nowMs := now.UnixMilli()
-	cycle := jobstore.RebalanceCycle{
-		TaskCooldownUntilMs: pruneExpired(last.TaskCooldownUntilMs, nowMs),
-		QuarantineUntilMs:   pruneExpired(last.QuarantineUntilMs, nowMs),
-	}
+	maxBytes := m.writes.limits().maxValueBytes()
+	cycle := cycleAfter(last, now.UnixMilli(), maxBytes)
 	group := rebalance.Group{Policies: m.RebalanceSettings.Policies, MaxMoves: m.RebalanceSettings.Budget, Unplaced: wanted}
 	for _, mc := range machines {
 		group.Hosts = append(group.Hosts, m.rebalanceHost(mc, cycle, now))
@@ -201,9 +206,29 @@
 		cycle.TaskCooldownUntilMs[name] = now.Add(config.Seconds(m.RebalanceSettings.TaskCooldownS)).UnixMilli()
 	}
 	cycle.CooldownUntilMs = now.Add(config.Seconds(m.RebalanceSettings.CooldownS)).UnixMilli()
+	dropMovesBeyond(&cycle, maxBytes)
 	return cycle
 }
 
+// cycleAfter returns a cycle without moves that keeps the cooldowns of the last one. Its record leaves room
+// for moves in maxBytes.
+func cycleAfter(last jobstore.RebalanceCycle, nowMs int64, maxBytes int) jobstore.RebalanceCycle {
+	maxListBytes := int(cooldownShare * float64(maxBytes))
+	return jobstore.RebalanceCycle{
+		TaskCooldownUntilMs: pruneCooldowns(last.TaskCooldownUntilMs, nowMs, maxListBytes),
+		QuarantineUntilMs:   pruneCooldowns(last.QuarantineUntilMs, nowMs, maxListBytes),
+	}
+}
+
+// dropMovesBeyond removes the last moves of a cycle until its record takes at most maxBytes.
+func dropMovesBeyond(cycle *jobstore.RebalanceCycle, maxBytes int) {
+	for len(cycle.Moves) > 0 && cycle.Size() > maxBytes {
+		last := len(cycle.Moves) - 1
+		delete(cycle.TaskCooldownUntilMs, cycle.Moves[last].Task)
+		cycle.Moves = cycle.Moves[:last]
+	}
+}
+
 // rebalanceHost converts a machine to the input of package rebalance. A task is movable if it is
 // running, can continue from a checkpoint, has not run for long, and is neither in its cooldown
 // after a move nor quarantined. Tasks of gangs and of jobs with a spread constraint are not movable.
@@ -222,13 +247,24 @@
 	return h
 }
 
-// pruneExpired returns the entries of untilMs that end after nowMs, at most maxCooldowns of them.
-func pruneExpired(untilMs map[string]int64, nowMs int64) map[string]int64 {
-	out := map[string]int64{}
+// pruneCooldowns returns the entries of untilMs that end after nowMs, by task. If there are more than
+// maxCooldowns, or they take more than maxBytes in the record, it leaves out those that end first.
+func pruneCooldowns(untilMs map[string]int64, nowMs int64, maxBytes int) map[string]int64 {
+	var tasks []string
 	for task, until := range untilMs {
-		if until > nowMs && len(out) < maxCooldowns {
-			out[task] = until
+		if until > nowMs {
+			tasks = append(tasks, task)
+		}
+	}
+	slices.SortFunc(tasks, func(a, b string) int {
+		return cmp.Or(cmp.Compare(untilMs[b], untilMs[a]), strings.Compare(a, b))
+	})
+	out := map[string]int64{}
+	for _, task := range tasks[:min(len(tasks), maxCooldowns)] {
+		if maxBytes -= wire.JSONTextSize(task) + cooldownTimeBytes; maxBytes < 0 {
+			break
 		}
+		out[task] = untilMs[task]
 	}
 	return out
 }
--- a/jobstore/planapply.go
+++ b/jobstore/planapply.go
@@ -127,13 +127,7 @@
 }
 
 // size returns an upper bound of the bytes that the key-value store counts for a head.
-func (h PlanHead) size() int {
-	raw, err := wire.Marshal(h)
-	if err != nil {
-		return 0 // the commit fails to encode the head as well, and returns the error
-	}
-	return wire.JSONSize(raw)
-}
+func (h PlanHead) size() int { return encodedSize(h) }
 
 // truncate limits the length of the free text that is stored with a version.
 func truncate(s string) string {
--- a/jobstore/recordsize.go
+++ b/jobstore/recordsize.go
@@ -6,8 +6,16 @@
 
 // Size returns an upper bound of the bytes that the key-value store counts for a job's record. It is 0
 // if the record can't be encoded, in which case no transaction can write it.
-func (r *JobRecord) Size() int {
-	raw, err := wire.Marshal(r)
+func (r *JobRecord) Size() int { return encodedSize(r) }
+
+// Size returns an upper bound of the bytes that the key-value store counts for the record of a cycle. It
+// is 0 if the record can't be encoded.
+func (c *RebalanceCycle) Size() int { return encodedSize(c) }
+
+// encodedSize returns an upper bound of the bytes that the key-value store counts for a value. It is 0 if
+// the value can't be encoded, in which case no transaction can write it.
+func encodedSize(v any) int {
+	raw, err := wire.Marshal(v)
 	if err != nil {
 		return 0
 	}
