Job store: the division of a rejected batch is a function of its own

commitBatch had grown beyond the linter's bound on complexity with the division of rejected transactions. failBatch has it now; what it does is the same. TestRejectedSubmissionFailsAlone passes.

--- a/jobstore/batch.go
+++ b/jobstore/batch.go
@@ -186,14 +186,8 @@
 			defer s.mu.Unlock()
 			q.requeueSubmissions(b.submissions)
 			return true
-		case kvstore.IsRejected(err) && len(b.submissions) > 1:
-			half := len(b.submissions) / 2
-			first, second := &batch{slices.Clone(b.submissions[:half])}, &batch{b.submissions[half:]}
-			firstRefused := s.commitBatch(ctx, q, first)
-			return s.commitBatch(ctx, q, second) || firstRefused
 		default:
-			b.completeAll(acceptResult{err: err})
-			return false
+			return s.failBatch(ctx, q, b, err)
 		}
 		if barrierErr := s.readBarrier(ctx); barrierErr != nil {
 			err = barrierErr
@@ -207,6 +201,20 @@
 	return false
 }
 
+// failBatch handles a transaction that was not executed for another reason than a conflict or a rate
+// limit. It fails the batch with err. If the store rejected the transaction as invalid, it commits each
+// half of the batch separately instead, if there are several submissions.
+func (s *Store) failBatch(ctx context.Context, q *bucketQueue, b *batch, err error) (refused bool) {
+	if !kvstore.IsRejected(err) || len(b.submissions) == 1 {
+		b.completeAll(acceptResult{err: err})
+		return false
+	}
+	half := len(b.submissions) / 2
+	first, second := &batch{slices.Clone(b.submissions[:half])}, &batch{b.submissions[half:]}
+	firstRefused := s.commitBatch(ctx, q, first)
+	return s.commitBatch(ctx, q, second) || firstRefused
+}
+
 // markUncertain records that a transaction of the batch may have been or may still be executed.
 func (s *Store) markUncertain(b *batch) {
 	s.mu.Lock()
