--- a/snapshot/restore.go
+++ b/snapshot/restore.go
@@ -24,10 +24,9 @@
 // Header.
 const importMarkKey = "ctl/import"
 
-// maxTxnBytes bounds the total size of the values in a transaction, so that it stays below the key-value
-// store's limit of 64 KiB. Values count as twice their length, because the store counts their size as
-// JSON.
-const maxTxnBytes = 48 << 10
+// maxTxnBytes bounds the total size of the guards and puts of a transaction as the key-value store counts
+// them, so that it stays below the store's limit of 64 KiB.
+const maxTxnBytes = 60 << 10
 
 // ErrNotEmpty means that the key-value store already has records or an unfinished import of a different
 // snapshot.
@@ -97,11 +96,12 @@
 	var ops []wire.Op
 	bytes := 0
 	for _, key := range keys {
-		size := 2 * len(values[key])
-		if len(ops) >= maxOps || len(ops) > 0 && bytes+size >= maxTxnBytes {
+		op := wire.Op{Put: key, Value: values[key]}
+		size := wire.Guard{Key: key}.Size() + op.Size(wire.JSONSize(values[key]))
+		if len(ops) >= maxOps || len(ops) > 0 && bytes+size > maxTxnBytes {
 			break
 		}
-		ops = append(ops, wire.Op{Put: key, Value: values[key]})
+		ops = append(ops, op)
 		bytes += size
 	}
 	return ops
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -233,3 +233,30 @@
 		t.Errorf("got %d violations, want 11:\n%s", len(found), reported)
 	}
 }
+
+// The import counted a value with twice its encoded length. Values of small numbers take more as JSON,
+// which is what the store counts, so that it rejected the transaction and the import failed.
+func TestImportDividesLargeValuesOfSmallNumbers(t *testing.T) {
+	numbers := make([]int, 4000)
+	for i := range numbers {
+		numbers[i] = 99
+	}
+	value, err := wire.Marshal(numbers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]wire.Raw{}
+	for n := range 12 {
+		all[fmt.Sprintf("x/%02d", n)] = value
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.New(fake.Options{Machines: 1})
+		defer w.Close()
+		w.KillAll()
+		time.Sleep(time.Minute)
+		w.Store.Clear()
+		if written, err := snapshot.Restore(t.Context(), client(w), snapshot.Header{Revision: 1}, all, 12); err != nil || written != len(all) {
+			t.Errorf("the import wrote %d of %d keys and returned %v", written, len(all), err)
+		}
+	})
+}
