YARN: launch contexts count with their size as JSON, in a value and in a transaction

What callers would see: containers with large launch contexts of their own that are started together fail to start each time, since the store rejects their transaction; a context with many escaped characters fails with the store's error instead of a reason. Found by reading.

Cause: containers shared a transaction by their number alone, and a context counted with twice its characters, where an escaped one takes up to six.

Change: contextOp measures the encoded context, and splitByTransaction fills a transaction by size, beside a job record as large as a value may be.

--- a/yarn/client_protocol.go
+++ b/yarn/client_protocol.go
@@ -132,7 +132,7 @@
 	guards := []nwire.Guard{{Key: app.key()}, {Key: finalPrefix + app.name()}}
 	ops := []nwire.Op{{Put: app.key(), Value: app}}
 	if !app.Unmanaged {
-		op, err := f.contextOp(app.MasterContextKey, submission.GetAmContainerSpec())
+		op, _, err := f.contextOp(app.MasterContextKey, submission.GetAmContainerSpec())
 		if err != nil {
 			return err
 		}
--- a/yarn/container_protocol.go
+++ b/yarn/container_protocol.go
@@ -18,10 +18,11 @@
 
 // containerStart is a checked request to start a container.
 type containerStart struct {
-	id        *pb.ContainerIdProto
-	job       string
-	task      int
-	contextOp nwire.Op // stores the launch context under the container's own key
+	id          *pb.ContainerIdProto
+	job         string
+	task        int
+	contextOp   nwire.Op // stores the launch context under the container's own key
+	contextSize int      // upper bound of the bytes of contextOp in a transaction
 }
 
 // containerFailure returns the error of a call for one container, as part of the answer.
@@ -73,9 +74,9 @@
 func (f *Frontend) splitByTransaction(starts []containerStart) [][]containerStart {
 	var parts [][]containerStart
 	for len(starts) > 0 {
-		n := min(len(starts), f.limits.TxnOps-1)
-		if haveSameContext(starts) {
-			n = len(starts)
+		n := len(starts)
+		if !haveSameContext(starts) {
+			n = f.startsPerTransaction(starts)
 		}
 		parts = append(parts, starts[:n])
 		starts = starts[n:]
@@ -83,6 +84,22 @@
 	return parts
 }
 
+// jobChangeBytes bounds the size of the rest of a transaction that starts containers, except for the
+// value of the job's record.
+const jobChangeBytes = 1 << 10
+
+// startsPerTransaction returns how many of the first starts fit into a transaction, at least one. The
+// job's record may take as much as a value can.
+func (f *Frontend) startsPerTransaction(starts []containerStart) int {
+	left := nwire.MaxBody - f.limits.ValueBytes - jobChangeBytes
+	for n, start := range starts {
+		if left -= start.contextSize; n > 0 && left < 0 || n == f.limits.TxnOps-1 {
+			return n
+		}
+	}
+	return len(starts)
+}
+
 // checkStart checks the token of a container and returns what to start. If the token names a
 // container, the result has its id even with an error.
 func (f *Frontend) checkStart(app *application, ring *keyring, request *pb.StartContainerRequestProto) (containerStart, error) {
@@ -97,7 +114,7 @@
 		!bytes.Equal(password, request.GetContainerToken().GetPassword()) {
 		return start, wire.Errorf(wire.ClassInvalidToken, "the container's token is not valid")
 	}
-	start.contextOp, err = f.contextOp(app.contextKey(start.job, task), request.GetContainerLaunchContext())
+	start.contextOp, start.contextSize, err = f.contextOp(app.contextKey(start.job, task), request.GetContainerLaunchContext())
 	return start, err
 }
 
--- a/yarn/launch_context.go
+++ b/yarn/launch_context.go
@@ -32,22 +32,23 @@
 	envMasterTokenPassword = "UMBERDEAL_AM_TOKEN_PASSWORD"
 )
 
-// contextOp returns the change that stores a launch context. It fails if the context is too large
-// for one value of the store.
-func (f *Frontend) contextOp(key string, in *pb.ContainerLaunchContextProto) (nwire.Op, error) {
+// contextOp returns the change that stores a launch context, and an upper bound of its size in a
+// transaction. It fails if the context is too large for one value of the store.
+func (f *Frontend) contextOp(key string, in *pb.ContainerLaunchContextProto) (op nwire.Op, size int, err error) {
 	c := LaunchContext{Env: map[string]string{}, Argv: in.GetCommand(), Tokens: base64.StdEncoding.EncodeToString(in.GetTokens())}
-	size := len(c.Tokens) + 256 // an upper bound of the encoded size
 	for _, variable := range in.GetEnvironment() {
 		c.Env[variable.GetKey()] = variable.GetValue()
-		size += 2*len(variable.GetKey()) + 2*len(variable.GetValue()) + 8
 	}
-	for _, arg := range c.Argv {
-		size += 2*len(arg) + 4
+	raw, err := nwire.Marshal(c)
+	if err != nil {
+		return nwire.Op{}, 0, err
 	}
-	if size > f.limits.ValueBytes {
-		return nwire.Op{}, wire.Errorf(wire.ClassYarn, "the launch context takes %d bytes, and %d are kept", size, f.limits.ValueBytes)
+	valueBytes := nwire.JSONSize(raw)
+	if valueBytes > f.limits.ValueBytes {
+		return nwire.Op{}, 0, wire.Errorf(wire.ClassYarn, "the launch context takes %d bytes, and %d are kept", valueBytes, f.limits.ValueBytes)
 	}
-	return nwire.Op{Put: key, Value: c}, nil
+	op = nwire.Op{Put: key, Value: c}
+	return op, op.Size(valueBytes), nil
 }
 
 // contextKey returns the store key of a launch context that one container uses.
