YARN: texts of an application's end are truncated, so that its record fits and it ends

What callers would see: an application whose master ends with a long stack trace as diagnostics, or that is killed with a long reason, never ends: the store rejects its record, and the client is told to retry. Found by reading.

Cause: texts that clients choose went into the record whatever their size.

Change: writeApplication truncates diagnostics and tracking URL to a quarter of a value each, counted as JSON.

Evidence: TestApplicationWithLongDiagnosticsEnds: before, the kill was answered 503, the application stayed RUNNING and its record remained; passes now.

--- a/yarn/application_store.go
+++ b/yarn/application_store.go
@@ -62,9 +62,30 @@
 	return &snapshot{app: &app, record: record, final: true}, nil
 }
 
-// writeApplication replaces an application's record. It fails with a kvstore.ConflictError if
-// the record has changed since snap was read.
+// maxTextShare bounds each text in an application's record that a client may choose at its end, such as a
+// stack trace, to 1/maxTextShare of a value. A record that is too large is rejected by the store each time,
+// so that the application would never end.
+const maxTextShare = 4
+
+// truncateText returns the beginning of a text that takes at most maxBytes as JSON.
+func truncateText(text string, maxBytes int) string {
+	if nwire.JSONTextSize(text) <= maxBytes {
+		return text
+	}
+	left := maxBytes - nwire.JSONTextSize("")
+	for i, r := range text {
+		if left -= nwire.JSONTextSize(string(r)) - nwire.JSONTextSize(""); left < 0 {
+			return text[:i]
+		}
+	}
+	return text
+}
+
+// writeApplication replaces an application's record. It truncates texts that clients may choose. It fails
+// with a kvstore.ConflictError if the record has changed since snap was read.
 func (f *Frontend) writeApplication(ctx context.Context, snap *snapshot) error {
+	snap.app.Diagnostics = truncateText(snap.app.Diagnostics, f.limits.ValueBytes/maxTextShare)
+	snap.app.TrackingURL = truncateText(snap.app.TrackingURL, f.limits.ValueBytes/maxTextShare)
 	version, err := f.store.CompareAndSwap(ctx,
 		[]nwire.Guard{{Key: snap.record.Key, Version: snap.record.Version}}, []nwire.Op{{Put: snap.record.Key, Value: *snap.app}})
 	if err == nil {
--- a/yarn/failures_test.go
+++ b/yarn/failures_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -264,3 +265,37 @@
 		})
 	}
 }
+
+// A master ends with a stack trace as its diagnostics that is larger than a value of the key-value store,
+// or a user kills an application with such a reason. The store rejected the record each time, so that the
+// application never ended.
+func TestApplicationWithLongDiagnosticsEnds(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 2}, func(t *testing.T, cluster *fake.Cluster, user *testClient) {
+		trace := "render failed: " + strings.Repeat("at <tile> \"é\"\n", 4000)
+		id, master := user.startApplication()
+		defer master.Close()
+		if err := master.Finish(t.Context(), pb.FinalApplicationStatusProto_APP_FAILED, trace); err != nil {
+			t.Fatalf("finish: %v", err)
+		}
+		report, err := user.client.Report(t.Context(), id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := report.GetDiagnostics()
+		if report.GetYarnApplicationState() != pb.YarnApplicationStateProto_FAILED || len(got) < 500 || !strings.HasPrefix(trace, got) {
+			t.Errorf("application is %v with %d bytes of diagnostics, want FAILED with the beginning of the trace", report.GetYarnApplicationState(), len(got))
+		}
+		second, killed := user.startApplication()
+		defer killed.Close()
+		body := `{"state":"KILLED","diagnostics":"` + strings.Repeat("x", 40000) + `"}`
+		path := fmt.Sprintf("/ws/v1/cluster/apps/application_%d_%04d/state", second.GetClusterTimestamp(), second.GetId())
+		if status, answer := restCall(t, cluster, http.MethodPut, path, body); status >= http.StatusBadRequest {
+			t.Errorf("kill: %d %s", status, answer)
+		}
+		if state := user.mustReadState(second); state != pb.YarnApplicationStateProto_KILLED {
+			t.Errorf("application is %v, want KILLED", state)
+		}
+		time.Sleep(10 * time.Second)
+		assertNoRecords(t, cluster)
+	})
+}
