Rejected returns, copies of the types and weight fetches are not repeated unchanged

What callers would see when the store rejects (400) one of these records: idle machines are never returned, and paid for; the copy of the machine types is written three times a second for good; a warm pool is never filled.

Change: a rejected return is tried with half of its machines. The copy of the types is tried once for each leadership, with an error in the log. The fake store's fault is a predicate now (RejectTransactions), and it counts rejections.

--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -98,7 +99,9 @@
 func TestRejectedFinalRecordDelaysNoOtherJob(t *testing.T) {
 	runScenario(t, fake.Options{Machines: 2}, func(t *testing.T, w *fake.Cluster) {
 		const rejected = "wk-000003"
-		w.Store.RejectChanges(jobstore.FinalKey(rejected))
+		w.Store.RejectTransactions(func(changes []fake.Change) bool {
+			return slices.ContainsFunc(changes, func(c fake.Change) bool { return c.Key == jobstore.FinalKey(rejected) })
+		})
 		for n := range 8 {
 			mustSubmit(t, w, job(n+1, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 1, 8 }))
 		}
@@ -113,7 +116,7 @@
 		if state := w.PollState(w.NodeAddr(0), rejected); state == wire.JobDone {
 			t.Fatalf("%s is done although its final record was rejected", rejected)
 		}
-		w.Store.AcceptChanges()
+		w.Store.RejectTransactions(nil)
 		mustReach(t, w, rejected, wire.JobDone, 30*time.Second)
 	})
 }
@@ -180,3 +183,54 @@
 		mustReach(t, w, "wk-000002", wire.JobDone, time.Minute)
 	})
 }
+
+// The copy of the machine types is larger than a value. The leader wrote it again three times a second. It
+// must not go on.
+func TestMachineTypesThatDoNotFitAreNotWrittenForEver(t *testing.T) {
+	var types []wire.MachineType
+	for n := range 400 {
+		machineType := fake.DefaultType
+		machineType.Name = fmt.Sprintf("type-%04d", n)
+		types = append(types, machineType)
+	}
+	runScenario(t, fake.Options{Machines: 1, Types: types}, func(t *testing.T, w *fake.Cluster) {
+		time.Sleep(time.Minute)
+		if n := w.Store.Rejections(); n != 1 {
+			t.Errorf("%d transactions were rejected, want 1", n)
+		}
+	})
+}
+
+// Twelve machines are idle, and the key-value store rejects the record of their return, as it would a list
+// of long names. The leader sent the same list each time and returned none. It must return all.
+func TestScaleInWithARejectedRecordReturnsFewerMachines(t *testing.T) {
+	runScenario(t, fake.Options{Machines: 12}, func(t *testing.T, w *fake.Cluster) {
+		const maxBytes = 60
+		w.Store.RejectTransactions(func(changes []fake.Change) bool {
+			return slices.ContainsFunc(changes, func(c fake.Change) bool { return c.Key == jobstore.ScaleInKey && c.Bytes > maxBytes })
+		})
+		time.Sleep(2 * time.Minute)
+		if n := w.Store.Rejections(); n == 0 {
+			t.Error("no record was rejected")
+		}
+		if machines := w.Cloud.Machines(); len(machines) > 0 {
+			t.Errorf("%d idle machines are left after two minutes", len(machines))
+		}
+	})
+}
+
+// A pool of eight machines fetches its weights. The key-value store rejects transactions with more than one
+// of the jobs that do so. The leader asked for as many in one transaction each time, and none was recorded.
+func TestRejectedWeightFetchesAreRecordedSingly(t *testing.T) {
+	runScenario(t, poolCluster(0, 10), func(t *testing.T, w *fake.Cluster) {
+		w.Store.RejectTransactions(func(changes []fake.Change) bool {
+			isFetch := func(c fake.Change) bool { return strings.HasPrefix(c.Key, jobstore.JobKey(wire.JobPrefix+"9")) }
+			return len(changes) > 1 && slices.ContainsFunc(changes, isFetch) && !slices.ContainsFunc(changes, func(c fake.Change) bool { return c.Bytes == 0 })
+		})
+		applyPlan(t, w, 0, poolPlan(8, 8, "fetch_at_once = 6"))
+		awaitWarm(t, w, "llm:v1", 8, 10*time.Minute)
+		if n := w.Store.Rejections(); n == 0 || n > 8 { // after a commit a larger one is tried again
+			t.Errorf("%d transactions were rejected, want 1 to 8", n)
+		}
+	})
+}
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -8,6 +8,7 @@
 
 	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/jobstore"
+	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -80,11 +81,17 @@
 }
 
 // saveMachineTypes copies the catalog to the key-value store, where nodes find it during an
-// outage of the cloud. It reports whether it has written the copy.
-func (l *leadership) saveMachineTypes(ctx context.Context) bool {
+// outage of the cloud. It reports whether it has written the copy, or the store has rejected it
+// and would do so again.
+func (l *leadership) saveMachineTypes(ctx context.Context) (done bool) {
 	types := l.node.machineTypes()
 	if types == nil {
 		return false
 	}
-	return l.putOwnRecord(ctx, jobstore.MachineTypesKey, wire.Types{Types: types}) == nil
+	err := l.putOwnRecord(ctx, jobstore.MachineTypesKey, wire.Types{Types: types})
+	if kvstore.IsRejected(err) {
+		l.log.Error("copy of the machine types not saved", "count", len(types), "err", err)
+		return true
+	}
+	return err == nil
 }
--- a/controller/scaler.go
+++ b/controller/scaler.go
@@ -14,6 +14,7 @@
 	"github.com/umberdeal/umberdeal/config"
 	"github.com/umberdeal/umberdeal/internal/call"
 	"github.com/umberdeal/umberdeal/jobstore"
+	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
@@ -70,9 +71,15 @@
 
 // scaleIn deletes machines. It commits their names first, because the cloud may perform the
 // deletion long after the leader lease was last checked. Without the record, a leader
-// elected in the meantime would place tasks on these machines.
+// elected in the meantime would place tasks on these machines. If the key-value store rejects
+// the record, scaleIn deletes fewer machines.
 func (l *leadership) scaleIn(ctx context.Context, names []string) {
-	if err := l.putOwnRecord(ctx, jobstore.ScaleInKey, jobstore.ScaleInRecord{Machines: names}); err != nil {
+	err := l.putOwnRecord(ctx, jobstore.ScaleInKey, jobstore.ScaleInRecord{Machines: names})
+	if kvstore.IsRejected(err) && len(names) > 1 {
+		l.scaleIn(ctx, names[:len(names)/2]) // the others follow in the next rounds
+		return
+	}
+	if err != nil {
 		l.log.Debug("scale-in record not committed", "err", err)
 		return
 	}
--- a/controller/warm_pools.go
+++ b/controller/warm_pools.go
@@ -21,13 +21,13 @@
 // on a machine of its own. A recorded job is handled like any other job, so that the next
 // leader continues it.
 func (l *leadership) recordWeightFetches(ctx context.Context) {
-	maxJobs := max(1, l.node.cfg.Cluster.State.TxnOps/2)
+	batchSize := kvstore.NewBatchSize(1, l.node.cfg.Cluster.State.TxnOps/2)
 	for call.Pause(ctx, weightFetchInterval) {
 		if !l.lease.Valid() {
 			continue
 		}
 		l.mu.Lock()
-		jobs, planGuard := l.model.NextPrefetches(maxJobs, time.Now()), l.model.PlanGuard()
+		jobs, planGuard := l.model.NextPrefetches(batchSize.Limit(), time.Now()), l.model.PlanGuard()
 		l.mu.Unlock()
 		if len(jobs) == 0 {
 			continue
@@ -39,6 +39,7 @@
 			ops = append(ops, wire.Op{Put: jobstore.JobKey(job.ID), Value: job.Record})
 		}
 		_, err := l.node.kv.CompareAndSwap(ctx, guards, ops)
+		batchSize.Record(len(ops), err)
 		if err == nil {
 			continue
 		}
--- a/internal/fake/kvstore.go
+++ b/internal/fake/kvstore.go
@@ -51,7 +51,8 @@
 	refusedNodes  map[string]bool          // controllers whose requests get status 503
 	silentWatches map[string]bool          // controllers whose watches get no events
 	latency       time.Duration            // added to usualLatency before a request is executed
-	rejectedKeys  string                   // prefix of keys whose changes are rejected; "" for none
+	reject        func([]Change) bool      // which transactions get status 400; nil: those that exceed the limits
+	rejections    int                      // transactions that got status 400
 	replyDelay    time.Duration            // between the execution of a request and its answer
 	replyDelayTo  map[string]time.Duration // added to replyDelay, by sender
 	delayNext     nextTransactionDelay
--- a/internal/fake/kvstore_faults.go
+++ b/internal/fake/kvstore_faults.go
@@ -62,19 +62,25 @@
 	delete(s.refusedNodes, node)
 }
 
-// RejectChanges makes transactions that change a key with a prefix get status 400 until AcceptChanges,
-// as if the value was too large.
-func (s *KVStore) RejectChanges(prefix string) {
+// Change is a change of a key that a transaction requests.
+type Change struct {
+	Key   string
+	Bytes int // size of the new value as JSON; 0 for a deletion
+}
+
+// RejectTransactions makes the transactions for which reject returns true get status 400, as if they
+// exceeded a limit. reject must not call the store; nil ends the fault.
+func (s *KVStore) RejectTransactions(reject func([]Change) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejectedKeys = prefix
+	s.reject = reject
 }
 
-// AcceptChanges ends the fault of RejectChanges.
-func (s *KVStore) AcceptChanges() {
+// Rejections returns the number of transactions that got status 400.
+func (s *KVStore) Rejections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejectedKeys = ""
+	return s.rejections
 }
 
 // SilenceWatches leaves the watches of a controller without an answer until ResumeWatches, like a
--- a/internal/fake/kvstore_transactions.go
+++ b/internal/fake/kvstore_transactions.go
@@ -57,6 +57,18 @@
 	return out
 }
 
+// requestedChanges returns the changes that a transaction requests.
+func (t *transaction) requestedChanges() (out []Change) {
+	for _, op := range t.Then {
+		change := Change{Key: op.key()}
+		if op.Put != "" {
+			change.Bytes = jsonSize(op.Value)
+		}
+		out = append(out, change)
+	}
+	return out
+}
+
 // changes reports whether a transaction changes a key with a prefix.
 func (t *transaction) changes(prefix string) bool {
 	return slices.ContainsFunc(t.keys(), func(key string) bool { return strings.HasPrefix(key, prefix) })
@@ -93,7 +105,7 @@
 			return nil, errValueTooLarge
 		}
 	}
-	if s.rejectedKeys != "" && t.changes(s.rejectedKeys) {
+	if s.reject != nil && s.reject(t.requestedChanges()) {
 		return nil, errValueTooLarge
 	}
 	return &t, nil
@@ -104,6 +116,7 @@
 func (s *KVStore) serveCommit(w http.ResponseWriter, r *http.Request, body []byte) {
 	t, err := s.decodeTransaction(body)
 	if err != nil {
+		s.rejections++
 		reply(w, http.StatusBadRequest, wire.Error{Error: err.Error()})
 		return
 	}
