A watch whose changes are gone or too many starts anew, not unchanged

What operators would see: after 10,000 changes under one leader each follower's watch of ctl/leader is answered 410 at once and repeated, some three times a second with a read; a controller that is more than 16 MiB of changes behind reads them again and again.

Cause: the watch began at the key's own revision, which the store had discarded; and the client could not tell an answer that is too large from a lost one.

Change: a listing gives the key's version with the current revision, from which the watch begins. Changes larger than a client reads are kvstore.ErrCompacted, after which all callers list.

Evidence, before: 356 refusals in a minute with two followers, at most 14 allowed (TestFollowersWatchALeaderKeyOlderThanTheStoresChanges, simulated time), and an error of a lost answer (TestTooManyChangesCountAsCompacted). Both pass now. One refusal for each watch of 10 s remains.

--- a/controller/leader_change_test.go
+++ b/controller/leader_change_test.go
@@ -570,3 +570,23 @@
 		t.Logf("%d tasks preempted, overtaken: %+v", saved, w.Store.OvertakenTransactions())
 	})
 }
+
+// The key-value store keeps its newest changes only. After many of them under one leader, each follower's
+// watch of the leader key was refused with status 410 at once, and repeated about three times a second. One
+// refusal for each watch is allowed, and followers must still notice the next change of the leader.
+func TestFollowersWatchALeaderKeyOlderThanTheStoresChanges(t *testing.T) {
+	const watchBlock, watched = 10 * time.Second, time.Minute
+	runScenario(t, fake.Options{Machines: 1}, func(t *testing.T, w *fake.Cluster) {
+		time.Sleep(2 * watchBlock) // the other watches continue from the current revision
+		w.Store.Compact()
+		before := w.Store.GoneWatches()
+		time.Sleep(watched)
+		const followers = 2
+		if n := w.Store.GoneWatches() - before; n > followers*int(watched/watchBlock+1) {
+			t.Errorf("%d watches were refused in %v, want at most one of each follower every %v", n, watched, watchBlock)
+		}
+		w.KillNode(w.Leader())
+		mustSubmit(t, w, job(1, nil))
+		mustReach(t, w, "wk-000001", wire.JobDone, 90*time.Second)
+	})
+}
--- a/election/election.go
+++ b/election/election.go
@@ -54,6 +54,7 @@
 // documents the methods.
 type Store interface {
 	Get(ctx context.Context, key string) (wire.Entry, error)
+	ListPage(ctx context.Context, prefix, after string, limit int) (wire.Listing, error)
 	CompareAndSwap(ctx context.Context, guards []wire.Guard, ops []wire.Op) (uint64, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (uint64, error)
 	RenewLease(ctx context.Context, lease uint64) error
@@ -185,12 +186,32 @@
 		return e.revokePrevious(ctx, leader.Lease, entry.Version)
 	}
 	e.setLeader(leader.Node)
-	if _, err := e.cfg.Store.Watch(ctx, LeaderKey, entry.Version, watchBlock); err != nil {
+	if err := e.awaitChange(ctx, entry.Version); err != nil {
 		return fmt.Errorf("watch the leader key: %w", err)
 	}
 	return nil
 }
 
+// awaitChange waits until the leader key, last read in the given version, changes or the watch times
+// out. The store keeps only its newest changes, so that the change of a key that has not changed for
+// long can't be the start of a watch. The watch then starts at the current revision, if a listing
+// shows that the key still has the version.
+func (e *Elector) awaitChange(ctx context.Context, version uint64) error {
+	_, err := e.cfg.Store.Watch(ctx, LeaderKey, version, watchBlock)
+	if !errors.Is(err, kvstore.ErrCompacted) {
+		return err
+	}
+	page, err := e.cfg.Store.ListPage(ctx, LeaderKey, "", 1)
+	if err != nil {
+		return err
+	}
+	if len(page.Items) == 0 || page.Items[0].Version != version {
+		return nil // it has changed
+	}
+	_, err = e.cfg.Store.Watch(ctx, LeaderKey, page.Revision, watchBlock)
+	return err
+}
+
 // revokePrevious revokes a lease that names this node but that this process does not use.
 // It belongs to an earlier process, or to a campaign whose outcome was unknown. Otherwise
 // all nodes would have to wait for its expiry. The lease in use is never revoked here,
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -28,6 +28,12 @@
 	return s.entry, nil
 }
 
+func (s *slowStore) ListPage(context.Context, string, string, int) (wire.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wire.Listing{Items: []wire.Entry{s.entry}, Revision: s.entry.Version}, nil
+}
+
 // revokedAt returns when the lease was revoked, or zero if it was not.
 func (s *slowStore) revokedAt() time.Time {
 	s.mu.Lock()
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -44,9 +45,12 @@
 	}
 }
 
+// ErrResponseTooLarge means that the body of a response exceeds the limit of its caller.
+var ErrResponseTooLarge = errors.New("response over the limit")
+
 // Do sends in, encoded as MessagePack, and returns the status and body of the response. The
-// request has no body if in is nil. Do fails if the response body is larger than maxBytes. An
-// HTTP error status is not an error.
+// request has no body if in is nil. Do fails with ErrResponseTooLarge if the response body is larger
+// than maxBytes. An HTTP error status is not an error.
 func Do(ctx context.Context, client *http.Client, method, url string, in any, maxBytes int64) (int, []byte, error) {
 	var body io.Reader
 	if in != nil {
@@ -74,7 +78,7 @@
 		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
 	}
 	if int64(len(out)) > maxBytes {
-		return 0, nil, fmt.Errorf("%s %s: response over %d bytes", method, url, maxBytes)
+		return 0, nil, fmt.Errorf("%s %s: %w of %d bytes", method, url, ErrResponseTooLarge, maxBytes)
 	}
 	return resp.StatusCode, out, nil
 }
--- a/internal/fake/kvstore.go
+++ b/internal/fake/kvstore.go
@@ -35,7 +35,9 @@
 
 	revision   uint64
 	entries    map[string]wire.Entry // by key
-	events     []wire.Event          // all changes, oldest first
+	events     []wire.Event          // changes after compacted, oldest first
+	compacted  uint64                // revision up to which the changes are discarded
+	goneCount  int                   // watches refused because they start before compacted
 	changed    chan struct{}         // closed, and replaced, at each change
 	createdAt  map[string]time.Time  // when a key was last put while it was absent
 	lastChange map[string]uint64     // the revision of each key's last change, deletions included
@@ -264,6 +266,11 @@
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	block, _ := strconv.Atoi(q.Get("blockMs"))
 	end := time.Now().Add(time.Duration(block) * time.Millisecond)
+	if after < s.compacted {
+		s.goneCount++
+		reply(w, http.StatusGone, wire.Error{Error: "gone"})
+		return
+	}
 	for {
 		s.expireLeases()
 		events := wire.Events{Revision: s.revision, Log: s.eventsAfter(after, q.Get("prefix"))}
--- a/internal/fake/kvstore_faults.go
+++ b/internal/fake/kvstore_faults.go
@@ -83,6 +83,21 @@
 	return s.rejections
 }
 
+// Compact discards all changes so far, as the store does with all but the newest ones. Watches that
+// start before get status 410.
+func (s *KVStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.compacted = nil, s.revision
+}
+
+// GoneWatches returns the number of watches that got status 410.
+func (s *KVStore) GoneWatches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.goneCount
+}
+
 // SilenceWatches leaves the watches of a controller without an answer until ResumeWatches, like a
 // hanging connection. Other requests, and watches that don't block, are answered.
 func (s *KVStore) SilenceWatches(node string) {
--- a/kvstore/client.go
+++ b/kvstore/client.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -259,7 +260,7 @@
 // Watch waits up to block for changes, after the given revision, of keys with the
 // prefix. With block 0 it returns at once and serves as a read barrier, because the result
 // includes every change that was committed before the call. The error is ErrCompacted if
-// the store no longer has the changes since that revision.
+// the store no longer has the changes since that revision, or they are too large to be read.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, block time.Duration) (wire.Events, error) {
 	events, err := c.readEvents(ctx, prefix, after, block)
 	return events, opError("watch", prefix, err)
@@ -273,6 +274,9 @@
 		"blockMs": {strconv.FormatInt(block.Milliseconds(), 10)},
 	}
 	resp, err := c.do(ctx, request{method: http.MethodGet, path: "/follow?" + q.Encode(), maxBytes: maxEventsBytes, block: block})
+	if errors.Is(err, call.ErrResponseTooLarge) {
+		return wire.Events{}, fmt.Errorf("%w: more than %d bytes of changes", ErrCompacted, maxEventsBytes)
+	}
 	if err != nil {
 		return wire.Events{}, err
 	}
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -23,7 +23,8 @@
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New("no such lease")
 	// ErrCompacted means that the store has discarded the changes after the revision at
-	// which a watch was to start.
+	// which a watch was to start, or that they are larger than a client reads. The caller
+	// must list the keys instead.
 	ErrCompacted = errors.New("revision compacted")
 	// ErrInvalidRequest means that the store rejected the request as malformed, or that
 	// this client did not expect the status or body of the response.
--- a/kvstore/kvstore_test.go
+++ b/kvstore/kvstore_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,3 +116,17 @@
 		t.Errorf("no response: got %v, want ErrOutcomeUnknown", err)
 	}
 }
+
+// A controller that was away for long is behind by more changes than it reads at once. The error was that of a
+// lost answer, and the same watch was repeated. It must be the one after which the keys are listed.
+func TestTooManyChangesCountAsCompacted(t *testing.T) {
+	log := make([]wire.Event, 1100)
+	for i := range log {
+		log[i] = wire.Event{Put: "a", Value: body(t, strings.Repeat("x", 16<<10)), Version: uint64(i + 2)}
+	}
+	s := golden.Serve(t, golden.Answer{Status: http.StatusOK, Body: body(t, wire.Events{Revision: 2000, Log: log})})
+	_, err := New(s.Dial, "state:80", 100, 100).Watch(t.Context(), "a", 1, 0)
+	if !errors.Is(err, ErrCompacted) || errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("got %v, want ErrCompacted", err)
+	}
+}
