Scenario: records of all sizes beside outages, a failover and a store that takes less

Jobs whose records take up to three values arrive while the key-value store is out, a leader is killed, and the store takes values of half the size for 30 s. Once that is over, each job must be accepted and done or cancelled.

--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -10,9 +10,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,13 +31,15 @@
 func largeJob(t *testing.T, n, recordBytes int) wire.Job {
 	t.Helper()
 	j := job(n, func(j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS, j.Types = 1, 1, 8, []string{fake.DefaultType.Name} })
-	const typeBytes = 40 // of each name but the last, with quotes and comma
-	for left := recordBytes - recordSize(t, j); left > 0; left = recordBytes - recordSize(t, j) {
+	const typeBytes = 60 // of each name but the last, with quotes and comma
+	for left := recordBytes - recordSize(t, j); left > 0; {
+		size := left
 		if left >= 2*typeBytes {
-			left = typeBytes
+			size = typeBytes
 		}
 		name := fmt.Sprintf("type-%04d-", len(j.Types))
-		j.Types = append(j.Types, name+strings.Repeat("x", left-len(name)-len(`"",`)))
+		j.Types = append(j.Types, name+strings.Repeat("x", size-len(name)-len(`"",`)))
+		left -= size
 	}
 	return j
 }
@@ -234,3 +238,66 @@
 		}
 	})
 }
+
+// Jobs with records of all sizes, up to bodies of 64 KiB, arrive one by one and in bursts; one in four is
+// cancelled. Meanwhile the key-value store is out, leaders are killed, and for a while the store takes
+// smaller values than the settings say. Once the faults are over, each accepted job must be done, or
+// cancelled, and nothing may be rejected any more.
+func TestRulesHoldWithRecordsOfAllSizes(t *testing.T) {
+	runSeeded(t, 71, fake.Options{Machines: 6}, func(t *testing.T, w *fake.Cluster, rnd *rand.Rand) {
+		const jobs = 60
+		var accepted []string
+		var mu sync.Mutex
+		var users sync.WaitGroup
+		for n := range jobs {
+			j := largeJob(t, n+1, 400+rnd.IntN(3*valueBytes))
+			cancelled, after := rnd.IntN(4) == 0, randomDuration(rnd, 0, 20*time.Second)
+			users.Go(func() {
+				if !w.Submit(j) {
+					return
+				}
+				mu.Lock()
+				accepted = append(accepted, j.ID)
+				mu.Unlock()
+				if cancelled {
+					time.Sleep(after)
+					w.Cancel(j.ID)
+				}
+			})
+			if rnd.IntN(3) > 0 {
+				time.Sleep(randomDuration(rnd, 0, 3*time.Second))
+			}
+			switch n {
+			case jobs / 4:
+				w.Store.SetOutage(true)
+				time.Sleep(10 * time.Second)
+				w.Store.SetOutage(false)
+			case jobs / 2:
+				restartLeader(w)
+			case 3 * jobs / 4:
+				w.Store.RejectTransactions(func(changes []fake.Change) bool {
+					return slices.ContainsFunc(changes, func(c fake.Change) bool { return c.Bytes > valueBytes/2 })
+				})
+				time.Sleep(30 * time.Second)
+				w.Store.RejectTransactions(nil)
+			}
+		}
+		users.Wait()
+		if len(accepted) < jobs {
+			t.Errorf("%d of %d jobs were accepted", len(accepted), jobs)
+		}
+		for _, id := range accepted {
+			if !w.Await(id, wire.JobDone, 2*time.Minute) && !w.Await(id, wire.JobCancelled, time.Second) {
+				t.Errorf("%s is neither done nor cancelled", id)
+			}
+		}
+		before := w.Store.Rejections()
+		time.Sleep(time.Minute)
+		if n := w.Store.Rejections() - before; n > 0 {
+			t.Errorf("%d transactions were rejected after the end of all jobs", n)
+		}
+		if keys := w.Store.JobKeys(); len(keys) > 0 {
+			t.Errorf("records of finished jobs remain: %v", keys)
+		}
+	})
+}
