The lag of the cloud's list is computed in one place, and a bare tolerance gets its name

The same sum stood in boottime.go, machine_view.go and, with bare numbers, window_provision.go: Model.cloudListLag serves the three. warm_pool_demand.go uses fitTolerance. Values are the same; the hashes of decisions are too.

--- a/cluster/boottime.go
+++ b/cluster/boottime.go
@@ -72,8 +72,7 @@
 		return 0, false
 	}
 	age := now.Sub(mc.createdAt)
-	lag := config.Seconds(cloudListLagFactor*m.settings.Cluster.Cloud.ListLagS + cloudListLagMarginSeconds)
-	if mc.cloudState == "" && age > lag || mc.cloudState == wire.MachineFailed || age > m.lostBootLimit(mc) {
+	if mc.cloudState == "" && age > m.cloudListLag() || mc.cloudState == wire.MachineFailed || age > m.lostBootLimit(mc) {
 		return 0, false
 	}
 	if age > m.lateBootLimit(mc) {
--- a/cluster/cloudlist.go
+++ b/cluster/cloudlist.go
@@ -9,13 +9,16 @@
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// The lag after which the cloud's list is expected to show a change is cloudListLagFactor times the
-// configured lag plus cloudListLagMarginSeconds.
 const (
-	cloudListLagFactor        = 2
+	cloudListLagFactor        = 2 // of the configured lag
 	cloudListLagMarginSeconds = 10
 )
 
+// cloudListLag returns the time after which the cloud's list is expected to show a change.
+func (m *Model) cloudListLag() time.Duration {
+	return config.Seconds(cloudListLagFactor*m.settings.Cluster.Cloud.ListLagS + cloudListLagMarginSeconds)
+}
+
 // ApplyCloudList applies the cloud's list of machines. It adds machines that have not sent a
 // heartbeat yet. The list lags and may be older than the previous one, so that it proves
 // nothing about tasks.
--- a/cluster/machine_view.go
+++ b/cluster/machine_view.go
@@ -44,7 +44,7 @@
 // token, because others may be delayed copies.
 func (m *Model) ExpectedMachines(now time.Time) int {
 	n := 0
-	lag := config.Seconds(cloudListLagFactor*m.settings.Cluster.Cloud.ListLagS + cloudListLagMarginSeconds)
+	lag := m.cloudListLag()
 	for _, mc := range m.Machines {
 		listed := mc.cloudState == wire.MachineRunning && now.Sub(m.ElectedAt) > lag && now.Sub(mc.cloudStateAt) < lag
 		if !mc.Gone && !mc.scalingIn && (mc.alive && mc.tokenShown || len(mc.Tasks) > 0 || listed) {
--- a/cluster/warm_pool_demand.go
+++ b/cluster/warm_pool_demand.go
@@ -79,7 +79,7 @@
 		replicas := math.MaxInt32
 		for _, resource := range []struct{ need, capacity float64 }{{need.CPU, t.Capacity.CPU}, {need.GPU, t.Capacity.GPU}, {need.Mem, t.Capacity.Mem}} {
 			if resource.need > 0 {
-				replicas = min(replicas, int(resource.capacity/resource.need+1e-6))
+				replicas = min(replicas, int(resource.capacity/resource.need+fitTolerance))
 			}
 		}
 		if fewest == 0 || replicas < fewest {
--- a/cluster/window_provision.go
+++ b/cluster/window_provision.go
@@ -73,7 +73,7 @@
 // expired, and the cloud's list shows the machines that an earlier leader rented.
 func (m *Model) provisionGracePeriod() time.Duration {
 	workers := m.settings.Cluster.Workers
-	return max(config.Seconds(workers.LeaseS), config.Seconds(2*m.settings.Cluster.Cloud.ListLagS+10)) + config.Seconds(workers.HeartbeatS)
+	return max(config.Seconds(workers.LeaseS), m.cloudListLag()) + config.Seconds(workers.HeartbeatS)
 }
 
 // Penalties, in seconds, that bootTimeFor adds to a type's boot time. Package placement adds the
