--- a/cluster/placementpages_test.go
+++ b/cluster/placementpages_test.go
@@ -1,12 +1,10 @@
 package cluster
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/umberdeal/umberdeal/internal/golden"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -71,19 +69,7 @@
 // jsonSize returns the size of a value as JSON text, which is how the service counts it.
 func jsonSize(t *testing.T, v any) int {
 	t.Helper()
-	b, err := wire.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var plain any
-	if err := msgpack.Unmarshal(b, &plain); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(plain)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(text)
+	return golden.JSONSize(t, wire.Marshal, v)
 }
 
 // The placement records of many jobs must share few pages. With one key per job, dozens of jobs
--- a/controller/large_records_test.go
+++ b/controller/large_records_test.go
@@ -8,7 +8,6 @@
 package controller_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/umberdeal/umberdeal/internal/fake"
+	"github.com/umberdeal/umberdeal/internal/golden"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/wire"
 )
@@ -47,19 +47,7 @@
 // recordSize returns the size of an accepted job's record as JSON, which is how the store counts it.
 func recordSize(t *testing.T, j wire.Job) int {
 	t.Helper()
-	encoded, err := wire.Marshal(jobstore.JobRecord{Job: j, AcceptedAtMs: time.Now().UnixMilli()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var plain any
-	if err := wire.Unmarshal(encoded, &plain); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(plain)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(text)
+	return golden.JSONSize(t, wire.Marshal, jobstore.JobRecord{Job: j, AcceptedAtMs: time.Now().UnixMilli()})
 }
 
 // mustAllRun waits until the jobs run.
--- a/jobstore/recordsize_test.go
+++ b/jobstore/recordsize_test.go
@@ -1,32 +1,14 @@
 package jobstore
 
 import (
-	"encoding/json"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
+	"github.com/umberdeal/umberdeal/internal/golden"
 	"github.com/umberdeal/umberdeal/wire"
 )
 
-// jsonBytes returns the size of a value as JSON, which is how the key-value store counts it.
-func jsonBytes(t *rapid.T, v any) int {
-	raw, err := wire.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var plain any
-	if err := msgpack.Unmarshal(raw, &plain); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(plain)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(text)
-}
-
 // A size below the real one would let the leader compose transactions that the store rejects.
 func TestSizeOfAPlacementPageIsAnUpperBound(t *testing.T) {
 	numbers := rapid.SliceOfN(rapid.IntRange(0, 99999), 0, 20)
@@ -40,7 +22,7 @@
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		page := PlacementPage{Chunks: rapid.SliceOfN(chunk, 0, 5).Draw(t, "chunks")}
-		if got, want := page.Size(), jsonBytes(t, page); got < want {
+		if got, want := page.Size(), golden.JSONSize(t, wire.Marshal, page); got < want {
 			t.Errorf("Size = %d, less than the %d bytes of the page as JSON", got, want)
 		}
 	})
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"strings"
@@ -19,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/umberdeal/umberdeal/internal/golden"
 	"github.com/umberdeal/umberdeal/jobstore"
 	"github.com/umberdeal/umberdeal/kvstore"
 	"github.com/umberdeal/umberdeal/wire"
@@ -286,7 +286,7 @@
 	return func(ops []wire.Op) error {
 		total := 0
 		for _, op := range ops {
-			size := jsonSizeOf(t, op.Value)
+			size := golden.JSONSize(t, wire.Marshal, op.Value)
 			if total += size; size > limits.ValueBytes() || total > wire.MaxBody {
 				return kvstore.ErrInvalidRequest
 			}
@@ -295,24 +295,6 @@
 	}
 }
 
-// jsonSizeOf returns the size of a value as JSON.
-func jsonSizeOf(t *testing.T, v any) int {
-	t.Helper()
-	raw, err := wire.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var plain any
-	if err := wire.Unmarshal(raw, &plain); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(plain)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(text)
-}
-
 // The final record of a job is larger than its active one. A job whose active record is as large as a
 // value may be must be cancelled all the same, and stay cancelled for a controller that reads the record.
 func TestJobWithTheLargestRecordIsCancelled(t *testing.T) {
@@ -323,7 +305,7 @@
 		runStores(t, 2, s, func(stores []*jobstore.Store) {
 			large := job(0)
 			large.Types = []string{""}
-			empty := jsonSizeOf(t, jobstore.JobRecord{Job: large, AcceptedAtMs: time.Now().UnixMilli()})
+			empty := golden.JSONSize(t, wire.Marshal, jobstore.JobRecord{Job: large, AcceptedAtMs: time.Now().UnixMilli()})
 			large.Types[0] = strings.Repeat("x", limits.ValueBytes()-empty)
 			if _, ok := submit(t.Context(), stores[0], large); !ok {
 				t.Fatal("the job was not accepted")
--- a/wire/scan_test.go
+++ b/wire/scan_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/umberdeal/umberdeal/internal/golden"
 )
 
 // The decoder allocated memory for the announced number of elements of a list. A heartbeat or record
@@ -83,20 +85,8 @@
 			}
 			bound += op.Size(valueBytes)
 		}
-		raw, err := Marshal(txn)
-		if err != nil {
-			t.Fatal(err)
-		}
-		var plain any
-		if err := msgpack.Unmarshal(raw, &plain); err != nil {
-			t.Fatal(err)
-		}
-		text, err := json.Marshal(plain)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if bound < len(text) {
-			t.Errorf("%s: the sizes add up to %d, less than the %d bytes of %s", name, bound, len(text), text)
+		if size := golden.JSONSize(t, Marshal, txn); bound < size {
+			t.Errorf("%s: the sizes add up to %d, less than the %d bytes as JSON", name, bound, size)
 		}
 	}
 }
--- a/yarn/launch_size_test.go
+++ b/yarn/launch_size_test.go
@@ -3,13 +3,13 @@
 package yarn
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/umberdeal/umberdeal/internal/golden"
 	nwire "github.com/umberdeal/umberdeal/wire"
 	"github.com/umberdeal/umberdeal/yarn/wire/pb"
 )
@@ -19,24 +19,6 @@
 	return &pb.ContainerLaunchContextProto{Environment: []*pb.StringStringMapProto{{Key: proto.String("V"), Value: &value}}}
 }
 
-// jsonBytes returns the size of a value as JSON, which is how the key-value store counts it.
-func jsonBytes(t *testing.T, v any) int {
-	t.Helper()
-	raw, err := nwire.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var plain any
-	if err := nwire.Unmarshal(raw, &plain); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(plain)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(text)
-}
-
 // Containers that were started together shared a transaction by their number, whatever their launch
 // contexts took. With large contexts the store rejected it, and no container of the call was started.
 func TestStartsWithLargeContextsAreDividedByTheirSize(t *testing.T) {
@@ -59,7 +41,7 @@
 			for _, start := range part {
 				ops = append(ops, start.contextOp)
 			}
-			if size := jsonBytes(t, nwire.Txn{Then: ops}); size > nwire.MaxBody {
+			if size := golden.JSONSize(t, nwire.Marshal, nwire.Txn{Then: ops}); size > nwire.MaxBody {
 				t.Errorf("%d containers with contexts of %d bytes: the transaction has %d bytes, want at most %d", len(part), c.contextBytes, size, nwire.MaxBody)
 			}
 			count += len(part)
@@ -80,7 +62,7 @@
 			if err != nil {
 				continue // refused with the reason
 			}
-			if size := jsonBytes(t, op.Value); size > f.limits.ValueBytes {
+			if size := golden.JSONSize(t, nwire.Marshal, op.Value); size > f.limits.ValueBytes {
 				t.Errorf("a context of %d %q was taken, although it has %d bytes", n, text, size)
 			}
 		}
