Sizes of placement pages follow the longest machine name, at a new leader too

Found by reading; not seen in a deployment.

Cause: the size of a chunk was computed once, when it came to its page, with the longest machine name known then. A new leader loads pages before it knows any, and counted 12 bytes.

Change: when a longer name comes up, the sizes of all chunks are computed anew.

Evidence: TestPagesLoadedBeforeMachineNamesAreKnownFit: a page of 18,282 bytes of 16,384 before, with names of 42 bytes; fits now.

--- a/cluster/placementpages.go
+++ b/cluster/placementpages.go
@@ -71,9 +71,20 @@
 	longestMachineName int              // length in bytes; bounds the size of placement records
 }
 
-// observeMachineName updates longestMachineName.
+// observeMachineName updates longestMachineName, and with it the sizes of all chunks.
 func (s *placementPages) observeMachineName(name string) {
-	s.longestMachineName = max(s.longestMachineName, len(name))
+	if len(name) <= s.longestMachineName {
+		return
+	}
+	s.longestMachineName = len(name)
+	for _, p := range s.pages {
+		for _, r := range p.chunks {
+			c := r.get()
+			p.size -= c.size
+			c.size = s.chunkSize(r.job, r.chunk)
+			p.size += c.size
+		}
+	}
 }
 
 // maxChunks returns the most chunks that a page may have. The conditions for all chunks of a
--- a/cluster/placementpages_test.go
+++ b/cluster/placementpages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/umberdeal/umberdeal/internal/golden"
@@ -140,3 +141,38 @@
 		t.Errorf("got pages %v after all jobs finished, want none", stored)
 	}
 }
+
+// A new leader loads pages before it knows any machine's name, and sized their chunks for short names. It put
+// further chunks on these pages, which exceeded a value once their tasks were placed on machines with long
+// names. Every page must fit.
+func TestPagesLoadedBeforeMachineNamesAreKnownFit(t *testing.T) {
+	const jobs, tasks, chunksOfAPage = 24, 20, 12
+	m := newModel(9)
+	var loaded jobstore.PlacementPage
+	for i := range jobs {
+		id := fmt.Sprintf("wk-%06d", i)
+		m.ApplyJobRecord(id, arrayJob(id, tasks), 1, at(0))
+		if i < chunksOfAPage {
+			loaded.Chunks = append(loaded.Chunks, jobstore.PlacementChunk{Job: id, MaxAttempt: 3})
+		}
+	}
+	m.LoadPlacementPage(0, loaded, 2, at(0))
+	m.FinishLoading(at(0))
+	for i := range jobs * tasks / 4 {
+		h := newHeartbeat(1, 9)
+		h.Machine = fmt.Sprintf("host-%s-%06d", strings.Repeat("x", 30), i)
+		m.ApplyHeartbeat(h, at(0))
+	}
+	m.Schedule(at(1), 1000)
+	stored := map[string]jobstore.PlacementPage{}
+	writeAll(t, m, stored) // checks the sizes
+	placed := 0
+	for _, p := range stored {
+		for _, c := range p.Chunks {
+			placed += len(c.Placements)
+		}
+	}
+	if placed != jobs*tasks {
+		t.Errorf("%d placements are recorded, want %d", placed, jobs*tasks)
+	}
+}
