--- a/internal/fake/nodes.go
+++ b/internal/fake/nodes.go
@@ -141,6 +141,19 @@
 	return slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == leader })
 }
 
+// leaderPollInterval is how often AwaitLeader reads the leader key.
+const leaderPollInterval = 10 * time.Millisecond
+
+// AwaitLeader is like Leader, but waits while there is no leader. It returns -1 if there is none for
+// longer than within.
+func (w *Cluster) AwaitLeader(within time.Duration) int {
+	leader := w.Leader()
+	for end := time.Now().Add(within); leader < 0 && time.Now().Before(end); leader = w.Leader() {
+		time.Sleep(leaderPollInterval)
+	}
+	return leader
+}
+
 // PowerCycleNode kills the i-th controller and starts it again after the given time. It returns
 // once the controller is started.
 func (w *Cluster) PowerCycleNode(i int, after time.Duration) {
--- a/routing/fleet_plan_test.go
+++ b/routing/fleet_plan_test.go
@@ -50,6 +50,17 @@
 	return 4
 }
 
+// mustAwaitLeader returns the index of the leader. For a moment between two leaderships there is none. It
+// ends the test if nobody is elected within a minute.
+func mustAwaitLeader(t *testing.T, w *fake.Cluster) int {
+	t.Helper()
+	leader := w.AwaitLeader(time.Minute)
+	if leader < 0 {
+		t.Fatal("no leader is elected within a minute")
+	}
+	return leader
+}
+
 // Faults of all kinds are combined on seven nodes and hundreds of machines: leaders are killed,
 // paused or isolated to their workers, the state service fails, a hundred machines receive no
 // answers, machines die and heartbeats are duplicated. Meanwhile the plan keeps changing. No
@@ -95,12 +106,12 @@
 			all := w.Cloud.Machines()
 			switch rnd.IntN(9) {
 			case 0:
-				w.KillNode(w.Leader())
+				w.KillNode(mustAwaitLeader(t, w))
 			case 1:
-				w.PauseNode(w.Leader())
+				w.PauseNode(mustAwaitLeader(t, w))
 				time.Sleep(9 * time.Second)
 			case 2:
-				l := w.Leader()
+				l := mustAwaitLeader(t, w)
 				w.IsolateToWorkers(l)
 				time.AfterFunc(30*time.Second, func() { w.HealNodeIsolation(l) })
 			case 3:
