--- a/review/testdata/stage/stage.go
+++ b/review/testdata/stage/stage.go
@@ -62,6 +62,8 @@
 	mu      sync.Mutex
 	procs   []*exec.Cmd       // by controller; nil: not running
 	bridges map[string]string // loopback address of a worker, by its address in the emulation
+	stopped map[string]time.Time
+	deleted map[string]bool // machines whose deletion the cloud has confirmed
 	done    bool
 }
 
@@ -78,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stage{dir: dir, record: record, began: time.Now(), bridges: map[string]string{}, yarnOn: options.YARN != ""}
+	s := &Stage{dir: dir, record: record, began: time.Now(), bridges: map[string]string{}, stopped: map[string]time.Time{}, deleted: map[string]bool{}, yarnOn: options.YARN != ""}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
@@ -250,7 +252,14 @@
 	}
 	cloudClient := &http.Client{Transport: &http.Transport{DialContext: dial}}
 	go s.serveHTTP(cloud, func(w http.ResponseWriter, r *http.Request) {
-		s.relay(w, r, cloudClient, s.Cluster.Settings.Services.Cloud, nil, s.localMachines)
+		var request []byte
+		keep := func(body []byte) []byte { request = body; return body }
+		s.relay(w, r, cloudClient, s.Cluster.Settings.Services.Cloud, keep, func(answer []byte) []byte {
+			if r.URL.Path == "/machines/delete" {
+				s.recordDeletion(request)
+			}
+			return s.localMachines(answer)
+		})
 	})
 	inside, err := s.Cluster.Network.Listen("tcp", name+":80")
 	if err != nil {
@@ -326,6 +335,47 @@
 	return out
 }
 
+// deadListedRunning is how long the cloud lists a dead machine as running.
+const deadListedRunning = 30 * time.Second
+
+// StopMachine stops a machine with all that is on it.
+func (s *Stage) StopMachine(name string) {
+	s.mu.Lock()
+	s.stopped[name] = time.Now()
+	s.mu.Unlock()
+	s.Cluster.KillMachine(name)
+	s.Note("machine %s stops with all that is on it", name)
+}
+
+func (s *Stage) recordDeletion(request []byte) {
+	var names wire.Names
+	if wire.Unmarshal(request, &names) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names.Machines {
+		s.deleted[name] = true
+	}
+}
+
+// Deleted reports whether the cloud has confirmed a machine's deletion.
+func (s *Stage) Deleted(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deleted[name]
+}
+
+// listedState returns the state of a listed machine: a stopped one is listed as running for a while.
+func (s *Stage) listedState(m *wire.ListedMachine) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.stopped[m.Name]; ok && time.Since(at) < deadListedRunning {
+		return wire.MachineRunning
+	}
+	return m.State
+}
+
 // localMachines replaces the workers' addresses in the cloud's list.
 func (s *Stage) localMachines(body []byte) []byte {
 	var list wire.MachineList
@@ -334,6 +384,7 @@
 	}
 	for i := range list.Machines {
 		list.Machines[i].Addr = s.bridge(list.Machines[i].Addr)
+		list.Machines[i].State = s.listedState(&list.Machines[i])
 	}
 	out, err := wire.Marshal(list)
 	if err != nil {
